--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+PACKAGES := kernel protocol routing fleet node ctl standins
+PYPROJECTS := $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml)
+
+.PHONY: demo test lint format
+
+$(STAMP): constraints.txt requirements-dev.txt $(PYPROJECTS)
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		-c constraints.txt -r requirements-dev.txt \
+		$(foreach name,$(PACKAGES),-e packages/$(name))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(VENV)/bin/lentilshore demo
+
+test: $(STAMP)
+	$(PYTHON) -m pytest
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/packages/fleet/src/lentilshore_fleet/accounts.py
@@ -0,0 +1,185 @@
+"""Totals of bills: reading them, and compacting old segments."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import TypedDict
+
+from lentilshore_kernel.exceptions import StoreConflictError
+
+from .bills import Bill, bills_from_text, prefer
+from .leases import LeaseManager
+from .ledger import SEGMENT_PREFIX
+from .store import ObjectStore, StoredObject
+
+ACCOUNT_PREFIX = "accounts/"
+
+
+class Total(TypedDict):
+    """Sum of bills.
+
+    :param requests: number of requests billed.
+    :param input_tokens: tokens of prompts.
+    :param output_tokens: tokens of answers.
+    :param cost: price in micro-units of money.
+    """
+
+    requests: int
+    input_tokens: int
+    output_tokens: int
+    cost: float
+
+
+class AccountRecord(TypedDict):
+    """Compacted bills of one incarnation.
+
+    :param covered: ranges of bill numbers that the totals include.
+    :param customers: totals by customer.
+    :param upstreams: totals by upstream.
+    :param fencing: fencing number of the writer's lease.
+    """
+
+    covered: list[list[int]]
+    customers: dict[str, Total]
+    upstreams: dict[str, Total]
+    fencing: int
+
+
+class AccountTotals(TypedDict):
+    """Totals over all incarnations, by customer and by upstream."""
+
+    customers: dict[str, Total]
+    upstreams: dict[str, Total]
+
+
+async def read_totals(store: ObjectStore) -> AccountTotals:
+    """Return the totals of every bill in the store, each counted once.
+
+    :param store: the object API.
+    :raises StoreUnavailableError: if the store is not reached.
+    """
+    totals = AccountTotals(customers={}, upstreams={})
+    segments = _by_incarnation(await store.list(SEGMENT_PREFIX))
+    accounts = {
+        stored.key[len(ACCOUNT_PREFIX) :]: stored.value
+        for stored in await store.list(ACCOUNT_PREFIX)
+    }
+    for incarnation in sorted(segments.keys() | accounts.keys()):
+        account = accounts.get(incarnation, _empty_account())
+        _merge(totals["customers"], account["customers"])
+        _merge(totals["upstreams"], account["upstreams"])
+        bills = _uncovered(segments.get(incarnation, []), account)
+        _add_bills(totals["customers"], totals["upstreams"], bills)
+    return totals
+
+
+async def compact(store: ObjectStore, lease: LeaseManager, incarnation: str) -> int:
+    """Fold the segments of a finished incarnation into its account.
+
+    A crash between the two writes leaves segments whose numbers are covered;
+    they are skipped by readers and deleted by the next compaction.
+
+    :param store: the object API.
+    :param lease: the leader's lease, checked before each write.
+    :param incarnation: whose segments to fold.
+    :returns: segments deleted.
+    :raises LeaseLostError: if the lease has run out.
+    :raises StoreError: if the store fails; call again.
+    """
+    key = f"{ACCOUNT_PREFIX}{incarnation}"
+    stored = await store.get(key)
+    account: AccountRecord = stored.value if stored else _empty_account()
+    segments = await store.list(f"{SEGMENT_PREFIX}{incarnation}/")
+    bills = _uncovered(segments, account)
+    fencing = lease.check()
+    if fencing < account["fencing"]:
+        return 0
+    if bills:
+        record = _fold(account, bills, fencing)
+        await store.put(key, record, stored.version if stored else 0)
+    deleted = 0
+    for segment in segments:
+        lease.check()
+        try:
+            await store.delete(segment.key, segment.version)
+        except StoreConflictError:
+            continue
+        deleted += 1
+    return deleted
+
+
+def _fold(account: AccountRecord, bills: list[Bill], fencing: int) -> AccountRecord:
+    customers = {name: Total(**total) for name, total in account["customers"].items()}
+    upstreams = {name: Total(**total) for name, total in account["upstreams"].items()}
+    _add_bills(customers, upstreams, bills)
+    numbers = {n for low, high in account["covered"] for n in range(low, high + 1)}
+    numbers.update(bill.sequence for bill in bills)
+    return AccountRecord(
+        covered=_ranges(numbers),
+        customers=customers,
+        upstreams=upstreams,
+        fencing=fencing,
+    )
+
+
+def _uncovered(segments: list[StoredObject], account: AccountRecord) -> list[Bill]:
+    bills: dict[int, Bill] = {}
+    for segment in segments:
+        for bill in bills_from_text(segment.value["bills"]):
+            if not _covers(account["covered"], bill.sequence):
+                bills[bill.sequence] = prefer(bills.get(bill.sequence), bill)
+    return list(bills.values())
+
+
+def _covers(ranges: list[list[int]], number: int) -> bool:
+    return any(low <= number <= high for low, high in ranges)
+
+
+def _ranges(numbers: Iterable[int]) -> list[list[int]]:
+    ranges: list[list[int]] = []
+    for number in sorted(numbers):
+        if ranges and ranges[-1][1] == number - 1:
+            ranges[-1][1] = number
+        else:
+            ranges.append([number, number])
+    return ranges
+
+
+def _by_incarnation(segments: list[StoredObject]) -> dict[str, list[StoredObject]]:
+    groups: dict[str, list[StoredObject]] = defaultdict(list)
+    for segment in segments:
+        groups[segment.value["incarnation"]].append(segment)
+    return groups
+
+
+def _add_bills(
+    customers: dict[str, Total], upstreams: dict[str, Total], bills: Iterable[Bill]
+) -> None:
+    for bill in bills:
+        customer = customers.setdefault(bill.customer, _empty_total())
+        customer["requests"] += 1
+        for line in bill.lines:
+            upstream = upstreams.setdefault(line.upstream, _empty_total())
+            upstream["requests"] += 1
+            for total in (customer, upstream):
+                total["input_tokens"] += line.input_tokens
+                total["output_tokens"] += line.output_tokens
+                total["cost"] += line.cost
+
+
+def _merge(into: dict[str, Total], totals: dict[str, Total]) -> None:
+    for name, total in totals.items():
+        known = into.setdefault(name, _empty_total())
+        known["requests"] += total["requests"]
+        known["input_tokens"] += total["input_tokens"]
+        known["output_tokens"] += total["output_tokens"]
+        known["cost"] += total["cost"]
+
+
+def _empty_total() -> Total:
+    return Total(requests=0, input_tokens=0, output_tokens=0, cost=0.0)
+
+
+def _empty_account() -> AccountRecord:
+    return AccountRecord(covered=[], customers={}, upstreams={}, fencing=0)
--- /dev/null
+++ b/packages/fleet/src/lentilshore_fleet/claims.py
@@ -0,0 +1,202 @@
+"""Claims that let a non-idempotent request be dispatched at most once."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, NamedTuple, NotRequired, TypedDict
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.exceptions import (
+    RefusalError,
+    StoreAmbiguousError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from lentilshore_kernel.types import Execution, RefusalReason
+
+from .store import ObjectStore, StoredObject, read_back
+
+ANSWER_LIMIT_BYTES = 65_536
+COMPLETE_TRIES = 3
+ASK_AGAIN_S = 2.0
+
+
+class ClaimRecord(TypedDict):
+    """A claim in the store.
+
+    ``state`` is ``dispatching``, ``abandoned`` (certainly not dispatched) or
+    ``done`` (with the answer, where it is small enough).
+    """
+
+    attempt: str
+    body_hash: str
+    state: str
+    answer: NotRequired[Any]
+
+
+class Claim(NamedTuple):
+    """A claim that this attempt holds.
+
+    :param key: key of the object.
+    :param version: version of the object.
+    :param attempt: identifier of the attempt.
+    :param body_hash: hash of the request's body.
+    """
+
+    key: str
+    version: int
+    attempt: str
+    body_hash: str
+
+
+class Replay(NamedTuple):
+    """The stored answer of an earlier attempt with the same key.
+
+    :param answer: the answer; None if it was too large to keep.
+    """
+
+    answer: Any
+
+
+class ClaimStore:
+    """Takes and completes claims.
+
+    :param store: the object API.
+    :param clock: paces read-backs.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def acquire(
+        self, customer: str, key: str, body: bytes, attempt: str
+    ) -> Claim | Replay:
+        """Claim the right to dispatch a request.
+
+        :param customer: name of the customer.
+        :param key: the caller's idempotency key.
+        :param body: the request's body.
+        :param attempt: identifier unique to this attempt.
+        :returns: the claim, or the answer if the request is already done.
+        :raises RefusalError: if another attempt holds the claim or the store
+            cannot tell; this attempt has not been dispatched.
+        """
+        object_key = claim_key(customer, key)
+        body_hash = hashlib.sha256(body).hexdigest()
+        record = ClaimRecord(attempt=attempt, body_hash=body_hash, state="dispatching")
+        claim = Claim(object_key, 1, attempt, body_hash)
+        try:
+            version = await self._store.put(object_key, record, 0)
+            return claim._replace(version=version)
+        except StoreConflictError:
+            pass
+        except StoreAmbiguousError:
+            pass
+        except StoreUnavailableError as error:
+            raise _claim_unavailable() from error
+        return await self._resolve(claim, record)
+
+    async def complete(self, claim: Claim, answer: Any, answer_bytes: int) -> bool:
+        """Store the answer of a request that ran.
+
+        :param claim: the claim held.
+        :param answer: JSON value from which the answer can be given again.
+        :param answer_bytes: its size; larger than
+            :data:`ANSWER_LIMIT_BYTES` is not kept.
+        :returns: whether the store confirmed it.
+        """
+        record = ClaimRecord(
+            attempt=claim.attempt, body_hash=claim.body_hash, state="done"
+        )
+        if answer_bytes <= ANSWER_LIMIT_BYTES:
+            record["answer"] = answer
+        return await self._settle(claim, record)
+
+    async def abandon(self, claim: Claim) -> bool:
+        """Give back a claim under which nothing was dispatched.
+
+        :returns: whether the store confirmed it.
+        """
+        record = ClaimRecord(
+            attempt=claim.attempt, body_hash=claim.body_hash, state="abandoned"
+        )
+        return await self._settle(claim, record)
+
+    async def _settle(self, claim: Claim, record: ClaimRecord) -> bool:
+        for _ in range(COMPLETE_TRIES):
+            try:
+                await self._store.put(claim.key, record, claim.version)
+                return True
+            except StoreUnavailableError:
+                continue
+            except (StoreAmbiguousError, StoreConflictError):
+                stored = await self._read(claim.key)
+                if stored is not None and stored.value == record:
+                    return True
+        return False
+
+    async def _read(self, key: str) -> StoredObject | None:
+        try:
+            return await read_back(self._store, self._clock, key)
+        except StoreAmbiguousError:
+            return None
+
+    async def _resolve(self, claim: Claim, record: ClaimRecord) -> Claim | Replay:
+        try:
+            stored = await read_back(self._store, self._clock, claim.key)
+        except StoreAmbiguousError as error:
+            raise _claim_unavailable() from error
+        if stored is None:
+            raise _claim_unavailable()
+        found: ClaimRecord = stored.value
+        if found["attempt"] == claim.attempt:
+            return claim._replace(version=stored.version)
+        if found["body_hash"] != claim.body_hash:
+            raise RefusalError(
+                RefusalReason.IDEMPOTENCY_KEY_REUSED,
+                detail="this idempotency key was used with another body",
+            )
+        if found["state"] == "abandoned":
+            return await self._take_over(claim, record, stored)
+        return _answer_of(found)
+
+    async def _take_over(
+        self, claim: Claim, record: ClaimRecord, stored: StoredObject
+    ) -> Claim | Replay:
+        try:
+            version = await self._store.put(claim.key, record, stored.version)
+            return claim._replace(version=version)
+        except StoreUnavailableError as error:
+            raise _claim_unavailable() from error
+        except (StoreConflictError, StoreAmbiguousError):
+            latest = await self._read(claim.key)
+        if latest is not None and latest.value["attempt"] == claim.attempt:
+            return claim._replace(version=latest.version)
+        raise _claim_unavailable()
+
+
+def claim_key(customer: str, key: str) -> str:
+    """Return the store key of a claim."""
+    digest = hashlib.sha256(f"{customer}\0{key}".encode()).hexdigest()[:40]
+    return f"claims/{digest}"
+
+
+def _answer_of(found: ClaimRecord) -> Replay:
+    if found["state"] == "done":
+        return Replay(found.get("answer"))
+    raise RefusalError(
+        RefusalReason.OUTCOME_UNKNOWN,
+        Execution.UNKNOWN,
+        "an earlier attempt with this key may be running or may have run; "
+        "ask again with the same key and body",
+        ASK_AGAIN_S,
+    )
+
+
+def _claim_unavailable() -> RefusalError:
+    return RefusalError(
+        RefusalReason.CLAIM_UNAVAILABLE,
+        detail="the platform could not record the claim; nothing was dispatched",
+        retry_after_s=ASK_AGAIN_S,
+    )
--- /dev/null
+++ b/packages/fleet/src/lentilshore_fleet/configuration.py
@@ -0,0 +1,345 @@
+"""Configuration of the fleet: one revision that only rises.
+
+A head object names the snapshot parts and carries the deltas made since, so
+that readers see a revision whole or not at all, whatever its size.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.exceptions import (
+    RevisionConflictError,
+    StoreAmbiguousError,
+    StoreConflictError,
+)
+
+from .store import VALUE_LIMIT_BYTES, ObjectStore, read_back
+
+HEAD_KEY = "config/head"
+PART_BYTES = VALUE_LIMIT_BYTES // 2
+DELTAS_KEPT = 64
+DELTA_BYTES_KEPT = VALUE_LIMIT_BYTES // 4
+CHANGES_KEPT = 512
+
+
+class Delta(TypedDict):
+    """Difference between two consecutive revisions.
+
+    :param revision: revision that the delta leads to.
+    :param change: identifier of the change.
+    :param updated: records set, by key.
+    :param removed: keys removed.
+    """
+
+    revision: int
+    change: str
+    updated: dict[str, Any]
+    removed: list[str]
+
+
+class Head(TypedDict):
+    """The object that decides which revision is current."""
+
+    revision: int
+    snapshot_revision: int
+    snapshot_parts: list[str]
+    deltas: list[Delta]
+    changes: dict[str, int]
+
+
+class Change(NamedTuple):
+    """An operator's change.
+
+    :param change: identifier chosen by the operator, the same for a repeat.
+    :param revision: revision that the change was made against.
+    :param updated: records to set, by key.
+    :param removed: keys to remove.
+    """
+
+    change: str
+    revision: int
+    updated: Mapping[str, Any]
+    removed: tuple[str, ...] = ()
+
+
+class Snapshot(NamedTuple):
+    """A whole configuration.
+
+    :param revision: its revision, 0 for the empty one.
+    :param entries: records by key.
+    """
+
+    revision: int
+    entries: dict[str, Any]
+
+
+class ConfigurationStatus(TypedDict):
+    """What a node knows about the age of its configuration."""
+
+    revision: int
+    age_s: NotRequired[float]
+
+
+class ConfigurationView:
+    """The configuration in force on one node; its revision never falls.
+
+    :param clock: tells the age of the last confirmation.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._snapshot = Snapshot(0, {})
+        self._deltas: list[Delta] = []
+        self._confirmed_at: float | None = None
+        self._listeners: list[Callable[[Snapshot], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, 0 before the first."""
+        return self._snapshot.revision
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The configuration in force."""
+        return self._snapshot
+
+    @property
+    def age_s(self) -> float | None:
+        """Seconds since the platform last confirmed this or an older revision.
+
+        None before the first confirmation.
+        """
+        if self._confirmed_at is None:
+            return None
+        return self._clock.monotonic() - self._confirmed_at
+
+    def on_change(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call a function after each new revision.
+
+        :param listener: receives the new snapshot.
+        """
+        self._listeners.append(listener)
+
+    def confirm(self, age_s: float = 0.0) -> None:
+        """Note that the revision in force was current some seconds ago.
+
+        :param age_s: age that a peer reports; 0 for an answer of the platform.
+        """
+        at = self._clock.monotonic() - age_s
+        if self._confirmed_at is None or at > self._confirmed_at:
+            self._confirmed_at = at
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Put a whole configuration in force if it is newer.
+
+        :returns: whether it was.
+        """
+        if snapshot.revision <= self.revision:
+            return False
+        self._deltas.clear()
+        self._install(snapshot)
+        return True
+
+    def apply(self, delta: Delta) -> bool:
+        """Put the next revision in force.
+
+        :returns: False if the delta does not follow the revision in force.
+        """
+        if delta["revision"] != self.revision + 1:
+            return False
+        entries = dict(self._snapshot.entries)
+        apply_delta(entries, delta)
+        self._deltas.append(delta)
+        del self._deltas[:-DELTAS_KEPT]
+        self._install(Snapshot(delta["revision"], entries))
+        return True
+
+    def deltas_after(self, revision: int) -> list[Delta] | None:
+        """Return the deltas that lead from a revision to the one in force.
+
+        :returns: None if they are no longer kept.
+        """
+        if revision >= self.revision:
+            return []
+        deltas = [delta for delta in self._deltas if delta["revision"] > revision]
+        if not deltas or deltas[0]["revision"] != revision + 1:
+            return None
+        return deltas
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self._snapshot = snapshot
+        for listener in self._listeners:
+            listener(snapshot)
+
+
+class ConfigurationStore:
+    """Reads and changes the configuration in the platform's store.
+
+    :param store: the object API.
+    :param clock: paces read-backs.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def read(self, known: Snapshot) -> Snapshot:
+        """Return the current configuration, reading as little as possible.
+
+        :param known: what the caller has already.
+        :raises StoreUnavailableError: if the store is not reached.
+        """
+        stored = await self._store.get(HEAD_KEY)
+        return known if stored is None else await self.expand(stored.value, known)
+
+    async def watch(self, known: Snapshot, version: int) -> tuple[Snapshot, int]:
+        """Wait for a newer configuration.
+
+        :param known: what the caller has already.
+        :param version: version of the head object last seen.
+        :returns: the configuration and the version of the head object.
+        """
+        stored = await self._store.watch(HEAD_KEY, version)
+        if stored is None:
+            return known, version
+        return await self.expand(stored.value, known), stored.version
+
+    async def change(self, change: Change) -> int:
+        """Make a change, once.
+
+        :param change: the change.
+        :returns: the revision that contains it; the same for a repeat.
+        :raises RevisionConflictError: if another change came between.
+        :raises StoreAmbiguousError: if it is not known whether it was made.
+        """
+        stored = await self._store.get(HEAD_KEY)
+        head: Head = stored.value if stored else _empty_head()
+        version = stored.version if stored else 0
+        if change.change in head["changes"]:
+            return head["changes"][change.change]
+        if head["revision"] != change.revision:
+            raise RevisionConflictError(change.revision, head["revision"])
+        successor = await self._successor(head, change)
+        try:
+            await self._store.put(HEAD_KEY, successor, version)
+        except StoreConflictError as error:
+            return await self._resolve(change, error)
+        except StoreAmbiguousError as error:
+            return await self._resolve(change, error)
+        return successor["revision"]
+
+    async def _resolve(self, change: Change, cause: Exception) -> int:
+        stored = await read_back(self._store, self._clock, HEAD_KEY)
+        head: Head = stored.value if stored else _empty_head()
+        if change.change in head["changes"]:
+            return head["changes"][change.change]
+        if head["revision"] != change.revision:
+            raise RevisionConflictError(change.revision, head["revision"]) from cause
+        raise cause
+
+    async def _successor(self, head: Head, change: Change) -> Head:
+        revision = head["revision"] + 1
+        delta = Delta(
+            revision=revision,
+            change=change.change,
+            updated=dict(change.updated),
+            removed=list(change.removed),
+        )
+        deltas = [*head["deltas"], delta]
+        changes = head["changes"] | {change.change: revision}
+        changes = {k: r for k, r in changes.items() if r > revision - CHANGES_KEPT}
+        size = len(msgspec.json.encode(deltas))
+        if len(deltas) <= DELTAS_KEPT and size <= DELTA_BYTES_KEPT:
+            return Head(
+                revision=revision,
+                snapshot_revision=head["snapshot_revision"],
+                snapshot_parts=head["snapshot_parts"],
+                deltas=deltas,
+                changes=changes,
+            )
+        snapshot = await self.expand(head, Snapshot(0, {}))
+        entries = dict(snapshot.entries)
+        apply_delta(entries, delta)
+        parts = await self._write_parts(entries, change.change, revision)
+        return Head(
+            revision=revision,
+            snapshot_revision=revision,
+            snapshot_parts=parts,
+            deltas=[],
+            changes=changes,
+        )
+
+    async def _write_parts(
+        self, entries: dict[str, Any], change: str, revision: int
+    ) -> list[str]:
+        keys = []
+        for index, part in enumerate(split_entries(entries)):
+            key = f"config/part/{revision}-{change}-{index}"
+            keys.append(key)
+            try:
+                await self._store.put(key, part, 0)
+            except (StoreConflictError, StoreAmbiguousError) as error:
+                stored = await read_back(self._store, self._clock, key)
+                if stored is None or stored.value != part:
+                    raise error
+        return keys
+
+    async def expand(self, head: Head, known: Snapshot) -> Snapshot:
+        """Return the configuration that a head object stands for.
+
+        :param head: value of the head object.
+        :param known: what the caller has already.
+        """
+        if head["revision"] <= known.revision:
+            return known
+        entries: dict[str, Any]
+        if known.revision >= head["snapshot_revision"]:
+            entries, base = dict(known.entries), known.revision
+        else:
+            entries, base = {}, head["snapshot_revision"]
+            for key in head["snapshot_parts"]:
+                stored = await self._store.get(key)
+                if stored is None:
+                    return known
+                entries.update(stored.value)
+        for delta in head["deltas"]:
+            if delta["revision"] > base:
+                apply_delta(entries, delta)
+        return Snapshot(head["revision"], entries)
+
+
+def apply_delta(entries: dict[str, Any], delta: Delta) -> None:
+    """Apply a delta to records in place."""
+    entries.update(delta["updated"])
+    for key in delta["removed"]:
+        entries.pop(key, None)
+
+
+def split_entries(entries: dict[str, Any]) -> list[dict[str, Any]]:
+    """Split records into parts that the store takes.
+
+    :param entries: records by key.
+    :returns: parts of at most :data:`PART_BYTES` encoded bytes each, unless
+        one record alone is larger.
+    """
+    parts: list[dict[str, Any]] = [{}]
+    size = 0
+    for key in sorted(entries):
+        entry_bytes = len(msgspec.json.encode({key: entries[key]}))
+        if parts[-1] and size + entry_bytes > PART_BYTES:
+            parts.append({})
+            size = 0
+        parts[-1][key] = entries[key]
+        size += entry_bytes
+    return parts
+
+
+def _empty_head() -> Head:
+    return Head(
+        revision=0, snapshot_revision=0, snapshot_parts=[], deltas=[], changes={}
+    )
--- /dev/null
+++ b/packages/fleet/src/lentilshore_fleet/documents.py
@@ -0,0 +1,73 @@
+"""Documents that watchers read from the platform and peers relay."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+INSTANCES = "instances"
+LEARNED = "learned"
+SHARES = "shares"
+
+
+class Document(NamedTuple):
+    """A value with a version that only rises.
+
+    :param name: its name.
+    :param version: its version, from 1.
+    :param value: JSON value.
+    """
+
+    name: str
+    version: int
+    value: Any
+
+
+class DocumentBoard:
+    """The newest version of each document on one node."""
+
+    def __init__(self) -> None:
+        self._documents: dict[str, Document] = {}
+        self._listeners: dict[str, list[Callable[[Any], None]]] = {}
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """Version of each document that is known."""
+        return {name: item.version for name, item in self._documents.items()}
+
+    def version(self, name: str) -> int:
+        """Return the version of a document, 0 if it is not known."""
+        document = self._documents.get(name)
+        return document.version if document else 0
+
+    def value(self, name: str) -> Any:
+        """Return the value of a document, or None if it is not known."""
+        document = self._documents.get(name)
+        return document.value if document else None
+
+    def on_change(self, name: str, listener: Callable[[Any], None]) -> None:
+        """Call a function with each new value of a document."""
+        self._listeners.setdefault(name, []).append(listener)
+
+    def offer(self, document: Document) -> bool:
+        """Take a document if it is newer than the one known.
+
+        :returns: whether it was.
+        """
+        if document.version <= self.version(document.name):
+            return False
+        self._documents[document.name] = document
+        for listener in self._listeners.get(document.name, ()):
+            listener(document.value)
+        return True
+
+    def newer_than(self, versions: Mapping[str, int]) -> Iterable[Document]:
+        """Return the documents that a peer has in an older version.
+
+        :param versions: versions that the peer has.
+        """
+        return [
+            document
+            for document in self._documents.values()
+            if document.version > versions.get(document.name, 0)
+        ]
--- /dev/null
+++ b/packages/fleet/src/lentilshore_fleet/leases.py
@@ -0,0 +1,153 @@
+"""Leases with fencing numbers in the platform's store.
+
+Neither side trusts wall clocks: a holder counts its lease from before the
+renewing call on its own clock, and a contender takes over only after it has
+seen the same version for the whole duration on its own clock.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypedDict
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.exceptions import (
+    LeaseLostError,
+    StoreAmbiguousError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+
+from .store import ObjectStore, StoredObject, read_back
+
+LEASE_DURATION_S = 10.0
+LEASE_MARGIN_S = 2.0
+RENEW_INTERVAL_S = 3.0
+
+
+class LeaseRecord(TypedDict):
+    """A lease in the store.
+
+    :param holder: incarnation of the holder, empty once released.
+    :param fencing: number that rises with each change of holder.
+    :param renewal: counts renewals, so that each has a new version.
+    """
+
+    holder: str
+    fencing: int
+    renewal: int
+
+
+class _Sighting(NamedTuple):
+    version: int
+    at: float
+
+
+class LeaseManager:
+    """Acquires, renews and checks one lease.
+
+    :param store: the object API.
+    :param clock: measures the lease.
+    :param key: key of the lease object.
+    :param holder: incarnation that would hold it.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock, key: str, holder: str) -> None:
+        self._store = store
+        self._clock = clock
+        self._key = key
+        self._holder = holder
+        self._version = 0
+        self._fencing = 0
+        self._valid_until: float | None = None
+        self._seen: _Sighting | None = None
+
+    @property
+    def fencing(self) -> int:
+        """Fencing number of the lease last held."""
+        return self._fencing
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds for which the lease is certainly held, 0 if it is not."""
+        if self._valid_until is None:
+            return 0.0
+        return max(0.0, self._valid_until - self._clock.monotonic())
+
+    def check(self, margin_s: float = LEASE_MARGIN_S) -> int:
+        """Return the fencing number if the lease is held for long enough.
+
+        Call this right before each order.
+
+        :param margin_s: time that the order may take, seconds.
+        :raises LeaseLostError: if less remains.
+        """
+        if self.remaining_s <= margin_s:
+            raise LeaseLostError(f"{self._key}: {self.remaining_s:.1f} s remain")
+        return self._fencing
+
+    async def try_acquire(self) -> bool:
+        """Acquire or renew the lease.
+
+        :returns: whether it is held now; False also if the store cannot tell.
+        """
+        started = self._clock.monotonic()
+        try:
+            stored = await self._store.get(self._key)
+        except StoreUnavailableError:
+            return self.remaining_s > 0
+        if stored is not None and not self._free(stored, started):
+            return False
+        return await self._write(stored, started)
+
+    async def release(self) -> None:
+        """Give the lease up so that another may take it at once."""
+        if self.remaining_s <= 0:
+            return
+        self._valid_until = None
+        record = LeaseRecord(holder="", fencing=self._fencing, renewal=0)
+        try:
+            await self._store.put(self._key, record, self._version)
+        except (StoreUnavailableError, StoreConflictError, StoreAmbiguousError):
+            return
+
+    def _free(self, stored: StoredObject, now: float) -> bool:
+        record: LeaseRecord = stored.value
+        if record["holder"] in ("", self._holder):
+            return True
+        self._valid_until = None
+        if self._seen is None or self._seen.version != stored.version:
+            self._seen = _Sighting(stored.version, now)
+            return False
+        return now - self._seen.at >= LEASE_DURATION_S + LEASE_MARGIN_S
+
+    async def _write(self, stored: StoredObject | None, started: float) -> bool:
+        previous: LeaseRecord | None = stored.value if stored else None
+        renewing = previous is not None and previous["holder"] == self._holder
+        fencing = previous["fencing"] if previous else 0
+        record = LeaseRecord(
+            holder=self._holder,
+            fencing=fencing if renewing else fencing + 1,
+            renewal=previous["renewal"] + 1 if previous else 1,
+        )
+        version = stored.version if stored else 0
+        try:
+            self._version = await self._store.put(self._key, record, version)
+        except (StoreConflictError, StoreAmbiguousError):
+            if not await self._confirm(record):
+                return False
+        except StoreUnavailableError:
+            return self.remaining_s > 0
+        self._fencing = record["fencing"]
+        self._valid_until = started + LEASE_DURATION_S
+        return self.remaining_s > 0
+
+    async def _confirm(self, record: LeaseRecord) -> bool:
+        try:
+            stored = await read_back(self._store, self._clock, self._key)
+        except StoreAmbiguousError:
+            return False
+        if stored is None or stored.value != record:
+            self._valid_until = None
+            return False
+        self._version = stored.version
+        return True
--- /dev/null
+++ b/packages/kernel/src/lentilshore_kernel/__init__.py
@@ -0,0 +1,46 @@
+"""Kernel: types, errors, settings, plug-in registry, clock, logs, metrics."""
+
+from .clock import Clock, SystemClock
+from .exceptions import LentilshoreError, RefusalError, StoreError, UpstreamError
+from .logs import log_event, start_logging
+from .metrics import Metrics, MetricsRecorder, refusal_counter, retry_counter
+from .registry import Registry, load_plugins, plugin
+from .settings import Settings, load_settings
+from .types import (
+    Address,
+    Execution,
+    Incarnation,
+    ModelVersion,
+    Priority,
+    RefusalReason,
+    RetryReason,
+    parse_model_version,
+)
+
+__all__ = [
+    "Address",
+    "Clock",
+    "Execution",
+    "Incarnation",
+    "LentilshoreError",
+    "Metrics",
+    "MetricsRecorder",
+    "ModelVersion",
+    "Priority",
+    "RefusalError",
+    "RefusalReason",
+    "Registry",
+    "RetryReason",
+    "Settings",
+    "StoreError",
+    "SystemClock",
+    "UpstreamError",
+    "load_plugins",
+    "load_settings",
+    "log_event",
+    "parse_model_version",
+    "plugin",
+    "refusal_counter",
+    "retry_counter",
+    "start_logging",
+]
--- /dev/null
+++ b/packages/kernel/src/lentilshore_kernel/clock.py
@@ -0,0 +1,45 @@
+"""Time source, behind a protocol so that tests can advance it by hand."""
+
+from __future__ import annotations
+
+import time
+from contextlib import AbstractContextManager
+from typing import Protocol
+
+import anyio
+
+
+class Clock(Protocol):
+    """Source of time and of waits."""
+
+    def monotonic(self) -> float:
+        """Return seconds since some fixed point; never goes back."""
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the task for some seconds."""
+
+    def timeout(self, seconds: float) -> AbstractContextManager[anyio.CancelScope]:
+        """Return a context that cancels its body after some seconds."""
+
+
+class SystemClock:
+    """Clock of the machine."""
+
+    def monotonic(self) -> float:
+        """Return seconds since boot, time spent suspended included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the task for some seconds."""
+        await anyio.sleep(seconds)
+
+    def timeout(self, seconds: float) -> AbstractContextManager[anyio.CancelScope]:
+        """Return a context that cancels its body after some seconds."""
+        return anyio.move_on_after(seconds)
--- /dev/null
+++ b/packages/kernel/src/lentilshore_kernel/metrics.py
@@ -0,0 +1,86 @@
+"""Counters and timings, gathered in the process and sent by statsd."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any, Protocol
+
+from .clock import Clock
+from .types import Address, RefusalReason, RetryReason
+
+FLUSH_INTERVAL_S = 1.0
+TIMINGS_KEPT = 4096
+
+
+class Metrics(Protocol):
+    """Receiver of counters and timings."""
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+
+    def observe(self, name: str, value: float) -> None:
+        """Add one observation, such as a duration in milliseconds."""
+
+
+class MetricsRecorder:
+    """Gathers metrics in memory until they are flushed."""
+
+    def __init__(self) -> None:
+        self._totals: Counter[str] = Counter()
+        self._pending: Counter[str] = Counter()
+        self._observations: list[tuple[str, float]] = []
+
+    @property
+    def totals(self) -> dict[str, int]:
+        """Counter values since the process started."""
+        return dict(self._totals)
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        self._totals[name] += by
+        self._pending[name] += by
+
+    def observe(self, name: str, value: float) -> None:
+        """Add one observation; past :data:`TIMINGS_KEPT` it is dropped."""
+        if len(self._observations) < TIMINGS_KEPT:
+            self._observations.append((name, value))
+
+    def flush(self, client: Any) -> None:
+        """Send what has gathered through a statsd client.
+
+        :param client: a ``statsd.StatsClient``.
+        """
+        with client.pipeline() as pipeline:
+            for name, value in self._pending.items():
+                pipeline.incr(name, value)
+            for name, value in self._observations:
+                pipeline.timing(name, value)
+        self._pending.clear()
+        self._observations.clear()
+
+
+async def flush_forever(
+    recorder: MetricsRecorder, clock: Clock, address: Address
+) -> None:
+    """Send metrics to a statsd server once a second.
+
+    :param recorder: gathers the metrics.
+    :param clock: paces the sending.
+    :param address: UDP address of the statsd server.
+    """
+    from statsd import StatsClient
+
+    client = StatsClient(address.host, address.port, prefix="lentilshore")
+    while True:
+        await clock.sleep(FLUSH_INTERVAL_S)
+        recorder.flush(client)
+
+
+def refusal_counter(reason: RefusalReason) -> str:
+    """Return the counter name of a refusal reason."""
+    return f"refusal.{reason.value}"
+
+
+def retry_counter(reason: RetryReason) -> str:
+    """Return the counter name of a retry reason."""
+    return f"retry.{reason.value}"
--- /dev/null
+++ b/packages/kernel/src/lentilshore_kernel/settings.py
@@ -0,0 +1,231 @@
+"""Settings of a node: YAML checked against types, every problem listed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import yaml
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    IPvAnyAddress,
+    ValidationError,
+    model_validator,
+)
+
+from .exceptions import SettingProblemError, SettingsError
+from .types import Address
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$")]
+Seconds = Annotated[float, Field(gt=0)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class AddressSetting(_Section):
+    """IP number and port."""
+
+    host: IPvAnyAddress = Field(description="IP number; names are not looked up")
+    port: Port = Field(description="TCP or UDP port, 0 for any free one")
+
+    @property
+    def address(self) -> Address:
+        """The setting as a plain address."""
+        return Address(str(self.host), self.port)
+
+
+class PeerSetting(AddressSetting):
+    """A node known from the start, through which the others are met."""
+
+    name: Name = Field(description="name of the instance")
+    data_centre: Name = Field(description="its data centre")
+
+
+class SecretSetting(_Section):
+    """A secret kept in a file of its own."""
+
+    id: Name = Field(description="identifier that may be shown")
+    file: Path = Field(description="path of the file that holds the secret")
+
+    def read(self) -> bytes:
+        """Return the secret.
+
+        :raises OSError: if the file cannot be read.
+        """
+        return self.file.read_bytes().strip()
+
+
+class TlsSetting(_Section):
+    """Certificate, key and trusted authority of a listener or link."""
+
+    certificate: Path = Field(description="PEM file with the certificate chain")
+    key: Path = Field(description="PEM file with the private key")
+    authority: Path | None = Field(
+        None, description="PEM file of the authority that signs the other side"
+    )
+
+
+class PlatformSetting(AddressSetting):
+    """Where the platform's services are met."""
+
+    kind: Name = Field("object-api", description="platform adapter plug-in")
+    timeout_s: Seconds = Field(2.0, description="longest wait for one call, seconds")
+
+
+class LimitSettings(_Section):
+    """Bounds of one node."""
+
+    body_bytes: int = Field(4_194_304, gt=0, description="largest request body, bytes")
+    caller_buffer_bytes: int = Field(
+        65_536, gt=0, description="most bytes held for a caller that reads slowly"
+    )
+    caller_stall_s: Seconds = Field(
+        30.0, description="longest wait for a caller to read, seconds"
+    )
+    concurrent_requests: int = Field(
+        512, gt=0, description="requests dispatched at once by this node"
+    )
+    queued_requests: int = Field(512, ge=0, description="requests that may wait")
+    queue_wait_s: Seconds = Field(2.0, description="longest wait in the queue, seconds")
+    upstream_stall_s: Seconds = Field(
+        10.0, description="longest silence of an upstream, seconds"
+    )
+    request_s: Seconds = Field(
+        120.0, description="deadline of a request that names none, seconds"
+    )
+
+
+class Settings(_Section):
+    """Settings of one node."""
+
+    instance: Name = Field(description="name of this instance")
+    data_centre: Name = Field(description="data centre it runs in")
+    region: Name = Field("default", description="region of the data centre")
+    caller: AddressSetting = Field(description="listener for callers (HTTP)")
+    operator: AddressSetting = Field(description="listener for operators (RPC)")
+    peer: AddressSetting = Field(description="listener for other nodes (RPC)")
+    platform: PlatformSetting = Field(description="the platform's services")
+    peers: list[PeerSetting] = Field([], description="nodes known from the start")
+    session_keys: list[SecretSetting] = Field(
+        min_length=1, description="keys of session tokens; the first signs"
+    )
+    operator_keys: list[SecretSetting] = Field(
+        [], description="keys that may change; none only on loopback"
+    )
+    reader_keys: list[SecretSetting] = Field([], description="keys that may only read")
+    statsd: AddressSetting | None = Field(None, description="statsd server, if any")
+    caller_tls: TlsSetting | None = Field(None, description="TLS towards callers")
+    operator_tls: TlsSetting | None = Field(None, description="TLS towards operators")
+    peer_tls: TlsSetting | None = Field(
+        None, description="mutual TLS between nodes; the authority is required"
+    )
+    limits: LimitSettings = Field(LimitSettings(), description="bounds of this node")
+    policy: Name = Field("calibrated", description="cascade policy plug-in")
+    drain_limit_s: Seconds = Field(
+        60.0, description="longest wait for requests in flight at a stop, seconds"
+    )
+    drain_notice_s: float = Field(
+        2.0,
+        ge=0,
+        description="time from failing /readyz to refusing requests at a stop, seconds",
+    )
+    stale_limit_s: Seconds = Field(
+        86_400.0, description="age of configuration past which requests are refused"
+    )
+
+    @model_validator(mode="after")
+    def _check_exposure(self) -> Settings:
+        keys = self.operator_keys or self.reader_keys
+        if not self.operator.host.is_loopback and not (keys and self.operator_tls):
+            raise ValueError(
+                "operator listener off loopback needs operator_keys and operator_tls"
+            )
+        if not self.peer.host.is_loopback and not (
+            self.peer_tls and self.peer_tls.authority
+        ):
+            raise ValueError(
+                "peer listener off loopback needs peer_tls with an authority"
+            )
+        return self
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    :param path: path of a YAML file.
+    :returns: the settings.
+    :raises SettingsError: with every problem that the file has.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise _single_problem(path, 1, "readable file", str(error)) from error
+    return parse_settings(text, path)
+
+
+def parse_settings(text: str, path: Path) -> Settings:
+    """Check the text of a settings file.
+
+    :param text: YAML document.
+    :param path: path named in problems.
+    :raises SettingsError: with every problem that the text has.
+    """
+    try:
+        tree = yaml.compose(text, yaml.SafeLoader)
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        raise _single_problem(path, line, "valid YAML", str(error)) from error
+    try:
+        return Settings.model_validate(document)
+    except ValidationError as error:
+        raise SettingsError(
+            [_problem(path, tree, detail) for detail in error.errors()]
+        ) from error
+
+
+def _single_problem(path: Path, line: int, expected: str, found: str) -> SettingsError:
+    first_line = found.splitlines()[0] if found else ""
+    return SettingsError(
+        [SettingProblemError(str(path), line, "-", expected, first_line)]
+    )
+
+
+def _problem(path: Path, tree: Any, detail: Any) -> SettingProblemError:
+    location = detail["loc"]
+    found = "nothing" if detail["type"] == "missing" else repr(detail["input"])
+    expected = detail["msg"]
+    if detail["type"] == "extra_forbidden":
+        expected = "no such setting"
+    return SettingProblemError(
+        str(path),
+        _line_of(tree, location),
+        ".".join(str(part) for part in location) or "-",
+        expected,
+        found[:80],
+    )
+
+
+def _line_of(node: Any, location: tuple[int | str, ...]) -> int:
+    line = 1
+    for part in location:
+        child = _child(node, part)
+        if child is None:
+            break
+        key, node = child
+        line = key.start_mark.line + 1
+    return line
+
+
+def _child(node: Any, part: int | str) -> tuple[Any, Any] | None:
+    if isinstance(node, yaml.MappingNode):
+        return next(((k, v) for k, v in node.value if k.value == part), None)
+    if isinstance(node, yaml.SequenceNode) and isinstance(part, int):
+        return (node.value[part], node.value[part]) if part < len(node.value) else None
+    return None
--- /dev/null
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -0,0 +1,130 @@
+"""Data types that every package shares."""
+
+from __future__ import annotations
+
+from enum import Enum, StrEnum
+from typing import NamedTuple
+
+
+class Execution(StrEnum):
+    """What is proved about whether a request ran at an upstream."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(StrEnum):
+    """Closed enumeration of the reasons for which a request is refused."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_OPERATION = "unknown_operation"
+    VERSION_FORBIDDEN = "version_forbidden"
+    VERSION_WITHDRAWN = "version_withdrawn"
+    SESSION_INVALID = "session_invalid"
+    DEADLINE_INVALID = "deadline_invalid"
+    DEADLINE_UNMEETABLE = "deadline_unmeetable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    QUOTA_CUSTOMER = "quota_customer"
+    QUOTA_USER = "quota_user"
+    QUOTA_TREE = "quota_tree"
+    QUOTA_UPSTREAM = "quota_upstream"
+    EXPOSURE_EXHAUSTED = "exposure_exhausted"
+    QUEUE_FULL = "queue_full"
+    RETRY_BUDGET_EXHAUSTED = "retry_budget_exhausted"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_GARBLED = "upstream_garbled"
+    UPSTREAM_STALLED = "upstream_stalled"
+    UPSTREAM_TRUNCATED = "upstream_truncated"
+    ANSWER_MISMATCH = "answer_mismatch"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    IDEMPOTENCY_IN_PROGRESS = "idempotency_in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CONFIGURATION_MISSING = "configuration_missing"
+    CONFIGURATION_STALE = "configuration_stale"
+    DRAINING = "draining"
+    CALLER_TOO_SLOW = "caller_too_slow"
+    INTERNAL = "internal"
+
+
+class RetryReason(StrEnum):
+    """Closed enumeration of the reasons for which an attempt is repeated."""
+
+    CONNECT_FAILED = "connect_failed"
+    OVERLOADED = "overloaded"
+    FAILED = "failed"
+    STALLED = "stalled"
+    TRUNCATED = "truncated"
+    GARBLED = "garbled"
+    MISMATCH = "mismatch"
+    ESCALATED = "escalated"
+
+
+class Priority(int, Enum):
+    """Order in which waiting requests are served; lower goes first."""
+
+    INTERACTIVE = 0
+    NORMAL = 1
+    BATCH = 2
+
+
+class ModelVersion(NamedTuple):
+    """One version of one model.
+
+    :param model: name of the model.
+    :param version: name of the version.
+    """
+
+    model: str
+    version: str
+
+    def __str__(self) -> str:
+        return f"{self.model}@{self.version}"
+
+
+class Address(NamedTuple):
+    """IP number and port of a process.
+
+    :param host: IPv4 or IPv6 number.
+    :param port: TCP port, 0 for one that the kernel chooses.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Incarnation(NamedTuple):
+    """One life of one instance.
+
+    :param node: name of the instance.
+    :param number: start time in milliseconds, higher for each later life.
+    """
+
+    node: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.node}.{self.number}"
+
+
+def parse_model_version(text: str) -> ModelVersion:
+    """Parse ``model@version``.
+
+    :param text: the text to parse.
+    :returns: the model and version.
+    :raises ValueError: if there is no ``@`` or a side is empty.
+    """
+    model, _, version = text.partition("@")
+    if not model or not version:
+        raise ValueError(f"{text!r} is not of the form model@version")
+    return ModelVersion(model, version)
--- /dev/null
+++ b/packages/node/src/lentilshore_node/__init__.py
@@ -0,0 +1,1 @@
+"""The router program: callers, upstreams, peers and operators."""
--- /dev/null
+++ b/packages/node/src/lentilshore_node/app.py
@@ -0,0 +1,247 @@
+"""ASGI application for callers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import msgspec
+
+from lentilshore_kernel import log_event, refusal_counter
+from lentilshore_kernel.exceptions import LentilshoreError, RefusalError
+from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing import Customer
+
+from .completions import CompletionHandler
+from .context import NodeContext
+from .jobs import Job
+from .requests import (
+    CallerHeaders,
+    ServiceRequest,
+    parse_completion,
+    parse_headers,
+)
+from .responder import (
+    AsgiResponder,
+    Responder,
+    encode_error_event,
+    encode_refusal,
+    send_json,
+)
+from .services import ServiceHandler
+
+SERVICE_PREFIX = "/v1/services/"
+SERVICE_PATH_PARTS = 2
+
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+
+
+class CallerApplication:
+    """Receives callers' requests and answers each once.
+
+    :param context: the node.
+    """
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._completions = CompletionHandler(context)
+        self._services = ServiceHandler(context)
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one request of the ASGI server."""
+        if scope["type"] != "http":
+            return
+        limits = self._context.settings.limits
+        responder = AsgiResponder(send, self._context.clock, limits.caller_stall_s)
+        self._context.in_flight += 1
+        try:
+            await self._guard(scope, receive, responder)
+        finally:
+            self._context.in_flight -= 1
+
+    async def _guard(self, scope: Any, receive: Receive, responder: Responder) -> None:
+        try:
+            await self._route(scope, receive, responder)
+        except RefusalError as refusal:
+            await self._refuse(refusal, responder)
+        except (LentilshoreError, OSError, ValueError, KeyError, TypeError) as error:
+            log_event("request_failed", error=type(error).__name__, detail=str(error))
+            refusal = RefusalError(RefusalReason.INTERNAL, Execution.UNKNOWN)
+            await self._refuse(refusal, responder)
+
+    async def _route(self, scope: Any, receive: Receive, responder: Responder) -> None:
+        method, path = scope["method"], scope["path"]
+        if path in ("/healthz", "/readyz"):
+            await self._probe(path, responder)
+            return
+        headers = self._headers(scope)
+        if (method, path) == ("GET", "/v1/models"):
+            await self._list_models(headers, responder)
+        elif (method, path) == ("POST", "/v1/chat/completions"):
+            await self._complete(headers, receive, responder)
+        elif method == "POST" and path.startswith(SERVICE_PREFIX):
+            await self._call_service(scope, headers, receive, responder)
+        else:
+            raise RefusalError(
+                RefusalReason.UNKNOWN_PATH, detail=f"{method} {path[:200]}"
+            )
+
+    async def _probe(self, path: str, responder: Responder) -> None:
+        healthy = path == "/healthz" or self._context.ready
+        state = {"ready": self._context.ready, "draining": self._context.draining}
+        await send_json(responder, 200 if healthy else 503, msgspec.json.encode(state))
+
+    async def _list_models(self, headers: CallerHeaders, responder: Responder) -> None:
+        customer = self._admit(headers)
+        catalog = self._context.catalog
+        names = [
+            name
+            for kind in ("cascade", "model")
+            for name in catalog.names(kind)
+            if _usable(catalog, customer, name)
+        ]
+        models = [{"id": name, "object": "model"} for name in names]
+        body = msgspec.json.encode({"object": "list", "data": models})
+        await send_json(responder, 200, body)
+
+    async def _complete(
+        self, headers: CallerHeaders, receive: Receive, responder: Responder
+    ) -> None:
+        customer = self._admit(headers)
+        request = parse_completion(headers, await self._read_body(receive))
+        job = await _until_disconnect(
+            receive, self._completions.serve, customer, request, responder
+        )
+        self._log(job)
+
+    async def _call_service(
+        self, scope: Any, headers: CallerHeaders, receive: Receive, responder: Responder
+    ) -> None:
+        customer = self._admit(headers)
+        parts = scope["path"][len(SERVICE_PREFIX) :].split("/")
+        if len(parts) != SERVICE_PATH_PARTS:
+            raise RefusalError(
+                RefusalReason.UNKNOWN_PATH,
+                detail=f"expected {SERVICE_PREFIX}service/operation",
+            )
+        fields = dict(scope["headers"])
+        content_type = fields.get(b"content-type", b"application/json").decode(
+            "latin-1"
+        )
+        body = await self._read_body(receive)
+        request = ServiceRequest(headers, parts[0], parts[1], body, content_type)
+        job = await _until_disconnect(
+            receive, self._services.serve, customer, request, responder
+        )
+        self._log(job)
+
+    def _headers(self, scope: Any) -> CallerHeaders:
+        fields = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        return parse_headers(fields, self._context.settings.limits.request_s)
+
+    def _admit(self, headers: CallerHeaders) -> Customer:
+        self._context.require_ready()
+        return self._context.catalog.authenticate(headers.key)
+
+    async def _read_body(self, receive: Receive) -> bytes:
+        limits = self._context.settings.limits
+        parts = []
+        size = 0
+        with self._context.clock.timeout(limits.caller_stall_s) as scope:
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    raise RefusalError(
+                        RefusalReason.MALFORMED_REQUEST,
+                        detail="the connection closed before the end of the body",
+                    )
+                size += len(message.get("body", b""))
+                if size > limits.body_bytes:
+                    raise RefusalError(
+                        RefusalReason.BODY_TOO_LARGE,
+                        detail=f"body exceeds {limits.body_bytes} bytes",
+                    )
+                parts.append(message.get("body", b""))
+                if not message.get("more_body"):
+                    break
+        if scope.cancelled_caught:
+            raise RefusalError(
+                RefusalReason.CALLER_TOO_SLOW, detail="the body did not come in time"
+            )
+        return b"".join(parts)
+
+    async def _refuse(self, refusal: RefusalError, responder: Responder) -> None:
+        self._context.metrics.count(refusal_counter(refusal.reason))
+        log_event(
+            "request_refused",
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+            request=refusal.request or "-",
+            detail=refusal.detail,
+        )
+        if responder.started:
+            if refusal.reason is not RefusalReason.CALLER_TOO_SLOW:
+                await responder.finish(encode_error_event(refusal, refusal.request))
+            return
+        headers = [("lentilshore-execution", refusal.execution.value)]
+        if refusal.request:
+            headers.append(("lentilshore-request", refusal.request))
+        if refusal.retry_after_s is not None:
+            headers.append(("retry-after", str(max(1, round(refusal.retry_after_s)))))
+        body = encode_refusal(refusal, refusal.request)
+        await send_json(responder, refusal.status, body, headers)
+
+    def _log(self, job: Job | None) -> None:
+        if job is None:
+            self._context.metrics.count("request.cancelled")
+            log_event("request_cancelled")
+            return
+        self._context.metrics.count("request.served")
+        log_event(
+            "request_served",
+            request=job.request,
+            customer=job.customer.name,
+            served_by=job.explanation["served_by"] or job.explanation["asked"],
+            attempts=job.attempts,
+            cost=f"{job.explanation['cost']:.1f}",
+            duration_ms=f"{job.explanation['duration_ms']:.1f}",
+        )
+
+
+async def _until_disconnect(
+    receive: Receive, serve: Callable[..., Awaitable[Job]], *args: Any
+) -> Job | None:
+    """Serve a request, cancelling it if the caller leaves.
+
+    :returns: the job, or None if the caller left.
+    """
+    job: Job | None = None
+    failure: Exception | None = None
+
+    async def watch() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        try:
+            job = await serve(*args)
+        except Exception as error:  # noqa: BLE001
+            failure = error
+        group.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    return job
+
+
+def _usable(catalog: Any, customer: Customer, name: str) -> bool:
+    try:
+        return bool(catalog.cascade(customer, name))
+    except RefusalError:
+        return False
--- /dev/null
+++ b/packages/node/src/lentilshore_node/context.py
@@ -0,0 +1,109 @@
+"""Context of a node: what its parts share, passed explicitly."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lentilshore_fleet import (
+    ClaimStore,
+    ConfigurationView,
+    CopyKeeper,
+    Ledger,
+    Membership,
+    SessionSigner,
+)
+from lentilshore_fleet.documents import DocumentBoard
+from lentilshore_kernel import Clock, Incarnation, MetricsRecorder, Settings
+from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.types import RefusalReason
+from lentilshore_routing import (
+    AdmissionQueue,
+    CascadePolicy,
+    Catalog,
+    Placement,
+    QualityEstimates,
+    QuotaLimiter,
+    RetryPolicy,
+)
+from lentilshore_routing.rollouts import EvidenceBook, ExposureBudget
+
+from .explanations import ExplanationLog
+from .platform import Platform
+from .ratings import RatingTracker
+from .upstreams import Engine, PlainService
+
+DRAIN_RETRY_S = 0.5
+CONFIGURATION_RETRY_S = 2.0
+
+
+@dataclass
+class NodeContext:
+    """Parts of one node."""
+
+    settings: Settings
+    clock: Clock
+    metrics: MetricsRecorder
+    incarnation: Incarnation
+    platform: Platform
+    configuration: ConfigurationView
+    documents: DocumentBoard
+    membership: Membership
+    placement: Placement
+    queue: AdmissionQueue
+    quota: QuotaLimiter
+    retries: RetryPolicy
+    estimates: QualityEstimates
+    policy: CascadePolicy
+    exposure: ExposureBudget
+    evidence: EvidenceBook
+    ratings: RatingTracker
+    signer: SessionSigner
+    ledger: Ledger
+    copies: CopyKeeper
+    claims: ClaimStore
+    engine: Engine
+    service: PlainService
+    explanations: ExplanationLog = field(default_factory=ExplanationLog)
+    notice: bool = False
+    draining: bool = False
+    in_flight: int = 0
+
+    def __post_init__(self) -> None:
+        self.catalog = Catalog({}, 0)
+        self.configuration.on_change(
+            lambda snapshot: setattr(
+                self, "catalog", Catalog(snapshot.entries, snapshot.revision)
+            )
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether a balancer should send requests here."""
+        stopping = self.notice or self.draining
+        return not stopping and self.configuration.revision > 0
+
+    def require_ready(self) -> None:
+        """Refuse if the node cannot take a request now.
+
+        :raises RefusalError: ``draining``, ``configuration_missing`` or
+            ``configuration_stale``.
+        """
+        if self.draining:
+            raise RefusalError(
+                RefusalReason.DRAINING,
+                detail="this node is stopping",
+                retry_after_s=DRAIN_RETRY_S,
+            )
+        if self.configuration.revision == 0:
+            raise RefusalError(
+                RefusalReason.CONFIGURATION_MISSING,
+                detail="this node has no configuration yet",
+                retry_after_s=CONFIGURATION_RETRY_S,
+            )
+        age_s = self.configuration.age_s
+        if age_s is not None and age_s > self.settings.stale_limit_s:
+            raise RefusalError(
+                RefusalReason.CONFIGURATION_STALE,
+                detail=f"configuration is {age_s:.0f} s old",
+                retry_after_s=CONFIGURATION_RETRY_S,
+            )
--- /dev/null
+++ b/packages/node/src/lentilshore_node/explanations.py
@@ -0,0 +1,82 @@
+"""Records of how requests were served, kept for a while in memory."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Any, TypedDict
+
+EXPLANATIONS_KEPT = 5_000
+
+
+class AttemptRecord(TypedDict):
+    """One attempt at an upstream."""
+
+    version: str
+    upstream: str
+    outcome: str
+    detail: str
+
+
+class Explanation(TypedDict):
+    """How a request was served.
+
+    :param request: identifier of the request.
+    :param customer: name of the customer.
+    :param asked: model or operation asked for.
+    :param revision: revision of the configuration it was served under.
+    :param weighed: candidates, with expected cost and why they were in.
+    :param attempts: attempts in order.
+    :param retries: reasons of retries in order.
+    :param served_by: version and upstream of the answer.
+    :param cost: price in micro-units of money.
+    :param outcome: ``served``, ``cancelled`` or the reason of the refusal.
+    :param execution: ``not_run``, ``ran`` or ``unknown``.
+    :param duration_ms: time from arrival to the end, milliseconds.
+    """
+
+    request: str
+    customer: str
+    asked: str
+    revision: int
+    weighed: list[dict[str, Any]]
+    attempts: list[AttemptRecord]
+    retries: list[str]
+    served_by: str
+    cost: float
+    outcome: str
+    execution: str
+    duration_ms: float
+
+
+class ExplanationLog:
+    """The last explanations of a node, by request."""
+
+    def __init__(self) -> None:
+        self._records: OrderedDict[str, Explanation] = OrderedDict()
+
+    def open(
+        self, request: str, customer: str, asked: str, revision: int
+    ) -> Explanation:
+        """Return a new record, kept from now on."""
+        record = Explanation(
+            request=request,
+            customer=customer,
+            asked=asked,
+            revision=revision,
+            weighed=[],
+            attempts=[],
+            retries=[],
+            served_by="",
+            cost=0.0,
+            outcome="running",
+            execution="not_run",
+            duration_ms=0.0,
+        )
+        self._records[request] = record
+        if len(self._records) > EXPLANATIONS_KEPT:
+            self._records.popitem(last=False)
+        return record
+
+    def find(self, request: str) -> Explanation | None:
+        """Return a record, or None if it is not kept."""
+        return self._records.get(request)
--- /dev/null
+++ b/packages/node/src/lentilshore_node/jobs.py
@@ -0,0 +1,136 @@
+"""State of one request while it is served: its bill, deadline and record."""
+
+from __future__ import annotations
+
+from lentilshore_fleet import Bill, BillLine, Session
+from lentilshore_kernel import RetryReason, retry_counter
+from lentilshore_kernel.types import Execution
+from lentilshore_routing import Customer
+
+from .context import NodeContext
+from .explanations import AttemptRecord
+from .requests import CallerHeaders
+
+_STRENGTH = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
+
+
+class Job:
+    """One request being served.
+
+    :param context: the node.
+    :param customer: who asks.
+    :param headers: the caller's headers.
+    :param asked: model or operation asked for.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        customer: Customer,
+        headers: CallerHeaders,
+        asked: str,
+    ) -> None:
+        self._context = context
+        self._sequence = context.ledger.open()
+        self._lines: list[BillLine] = []
+        self._started_at = context.clock.monotonic()
+        self._closed = False
+        self.customer = customer
+        self.headers = headers
+        self.session = Session("", customer.name)
+        self.request = f"{context.incarnation}-{self._sequence}"
+        self.tree = headers.tree or self.request
+        self._proved = Execution.NOT_RUN
+        self._dispatching = False
+        self.attempts = 0
+        self.explanation = context.explanations.open(
+            self.request, customer.name, asked, context.catalog.revision
+        )
+
+    @property
+    def execution(self) -> Execution:
+        """What is proved about whether the request ran."""
+        if self._proved is Execution.NOT_RUN and self._dispatching:
+            return Execution.UNKNOWN
+        return self._proved
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds until the caller's deadline."""
+        elapsed = self._context.clock.monotonic() - self._started_at
+        return self.headers.deadline_s - elapsed
+
+    @property
+    def elapsed_ms(self) -> float:
+        """Milliseconds since arrival."""
+        return (self._context.clock.monotonic() - self._started_at) * 1000
+
+    @property
+    def bill(self) -> Bill:
+        """The bill as it stands, final."""
+        return Bill(
+            self._sequence, self.request, self.customer.name, True, tuple(self._lines)
+        )
+
+    def opening_bill(self, line: BillLine) -> Bill:
+        """Return the bill that stands if this node dies now."""
+        lines = (*self._lines, line)
+        return Bill(self._sequence, self.request, self.customer.name, False, lines)
+
+    def note_attempt(self, version: str, upstream: str) -> None:
+        """Note that an attempt begins; from now on the request may run."""
+        self.attempts += 1
+        self._dispatching = True
+        self.explanation["attempts"].append(
+            AttemptRecord(
+                version=version, upstream=upstream, outcome="running", detail=""
+            )
+        )
+
+    def note_outcome(
+        self, outcome: str, execution: Execution, detail: str = ""
+    ) -> None:
+        """Note how the last attempt ended and what is proved about it."""
+        self._dispatching = False
+        if _STRENGTH[execution] > _STRENGTH[self._proved]:
+            self._proved = execution
+        self.explanation["attempts"][-1]["outcome"] = outcome
+        self.explanation["attempts"][-1]["detail"] = detail
+
+    def note_retry(self, reason: RetryReason) -> None:
+        """Count a retry."""
+        self.explanation["retries"].append(reason.value)
+        self._context.metrics.count(retry_counter(reason))
+
+    def add_line(self, line: BillLine) -> None:
+        """Add an attempt to the bill."""
+        self._lines.append(line)
+
+    def mark_last_line(self, outcome: str) -> None:
+        """Change the outcome of the last attempt on the bill."""
+        self._lines[-1] = self._lines[-1]._replace(outcome=outcome)
+
+    async def close_bill(self) -> None:
+        """Keep the bill, once; nothing is billed where nothing was run."""
+        if self._closed:
+            return
+        self._closed = True
+        if not self._lines:
+            self._context.ledger.discard(self._sequence)
+            return
+        bill = self.bill
+        self.explanation["cost"] = bill.cost
+        self._context.metrics.observe("request.cost", bill.cost)
+        if not await self._context.ledger.close(bill):
+            self._context.metrics.count("bill.uncopied")
+
+    def finish(self, outcome: str, execution: Execution) -> None:
+        """Complete the record of the request.
+
+        :param outcome: ``served``, ``cancelled`` or the reason of the refusal.
+        :param execution: what is proved.
+        """
+        self.explanation["outcome"] = outcome
+        self.explanation["execution"] = execution.value
+        self.explanation["duration_ms"] = self.elapsed_ms
+        self._context.metrics.observe("request.duration_ms", self.elapsed_ms)
--- /dev/null
+++ b/packages/node/src/lentilshore_node/peer_messages.py
@@ -0,0 +1,127 @@
+"""Translation between the fleet's types and messages of the peer protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from lentilshore_fleet import Member, MemberState, Snapshot
+from lentilshore_fleet.documents import Document
+from lentilshore_kernel.types import Address, Incarnation
+
+from .context import NodeContext
+
+STATE_NAMES = {
+    MemberState.ALIVE: "alive",
+    MemberState.SUSPECT: "suspect",
+    MemberState.DEAD: "dead",
+    MemberState.LEFT: "left",
+}
+_STATES = {name: state for state, name in STATE_NAMES.items()}
+UNKNOWN_AGE_MS = -1
+
+
+def member_to_message(member: Member) -> dict[str, Any]:
+    """Return the message of a member."""
+    node, number = member.incarnation
+    return {
+        "incarnation": {"node": node, "number": number},
+        "dataCentre": member.data_centre,
+        "host": member.address.host,
+        "port": member.address.port,
+        "state": STATE_NAMES[member.state],
+        "refutation": member.refutation,
+    }
+
+
+def member_from_message(message: Any) -> Member:
+    """Return the member of a message."""
+    return Member(
+        Incarnation(message.incarnation.node, message.incarnation.number),
+        message.dataCentre,
+        Address(message.host, message.port),
+        _STATES[str(message.state)],
+        message.refutation,
+    )
+
+
+def build_exchange(
+    context: NodeContext, revision: int | None, versions: dict[str, int]
+) -> dict[str, Any]:
+    """Return a heartbeat with what the receiver lacks.
+
+    :param context: the node.
+    :param revision: the receiver's revision; None if it is not known yet.
+    :param versions: versions of documents that the receiver has.
+    """
+    own = context.configuration.revision
+    message: dict[str, Any] = {
+        "sender": member_to_message(context.membership.own),
+        "news": [member_to_message(m) for m in context.membership.news()],
+        "revision": own,
+        "documents": _documents(context, versions),
+    }
+    age_s = context.configuration.age_s
+    age_ms = UNKNOWN_AGE_MS if age_s is None else int(age_s * 1000)
+    configuration: dict[str, Any] = {"revision": own, "ageMs": age_ms}
+    if revision is not None and revision < own:
+        configuration.update(_missing(context, revision))
+    message["configuration"] = configuration
+    return message
+
+
+def apply_exchange(context: NodeContext, message: Any) -> None:
+    """Take in a heartbeat.
+
+    :param context: the node.
+    :param message: the other side's message.
+    """
+    sender = member_from_message(message.sender)
+    news = [sender, *(member_from_message(item) for item in message.news)]
+    context.membership.learn(news)
+    context.membership.hear(sender.name)
+    _apply_configuration(context, message.configuration)
+    for item in message.documents:
+        if item.record:
+            value = msgspec.json.decode(item.record)
+            context.documents.offer(Document(item.name, item.version, value))
+
+
+def document_versions(message: Any) -> dict[str, int]:
+    """Return the versions of documents that a message tells of."""
+    return {item.name: item.version for item in message.documents}
+
+
+def _apply_configuration(context: NodeContext, message: Any) -> None:
+    view = context.configuration
+    if message.snapshot:
+        entries = msgspec.json.decode(message.snapshot)
+        view.adopt(Snapshot(message.revision, entries))
+    for item in message.deltas:
+        view.apply(msgspec.json.decode(item.record))
+    if message.ageMs != UNKNOWN_AGE_MS and message.revision == view.revision:
+        view.confirm(message.ageMs / 1000)
+
+
+def _missing(context: NodeContext, revision: int) -> dict[str, Any]:
+    deltas = context.configuration.deltas_after(revision)
+    if deltas is None:
+        entries = context.configuration.snapshot.entries
+        return {"snapshot": msgspec.json.encode(entries)}
+    return {"deltas": [{"record": msgspec.json.encode(delta)} for delta in deltas]}
+
+
+def _documents(
+    context: NodeContext, versions: dict[str, int]
+) -> Sequence[dict[str, Any]]:
+    newer = {item.name: item for item in context.documents.newer_than(versions)}
+    return [
+        {
+            "name": name,
+            "version": version,
+            "record": msgspec.json.encode(newer[name].value) if name in newer else b"",
+        }
+        for name, version in context.documents.versions.items()
+    ]
--- /dev/null
+++ b/packages/node/src/lentilshore_node/peers.py
@@ -0,0 +1,78 @@
+"""Listener for other nodes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import capnp
+import msgspec
+
+from lentilshore_fleet.bills import decode_bills
+from lentilshore_protocol import load_peer_schema
+
+from .context import NodeContext
+from .peer_messages import (
+    apply_exchange,
+    build_exchange,
+    document_versions,
+    member_to_message,
+)
+
+
+def create_peer_bootstrap(context: NodeContext) -> Any:
+    """Return the object that other nodes call.
+
+    :param context: the node.
+    """
+    return _create_server_class()(context)
+
+
+def _create_server_class() -> type:
+    schema = load_peer_schema()
+
+    class PeerServer(schema.Peer.Server):  # type: ignore[misc]
+        """Answers the calls of other nodes."""
+
+        def __init__(self, context: NodeContext) -> None:
+            self._context = context
+
+        async def exchange(self, message: Any, _context: Any, **_: Any) -> Any:
+            """Take in a heartbeat and return one."""
+            apply_exchange(self._context, message)
+            versions = document_versions(message)
+            return build_exchange(self._context, message.revision, versions)
+
+        async def members(self, _context: Any, **_: Any) -> Any:
+            """Return every member known."""
+            return [member_to_message(m) for m in self._context.membership.members]
+
+        async def copyBills(  # noqa: N802
+            self, owner: str, bills: bytes, watermark: int, _context: Any, **_: Any
+        ) -> None:
+            """Hold copies of bills."""
+            self._context.copies.accept(owner, decode_bills(bills), watermark)
+
+        async def releaseBills(  # noqa: N802
+            self, owner: str, _context: Any, **_: Any
+        ) -> None:
+            """Forget the copies of an owner that stopped in good order."""
+            self._context.copies.release(owner)
+
+        async def explain(self, request: str, _context: Any, **_: Any) -> bytes:
+            """Return the record of a request."""
+            record = self._context.explanations.find(request)
+            return b"" if record is None else msgspec.json.encode(record)
+
+    return PeerServer
+
+
+async def serve_rpc_connection(stream: Any, bootstrap: Any) -> None:
+    """Serve one connection until it closes.
+
+    :param stream: the connection.
+    :param bootstrap: the object that the other side calls.
+    """
+    try:
+        await capnp.TwoPartyServer(stream, bootstrap=bootstrap).on_disconnect()
+    except capnp.KjException:
+        return
--- /dev/null
+++ b/packages/node/src/lentilshore_node/rollout_driver.py
@@ -0,0 +1,99 @@
+"""Steps of roll-outs, made by the leader as changes of configuration."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lentilshore_fleet import Change, ConfigurationStore, LeaseManager
+from lentilshore_kernel import log_event
+from lentilshore_kernel.exceptions import RevisionConflictError
+from lentilshore_routing import Catalog
+from lentilshore_routing.catalog import RolloutRecord
+from lentilshore_routing.rollouts import EvidenceBook, judge, next_stage
+
+
+class RolloutDriver:
+    """Halts and advances roll-outs.
+
+    Each step has an identifier made from what it does, so that a step repeated
+    by a later leader, or after a lost answer, is made once.
+
+    :param store: changes the configuration.
+    :param lease: the leader's lease, checked before each step.
+    """
+
+    def __init__(self, store: ConfigurationStore, lease: LeaseManager) -> None:
+        self._store = store
+        self._lease = lease
+
+    async def step(self, catalog: Catalog, book: EvidenceBook) -> int:
+        """Make every step that is due.
+
+        :param catalog: configuration in force.
+        :param book: outcomes of all nodes.
+        :returns: steps made.
+        :raises LeaseLostError: if the lease has run out.
+        :raises StoreError: if the store fails; call again.
+        """
+        made = 0
+        for model in catalog.names("rollout"):
+            record: RolloutRecord = catalog.record("rollout", model)
+            successor = decide_step(record, book)
+            if successor is None:
+                continue
+            made += await self._make(catalog, model, record, successor)
+            break
+        return made
+
+    async def _make(
+        self, catalog: Catalog, model: str, record: RolloutRecord, successor: Any
+    ) -> int:
+        step = f"{record['candidate']}-{successor['state']}-{successor['stage']}"
+        change = Change(
+            change=f"rollout-{step}-from-{record['stage']}-{catalog.revision}",
+            revision=catalog.revision,
+            updated={f"rollout/{model}": successor},
+        )
+        self._lease.check()
+        try:
+            await self._store.change(change)
+        except RevisionConflictError:
+            return 0
+        log_event(
+            "rollout_step",
+            model=model,
+            candidate=record["candidate"],
+            state=successor["state"],
+            stage=successor["stage"],
+            reason=successor.get("reason", ""),
+        )
+        return 1
+
+
+def decide_step(record: RolloutRecord, book: EvidenceBook) -> RolloutRecord | None:
+    """Return the record after the step that is due.
+
+    A paused roll-out is halted like a running one but does not advance.
+
+    :param record: the roll-out's record.
+    :param book: outcomes of both versions.
+    :returns: None if no step is due.
+    """
+    if record["state"] not in ("running", "paused"):
+        return None
+    base, candidate = record["base"], record["candidate"]
+    verdict = judge(book, base, candidate)
+    if verdict.halt:
+        return RolloutRecord(
+            **record | {"state": "halted", "reason": verdict.explain()}
+        )
+    if record["state"] == "paused":
+        return None
+    stages = len(record["shares"])
+    stage = next_stage(book, base, candidate, record["stage"], stages)
+    if stage == record["stage"]:
+        return None
+    if stage >= stages:
+        last = stages - 1
+        return RolloutRecord(**record | {"state": "done", "stage": last})
+    return RolloutRecord(**record | {"stage": stage})
--- /dev/null
+++ b/packages/node/src/lentilshore_node/server.py
@@ -0,0 +1,379 @@
+"""A node from start to stop."""
+
+from __future__ import annotations
+
+import random
+import signal
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, contextmanager
+from functools import partial
+from typing import Any, NamedTuple
+
+import anyio
+import capnp
+import uvicorn
+from anyio.abc import TaskGroup
+
+from lentilshore_fleet import (
+    ClaimStore,
+    ConfigurationView,
+    CopyKeeper,
+    Ledger,
+    Member,
+    Membership,
+    SessionSigner,
+)
+from lentilshore_fleet.documents import INSTANCES, DocumentBoard
+from lentilshore_kernel import (
+    Clock,
+    Incarnation,
+    MetricsRecorder,
+    Registry,
+    Settings,
+    log_event,
+)
+from lentilshore_kernel.exceptions import PeerUnavailableError
+from lentilshore_kernel.metrics import flush_forever
+from lentilshore_kernel.settings import PeerSetting
+from lentilshore_kernel.tls import create_server_context
+from lentilshore_kernel.types import Address
+from lentilshore_routing import (
+    AdmissionQueue,
+    Placement,
+    QualityEstimates,
+    QuotaLimiter,
+    RetryPolicy,
+)
+from lentilshore_routing.rollouts import EvidenceBook, ExposureBudget
+
+from .app import CallerApplication
+from .context import NodeContext
+from .http_client import HttpClient
+from .leading import Leader
+from .links import LinkCopier, LinkManager, PeerLink
+from .operators import OperatorServer, serve_operator_connection
+from .peers import create_peer_bootstrap, serve_rpc_connection
+from .ratings import RatingTracker
+from .upkeep import Upkeep
+from .watching import STORED_DOCUMENTS, Watcher, apply_instances
+
+LISTEN_BACKLOG = 1024
+DRAIN_CHECK_S = 0.05
+FINAL_FLUSH_SEGMENTS = 1_000
+FINAL_FLUSH_LIMIT_S = 10.0
+
+
+class NodeAddresses(NamedTuple):
+    """Where a running node listens."""
+
+    caller: Address
+    operator: Address
+    peer: Address
+
+
+class _CallerServer(uvicorn.Server):
+    """HTTP server that leaves signals to the node."""
+
+    @contextmanager
+    def capture_signals(self) -> Any:
+        yield
+
+
+class Node:
+    """One running node.
+
+    :param settings: its settings.
+    :param registry: plug-ins.
+    :param clock: source of time.
+    """
+
+    def __init__(self, settings: Settings, registry: Registry, clock: Clock) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._clock = clock
+        self._http = HttpClient()
+        self._sockets = [_bind(s.address) for s in _listeners(settings)]
+        self._stop = anyio.Event()
+        self._urgent = anyio.Event()
+        self._started = anyio.Event()
+        self._context: NodeContext | None = None
+        self._copier = LinkCopier()
+
+    @property
+    def addresses(self) -> NodeAddresses:
+        """Where the node listens; ports that the kernel chose are filled in."""
+        return NodeAddresses(*(Address(*s.getsockname()[:2]) for s in self._sockets))
+
+    @property
+    def context(self) -> NodeContext:
+        """Parts of the node, once it has started."""
+        if self._context is None:
+            raise RuntimeError("the node has not started")
+        return self._context
+
+    async def wait_started(self) -> None:
+        """Wait until the node listens."""
+        await self._started.wait()
+
+    def stop(self) -> None:
+        """Begin a graceful stop; a second call ends the wait for requests."""
+        if self._stop.is_set():
+            self._urgent.set()
+        self._stop.set()
+
+    async def run(self) -> bool:
+        """Run until stopped.
+
+        :returns: whether every request in flight was finished.
+        """
+        incarnation = await self._choose_incarnation()
+        context = self._context = self._assemble(incarnation)
+        links = LinkManager(context)
+        self._copier.attach(links)
+        leader = Leader(context)
+        async with anyio.create_task_group() as group:
+            server = await self._start(group, context, links, leader)
+            self._started.set()
+            log_event(
+                "node_started", instance=incarnation, caller=self.addresses.caller
+            )
+            await self._stop.wait()
+            whole = await self._drain(context, server)
+            await self._hand_over(context, links, leader)
+            group.cancel_scope.cancel()
+        await self._http.close()
+        log_event("node_stopped", instance=incarnation, whole=whole)
+        return whole
+
+    async def _choose_incarnation(self) -> Incarnation:
+        """Return an incarnation later than any that the peers have known."""
+        number = int(self._clock.wall() * 1000)
+        known = 0
+        for setting in self._settings.peers:
+            known = max(known, await self._known_number(setting))
+        return Incarnation(self._settings.instance, max(number, known + 1))
+
+    async def _known_number(self, setting: PeerSetting) -> int:
+        context = _LinkSettings(self._settings, self._clock)
+        link = PeerLink(context, setting.address)  # type: ignore[arg-type]
+        try:
+            await link.connect()
+            members = await link.members()
+        except PeerUnavailableError:
+            return 0
+        finally:
+            link.close()
+        own = self._settings.instance
+        numbers = [m.incarnation.number for m in members if m.name == own]
+        return max(numbers, default=0)
+
+    def _assemble(self, incarnation: Incarnation) -> NodeContext:
+        settings, clock = self._settings, self._clock
+        limits = settings.limits
+        platform = self._registry.find("platform", settings.platform.kind)(
+            self._http, settings.platform.address, settings.platform.timeout_s
+        )
+        own = Member(incarnation, settings.data_centre, self.addresses.peer)
+        membership = Membership(own, clock)
+        membership.learn(
+            Member(Incarnation(peer.name, 0), peer.data_centre, peer.address)
+            for peer in settings.peers
+        )
+        estimates = QualityEstimates()
+        evidence, exposure = EvidenceBook(), ExposureBudget()
+        store = platform.store
+        context = NodeContext(
+            settings=settings,
+            clock=clock,
+            metrics=MetricsRecorder(),
+            incarnation=incarnation,
+            platform=platform,
+            configuration=ConfigurationView(clock),
+            documents=DocumentBoard(),
+            membership=membership,
+            placement=Placement(settings.instance, clock, random.Random()),
+            queue=AdmissionQueue(
+                clock,
+                limits.concurrent_requests,
+                limits.queued_requests,
+                limits.queue_wait_s,
+            ),
+            quota=QuotaLimiter(clock),
+            retries=RetryPolicy(),
+            estimates=estimates,
+            policy=self._registry.find("policy", settings.policy)(
+                estimates, random.Random()
+            ),
+            exposure=exposure,
+            evidence=evidence,
+            ratings=RatingTracker(estimates, evidence, exposure),
+            signer=SessionSigner([key.read() for key in settings.session_keys]),
+            ledger=Ledger(incarnation, store, clock, self._copier),
+            copies=CopyKeeper(incarnation, store, clock),
+            claims=ClaimStore(store, clock),
+            engine=self._registry.find("upstream", "engine")(
+                self._http, limits.upstream_stall_s
+            ),
+            service=self._registry.find("upstream", "service")(
+                self._http, limits.upstream_stall_s
+            ),
+        )
+        context.documents.on_change(INSTANCES, partial(apply_instances, context))
+        return context
+
+    async def _start(
+        self, group: TaskGroup, context: NodeContext, links: LinkManager, leader: Leader
+    ) -> _CallerServer:
+        peer_bootstrap = create_peer_bootstrap(context)
+        operators = OperatorServer(context, links, self._registry)
+        _, operator_socket, peer_socket = self._sockets
+        group.start_soon(
+            _serve_rpc,
+            peer_socket,
+            create_server_context(self._settings.peer_tls),
+            lambda stream: serve_rpc_connection(stream, peer_bootstrap),
+        )
+        group.start_soon(
+            _serve_rpc,
+            operator_socket,
+            create_server_context(self._settings.operator_tls),
+            lambda stream: serve_operator_connection(stream, operators),
+        )
+        group.start_soon(links.run)
+        watcher = Watcher(context)
+        group.start_soon(watcher.run_configuration)
+        group.start_soon(watcher.run_instances)
+        for name in STORED_DOCUMENTS:
+            group.start_soon(watcher.run_document, name)
+        for task in Upkeep(context, links, self._copier).tasks():
+            group.start_soon(task)
+        group.start_soon(leader.run)
+        if self._settings.statsd is not None:
+            address = self._settings.statsd.address
+            group.start_soon(flush_forever, context.metrics, self._clock, address)
+        return await self._start_callers(group, context)
+
+    async def _start_callers(
+        self, group: TaskGroup, context: NodeContext
+    ) -> _CallerServer:
+        config = uvicorn.Config(
+            CallerApplication(context),
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            server_header=False,
+            proxy_headers=False,
+            date_header=False,
+            h11_max_incomplete_event_size=16_384,
+            timeout_graceful_shutdown=max(1, int(self._settings.drain_limit_s)),
+        )
+        config.load()
+        tls = create_server_context(self._settings.caller_tls)
+        if tls is not None:
+            config.ssl = tls
+        server = _CallerServer(config)
+        group.start_soon(partial(server.serve, sockets=[self._sockets[0]]))
+        while not server.started:
+            await anyio.sleep(0.005)
+        return server
+
+    async def _drain(self, context: NodeContext, server: _CallerServer) -> bool:
+        """Stop taking requests, then finish those in flight.
+
+        :returns: whether all were finished.
+        """
+        context.notice = True
+        log_event("drain_started", in_flight=context.in_flight)
+        with self._clock.timeout(self._settings.drain_notice_s):
+            await self._urgent.wait()
+        context.draining = True
+        server.should_exit = True
+        until = self._clock.monotonic() + self._settings.drain_limit_s
+        while context.in_flight and self._clock.monotonic() < until:
+            if self._urgent.is_set():
+                break
+            await self._clock.sleep(DRAIN_CHECK_S)
+        return context.in_flight == 0
+
+    async def _hand_over(
+        self, context: NodeContext, links: LinkManager, leader: Leader
+    ) -> None:
+        with self._clock.timeout(FINAL_FLUSH_LIMIT_S):
+            await leader.lease.release()
+            await context.ledger.flush(FINAL_FLUSH_SEGMENTS)
+        targets = links.copy_targets()
+        context.membership.leave()
+        with self._clock.timeout(FINAL_FLUSH_LIMIT_S):
+            for link in targets:
+                try:
+                    if not context.ledger.unwritten:
+                        await link.release_bills(context.ledger.owner)
+                    await link.exchange()
+                except PeerUnavailableError:
+                    continue
+
+
+class _LinkSettings(NamedTuple):
+    settings: Settings
+    clock: Clock
+
+
+async def run_node(settings: Settings, registry: Registry, clock: Clock) -> bool:
+    """Run a node until SIGTERM or SIGINT.
+
+    :returns: whether every request in flight was finished.
+    """
+    async with capnp.kj_loop():
+        node = Node(settings, registry, clock)
+        result: list[bool] = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(_stop_on_signal, node.stop)
+            result.append(await node.run())
+            group.cancel_scope.cancel()
+        return result[0]
+
+
+@asynccontextmanager
+async def running_node(
+    settings: Settings, registry: Registry, clock: Clock
+) -> AsyncIterator[Node]:
+    """Run a node inside this process while the body runs.
+
+    The caller must be inside ``capnp.kj_loop()``.
+    """
+    node = Node(settings, registry, clock)
+    async with anyio.create_task_group() as group:
+        group.start_soon(node.run)
+        await node.wait_started()
+        yield node
+        node.stop()
+
+
+async def _stop_on_signal(stop: Callable[[], None]) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            log_event("signal_received", signal=number.name)
+            stop()
+
+
+async def _serve_rpc(listener: socket.socket, tls: Any, serve: Any) -> None:
+    server = await capnp.AsyncIoStream.create_server(
+        serve, sock=listener, ssl=tls, backlog=LISTEN_BACKLOG
+    )
+    async with server:
+        await server.serve_forever()
+
+
+def _listeners(settings: Settings) -> list[Any]:
+    return [settings.caller, settings.operator, settings.peer]
+
+
+def _bind(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.host, address.port))
+    listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/packages/node/src/lentilshore_node/service.py
@@ -0,0 +1,60 @@
+"""Upstream kind ``service``: operations of plain services over HTTP."""
+
+from __future__ import annotations
+
+from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.registry import plugin
+from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing.placement import Replica
+
+from .engine import translated_failures
+from .http_client import HttpClient
+from .upstreams import PlainService, ServiceAnswer, ServiceCall
+
+
+class HttpService:
+    """Plain service over HTTP.
+
+    :param http: client.
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def call(self, replica: Replica, call: ServiceCall) -> ServiceAnswer:
+        """Call an operation.
+
+        :raises UpstreamError: if there is no answer, or one that proves nothing.
+        """
+        headers = {"content-type": call.content_type, "x-request-id": call.request}
+        if call.key:
+            headers["idempotency-key"] = call.key
+        with translated_failures():
+            answer = await self._http.request(
+                "POST",
+                replica.address,
+                f"/{call.service}/{call.operation}",
+                call.body,
+                headers,
+                call.timeout_s,
+            )
+        if answer.status >= 500:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_FAILED,
+                Execution.UNKNOWN,
+                f"service error: status {answer.status}",
+            )
+        if answer.headers.get("x-request-id") != call.request:
+            raise UpstreamError(
+                RefusalReason.ANSWER_MISMATCH,
+                Execution.UNKNOWN,
+                f"answer is for request {answer.headers.get('x-request-id')!r}",
+            )
+        content_type = answer.headers.get("content-type", "application/octet-stream")
+        return ServiceAnswer(answer.status, content_type, answer.body)
+
+
+@plugin("upstream", "service")
+def create_service(http: HttpClient, stall_s: float) -> PlainService:
+    """Create the client of plain services."""
+    return HttpService(http)
--- /dev/null
+++ b/packages/node/src/lentilshore_node/upstreams.py
@@ -0,0 +1,136 @@
+"""Protocol of upstream kinds, and the messages it carries."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import Any, NamedTuple, Protocol
+
+from lentilshore_kernel.types import Priority
+from lentilshore_routing.placement import Replica
+
+
+class Usage(NamedTuple):
+    """What an answer consumed and how sure the engine is of it.
+
+    :param input_tokens: tokens of the prompt.
+    :param output_tokens: tokens of the answer.
+    :param confidence: engine's confidence, 0 to 1, if reported.
+    """
+
+    input_tokens: int
+    output_tokens: int
+    confidence: float | None = None
+
+
+class EngineCall(NamedTuple):
+    """A completion to run at an engine.
+
+    :param request: identifier that the engine echoes.
+    :param version: version to run, ``model@version``.
+    :param body: the caller's body, JSON object.
+    :param priority: order within the engine.
+    :param timeout_s: longest time for the whole answer, seconds.
+    :param offset: first token wanted; above 0 to resume.
+    """
+
+    request: str
+    version: str
+    body: dict[str, Any]
+    priority: Priority
+    timeout_s: float
+    offset: int = 0
+
+
+class WholeAnswer(NamedTuple):
+    """A whole completion.
+
+    :param body: the engine's answer, JSON object.
+    :param text: content of the answer.
+    :param usage: what it consumed.
+    """
+
+    body: dict[str, Any]
+    text: str
+    usage: Usage
+
+
+class StreamChunk(NamedTuple):
+    """Consecutive events of a streamed answer.
+
+    :param data: the events as the caller gets them.
+    :param next_offset: offset of the token that follows.
+    :param usage: set in the last chunk, whose data ends the stream.
+    """
+
+    data: bytes
+    next_offset: int
+    usage: Usage | None = None
+
+
+class ServiceCall(NamedTuple):
+    """A call of a plain service.
+
+    :param request: identifier that the service echoes.
+    :param service: name of the service.
+    :param operation: name of the operation.
+    :param body: the caller's body.
+    :param content_type: media type of the body.
+    :param key: idempotency key, empty for none.
+    :param timeout_s: longest time for the answer, seconds.
+    """
+
+    request: str
+    service: str
+    operation: str
+    body: bytes
+    content_type: str
+    key: str
+    timeout_s: float
+
+
+class ServiceAnswer(NamedTuple):
+    """Answer of a plain service.
+
+    :param status: HTTP status.
+    :param content_type: media type of the body.
+    :param body: the body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Engine(Protocol):
+    """An upstream that runs models.
+
+    Methods raise UpstreamError, which tells whether the request may have run.
+    """
+
+    async def complete(self, replica: Replica, call: EngineCall) -> WholeAnswer:
+        """Run a completion and return it whole."""
+
+    def stream(
+        self, replica: Replica, call: EngineCall
+    ) -> AbstractAsyncContextManager[AsyncIterator[StreamChunk]]:
+        """Run a completion and return its events as they come."""
+
+    async def cancel(self, replica: Replica, request: str) -> None:
+        """Cancel a completion."""
+
+    async def load(self, replica: Replica) -> tuple[float, float]:
+        """Return tokens of work waiting and the age of the report in seconds."""
+
+    async def cache_events(self, replica: Replica, after: int) -> list[dict[str, Any]]:
+        """Return cache events after a sequence number."""
+
+    async def order(self, replica: Replica, order: dict[str, Any]) -> dict[str, Any]:
+        """Give an order, such as to load a version, and return the new state."""
+
+
+class PlainService(Protocol):
+    """An upstream that runs operations of a plain service."""
+
+    async def call(self, replica: Replica, call: ServiceCall) -> ServiceAnswer:
+        """Call an operation; raises UpstreamError."""
--- /dev/null
+++ b/packages/node/src/lentilshore_node/watching.py
@@ -0,0 +1,139 @@
+"""Watches on the platform, held by a few nodes of each data centre."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from lentilshore_fleet import ConfigurationStore, Member
+from lentilshore_fleet.documents import INSTANCES, LEARNED, SHARES, Document
+from lentilshore_kernel import log_event
+from lentilshore_kernel.exceptions import StoreError
+from lentilshore_kernel.types import Address, Incarnation
+from lentilshore_routing import Replica
+
+from .context import NodeContext
+
+RETRY_MIN_S = 0.5
+RETRY_MAX_S = 15.0
+RELAY_WAIT_S = 3.0
+IDLE_CHECK_S = 1.0
+STORED_DOCUMENTS = {LEARNED: "learned/merged", SHARES: "shares/table"}
+
+
+class Watcher:
+    """Keeps configuration and documents current.
+
+    A node that is not among its data centre's watchers gets them from peers;
+    it asks the platform itself only while it has no configuration.
+
+    :param context: the node.
+    """
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._configuration = ConfigurationStore(context.platform.store, context.clock)
+        self._head_version = 0
+        self._started_at = context.clock.monotonic()
+
+    async def run_configuration(self) -> None:
+        """Watch the configuration until cancelled."""
+        await self._repeat(self._watch_configuration)
+
+    async def run_instances(self) -> None:
+        """Watch the instance list until cancelled."""
+        await self._repeat(self._watch_instances)
+
+    async def run_document(self, name: str) -> None:
+        """Watch a stored document until cancelled.
+
+        :param name: its name, a key of :data:`STORED_DOCUMENTS`.
+        """
+
+        async def watch() -> None:
+            documents = self._context.documents
+            key = STORED_DOCUMENTS[name]
+            stored = await self._context.platform.store.watch(
+                key, documents.version(name)
+            )
+            if stored is not None:
+                documents.offer(Document(name, stored.version, stored.value))
+
+        await self._repeat(watch)
+
+    async def _watch_configuration(self) -> None:
+        view = self._context.configuration
+        known = view.snapshot
+        if view.revision == 0:
+            snapshot = await self._configuration.read(known)
+        else:
+            snapshot, self._head_version = await self._configuration.watch(
+                known, self._head_version
+            )
+        if view.adopt(snapshot):
+            log_event("configuration_adopted", revision=view.revision)
+        view.confirm()
+        if view.revision == 0:
+            await self._context.clock.sleep(IDLE_CHECK_S)
+
+    async def _watch_instances(self) -> None:
+        documents = self._context.documents
+        version, instances = await self._context.platform.instances(
+            documents.version(INSTANCES)
+        )
+        if version:
+            documents.offer(Document(INSTANCES, version, instances))
+
+    async def _repeat(self, watch: Any) -> None:
+        delay_s = RETRY_MIN_S
+        while True:
+            if not self._should_watch():
+                await self._context.clock.sleep(IDLE_CHECK_S)
+                continue
+            try:
+                await watch()
+                delay_s = RETRY_MIN_S
+            except StoreError as error:
+                self._context.metrics.count("platform.unavailable")
+                log_event("platform_unavailable", detail=str(error))
+                await self._context.clock.sleep(delay_s * random.uniform(0.5, 1.5))
+                delay_s = min(2 * delay_s, RETRY_MAX_S)
+
+    def _should_watch(self) -> bool:
+        if self._context.membership.is_watcher():
+            return True
+        waited_s = self._context.clock.monotonic() - self._started_at
+        return self._context.configuration.revision == 0 and waited_s > RELAY_WAIT_S
+
+
+def apply_instances(context: NodeContext, instances: list[dict[str, Any]]) -> None:
+    """Take in a new instance list.
+
+    :param context: the node.
+    :param instances: records with ``name``, ``role``, ``data_centre``, ``host``,
+        ``port``, ``groups`` and ``state``.
+    """
+    nodes = [item for item in instances if item["role"] == "node"]
+    context.membership.learn(
+        Member(
+            Incarnation(item["name"], 0),
+            item["data_centre"],
+            Address(item["host"], item["port"]),
+        )
+        for item in nodes
+        if item["state"] == "live"
+    )
+    replicas = [
+        Replica(
+            item["name"],
+            item["role"],
+            Address(item["host"], item["port"]),
+            item["data_centre"],
+            tuple(item["groups"]),
+            item["state"] != "live",
+        )
+        for item in instances
+        if item["role"] != "node"
+    ]
+    names = [member.name for member in context.membership.live]
+    context.placement.update(replicas, names)
--- /dev/null
+++ b/packages/routing/src/lentilshore_routing/admission.py
@@ -0,0 +1,176 @@
+"""Admission: bounded concurrency, a queue by priority and deadline."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.types import Priority, RefusalReason
+
+INTERACTIVE_RESERVE_SHARE = 0.1
+BATCH_LIMIT_SHARE = 0.7
+CUSTOMER_LIMIT_SHARE = 0.5
+SERVICE_TIME_WEIGHT = 0.05
+
+
+class _Waiter:
+    def __init__(self, priority: Priority, customer: str) -> None:
+        self.priority = priority
+        self.customer = customer
+        self.event = anyio.Event()
+        self.admitted = False
+        self.gone = False
+
+
+class AdmissionQueue:
+    """Bounds the requests in flight on a node.
+
+    :param clock: measures waits.
+    :param concurrent: most requests in flight.
+    :param queued: most requests waiting.
+    :param wait_s: longest wait, seconds.
+    """
+
+    def __init__(
+        self, clock: Clock, concurrent: int, queued: int, wait_s: float
+    ) -> None:
+        self._clock = clock
+        self._concurrent = concurrent
+        self._queued = queued
+        self._wait_s = wait_s
+        self._running = 0
+        self._running_batch = 0
+        self._by_customer: dict[str, int] = {}
+        self._waiting: list[tuple[int, int, int, _Waiter]] = []
+        self._waiting_count = 0
+        self._sequence = itertools.count()
+        self._service_s = 0.0
+
+    @property
+    def running(self) -> int:
+        """Requests in flight."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return self._waiting_count
+
+    @asynccontextmanager
+    async def slot(
+        self, customer: str, priority: Priority, remaining_s: float
+    ) -> AsyncIterator[None]:
+        """Hold a slot while the body runs.
+
+        :param customer: name of the customer.
+        :param priority: lower values go first.
+        :param remaining_s: time left until the deadline, seconds.
+        :raises RefusalError: ``queue_full`` or ``deadline_unmeetable``.
+        """
+        await self._acquire(customer, priority, remaining_s)
+        started = self._clock.monotonic()
+        try:
+            yield
+        finally:
+            elapsed = self._clock.monotonic() - started
+            self._service_s += SERVICE_TIME_WEIGHT * (elapsed - self._service_s)
+            self._release(customer, priority)
+
+    async def _acquire(
+        self, customer: str, priority: Priority, remaining_s: float
+    ) -> None:
+        if not self._waiting_count and self._fits(customer, priority):
+            self._admit(customer, priority)
+            return
+        expected = self._expected_wait_s(priority)
+        if self._waiting_count >= self._queued:
+            raise RefusalError(
+                RefusalReason.QUEUE_FULL,
+                detail=f"{self._waiting_count} requests are waiting",
+                retry_after_s=max(expected, 0.1),
+            )
+        if expected > remaining_s:
+            raise RefusalError(
+                RefusalReason.DEADLINE_UNMEETABLE,
+                detail=f"expected wait is {expected:.2f} s, {remaining_s:.2f} s left",
+                retry_after_s=expected,
+            )
+        waiter = _Waiter(priority, customer)
+        self._push(waiter)
+        try:
+            with self._clock.timeout(min(self._wait_s, remaining_s)):
+                await waiter.event.wait()
+        except BaseException:
+            if waiter.admitted:
+                self._release(customer, priority)
+            raise
+        finally:
+            self._waiting_count -= 1
+            waiter.gone = True
+        if not waiter.admitted:
+            raise RefusalError(
+                RefusalReason.QUEUE_FULL,
+                detail=f"no slot within {min(self._wait_s, remaining_s):.2f} s",
+                retry_after_s=self._wait_s,
+            )
+
+    def _push(self, waiter: _Waiter) -> None:
+        held = self._by_customer.get(waiter.customer, 0)
+        entry = (int(waiter.priority), held, next(self._sequence), waiter)
+        heapq.heappush(self._waiting, entry)
+        self._waiting_count += 1
+
+    def _expected_wait_s(self, priority: Priority) -> float:
+        ahead = sum(1 for item in self._waiting if item[0] <= priority)
+        return self._service_s * ahead / max(1, self._concurrent)
+
+    def _fits(self, customer: str, priority: Priority) -> bool:
+        if self._running >= self._concurrent:
+            return False
+        if priority is Priority.INTERACTIVE:
+            return True
+        ordinary = self._concurrent * (1 - INTERACTIVE_RESERVE_SHARE)
+        if self._running >= max(1.0, ordinary):
+            return False
+        held = self._by_customer.get(customer, 0)
+        if held >= max(1.0, self._concurrent * CUSTOMER_LIMIT_SHARE):
+            return False
+        batch_limit = max(1.0, self._concurrent * BATCH_LIMIT_SHARE)
+        return priority is not Priority.BATCH or self._running_batch < batch_limit
+
+    def _admit(self, customer: str, priority: Priority) -> None:
+        self._running += 1
+        self._running_batch += priority is Priority.BATCH
+        self._by_customer[customer] = self._by_customer.get(customer, 0) + 1
+
+    def _release(self, customer: str, priority: Priority) -> None:
+        self._running -= 1
+        self._running_batch -= priority is Priority.BATCH
+        held = self._by_customer[customer] - 1
+        if held:
+            self._by_customer[customer] = held
+        else:
+            del self._by_customer[customer]
+        self._wake()
+
+    def _wake(self) -> None:
+        blocked = []
+        while self._waiting and self._running < self._concurrent:
+            entry = heapq.heappop(self._waiting)
+            waiter = entry[3]
+            if waiter.gone:
+                continue
+            if not self._fits(waiter.customer, waiter.priority):
+                blocked.append(entry)
+                continue
+            waiter.admitted = True
+            self._admit(waiter.customer, waiter.priority)
+            waiter.event.set()
+        for entry in blocked:
+            heapq.heappush(self._waiting, entry)
--- /dev/null
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -0,0 +1,355 @@
+"""Choice of the replica that serves a request."""
+
+from __future__ import annotations
+
+import bisect
+import hashlib
+import random
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.types import Address, Priority
+
+SUBSET_SIZE = 24
+RING_POINTS = 16
+AFFINITY_CHOICES = 3
+RANDOM_CHOICES = 2
+AFFINITY_LOAD_FACTOR = 1.25
+PREFIX_MINIMUM_TOKENS = 128
+PREFIXES_KEPT = 64
+SLOW_START_S = 20.0
+SLOW_START_FLOOR = 0.1
+EJECTION_FAILURES = 5
+EJECTION_S = 10.0
+EJECTION_SHARE_LIMIT = 0.3
+BATCH_SLOT_SHARE = 0.7
+TOKENS_PER_SLOT = 256.0
+
+
+class Replica(NamedTuple):
+    """An upstream process.
+
+    :param name: name of the instance.
+    :param kind: upstream plug-in, such as ``engine`` or ``service``.
+    :param address: where it listens.
+    :param data_centre: where it runs.
+    :param groups: versions or services that it serves.
+    :param leaving: whether it takes no new work.
+    """
+
+    name: str
+    kind: str
+    address: Address
+    data_centre: str
+    groups: tuple[str, ...]
+    leaving: bool = False
+
+
+class LoadReport(NamedTuple):
+    """Load of a replica, as it reported.
+
+    :param work_tokens: tokens of prompt and answer still to be processed.
+    :param at: when the report was made, on the node's clock.
+    """
+
+    work_tokens: float
+    at: float
+
+
+class _ReplicaState:
+    """What a node knows of a replica beyond the instance list."""
+
+    def __init__(self, added_at: float) -> None:
+        self.added_at = added_at
+        self.in_flight = 0
+        self.batch_in_flight = 0
+        self.local_work = 0.0
+        self.report = LoadReport(0.0, -1.0)
+        self.sent_since_report = 0.0
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.prefixes: OrderedDict[str, None] = OrderedDict()
+
+
+class _Group:
+    """Replicas of one version or service and the ring over them."""
+
+    def __init__(self, replicas: Sequence[Replica], subset: Sequence[Replica]) -> None:
+        self.replicas = replicas
+        self.subset = subset
+        points = sorted(
+            (_hash(f"{replica.name}/{point}"), index)
+            for index, replica in enumerate(replicas)
+            for point in range(RING_POINTS)
+        )
+        self._keys = [key for key, _ in points]
+        self._indexes = [index for _, index in points]
+
+    def walk(self, prefix: str, count: int) -> list[Replica]:
+        """Return the first distinct replicas on the ring after a prefix."""
+        start = bisect.bisect(self._keys, _hash(prefix))
+        found: list[int] = []
+        for step in range(len(self._indexes)):
+            index = self._indexes[(start + step) % len(self._indexes)]
+            if index not in found:
+                found.append(index)
+            if len(found) == count:
+                break
+        return [self.replicas[index] for index in found]
+
+
+class Lease(NamedTuple):
+    """A place taken at a replica, to be given back by :meth:`Placement.release`.
+
+    :param replica: the replica.
+    :param work_tokens: tokens of work that were added to its load.
+    :param batch: whether the request has batch priority.
+    """
+
+    replica: Replica
+    work_tokens: float
+    batch: bool
+
+
+class Placement:
+    """Chooses replicas by prefix affinity against load.
+
+    :param node: name of this instance, for deterministic subsetting.
+    :param clock: tells the age of reports and ejections.
+    :param random_source: source of random choices.
+    """
+
+    def __init__(self, node: str, clock: Clock, random_source: random.Random) -> None:
+        self._node = node
+        self._clock = clock
+        self._random = random_source
+        self._states: dict[str, _ReplicaState] = {}
+        self._groups: dict[str, _Group] = {}
+
+    @property
+    def groups(self) -> list[str]:
+        """Versions and services that have at least one replica."""
+        return sorted(self._groups)
+
+    def replicas(self, kind: str) -> list[Replica]:
+        """Return the replicas of a kind that this node uses, by name."""
+        found = {
+            replica
+            for group in self._groups.values()
+            for replica in group.subset
+            if replica.kind == kind
+        }
+        return sorted(found)
+
+    def update(self, replicas: Iterable[Replica], nodes: Sequence[str] = ()) -> None:
+        """Replace the list of replicas.
+
+        :param replicas: every replica, leaving ones included.
+        :param nodes: names of the live nodes, for subsetting.
+        """
+        now = self._clock.monotonic()
+        first = not self._states
+        staying = [replica for replica in replicas if not replica.leaving]
+        started = now - SLOW_START_S if first else now
+        self._states = {
+            replica.name: self._states.get(replica.name) or _ReplicaState(started)
+            for replica in staying
+        }
+        groups: dict[str, list[Replica]] = {}
+        for replica in sorted(staying):
+            for group in replica.groups:
+                groups.setdefault(group, []).append(replica)
+        members = sorted({*nodes, self._node})
+        self._groups = {
+            name: self._updated_group(name, members, found)
+            for name, found in groups.items()
+        }
+
+    def choose(
+        self,
+        group: str,
+        work_tokens: float,
+        prefix: str = "",
+        priority: Priority = Priority.NORMAL,
+        excluded: Sequence[str] = (),
+    ) -> Lease | None:
+        """Choose a replica and add the work to its load.
+
+        :param group: version or service.
+        :param work_tokens: expected tokens of prompt and answer.
+        :param prefix: hash of the prompt's shared prefix, empty for none.
+        :param priority: batch work leaves room for the rest.
+        :param excluded: names of replicas already tried.
+        :returns: None if no replica can take it.
+        """
+        members = self._groups.get(group)
+        if members is None:
+            return None
+        options = self._options(members, prefix, excluded)
+        if not options:
+            return None
+        batch = priority is Priority.BATCH
+        replica = min(
+            options,
+            key=lambda item: self._score(item, work_tokens, prefix, priority),
+        )
+        state = self._states[replica.name]
+        state.in_flight += 1
+        state.batch_in_flight += batch
+        state.local_work += work_tokens
+        state.sent_since_report += work_tokens
+        if prefix:
+            self.note_prefix(replica.name, prefix)
+        return Lease(replica, work_tokens, batch)
+
+    def release(self, lease: Lease, failed: bool) -> None:
+        """Give a place back.
+
+        :param lease: what :meth:`choose` returned.
+        :param failed: whether the attempt failed at the replica.
+        """
+        state = self._states.get(lease.replica.name)
+        if state is None:
+            return
+        state.in_flight = max(0, state.in_flight - 1)
+        state.batch_in_flight = max(0, state.batch_in_flight - lease.batch)
+        state.local_work = max(0.0, state.local_work - lease.work_tokens)
+        if not failed:
+            state.failures = 0
+            return
+        state.failures += 1
+        if state.failures >= EJECTION_FAILURES and self._may_eject():
+            state.ejected_until = self._clock.monotonic() + EJECTION_S
+            state.failures = 0
+
+    def report_load(self, name: str, work_tokens: float, lag_s: float) -> None:
+        """Take in a replica's load report.
+
+        :param name: name of the replica.
+        :param work_tokens: tokens still to be processed when it was made.
+        :param lag_s: age of the report, seconds.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return
+        at = self._clock.monotonic() - lag_s
+        if at <= state.report.at:
+            return
+        state.report = LoadReport(work_tokens, at)
+        state.sent_since_report = 0.0
+
+    def note_prefix(self, name: str, prefix: str) -> None:
+        """Note that a replica holds a prefix in its cache."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        state.prefixes[prefix] = None
+        state.prefixes.move_to_end(prefix)
+        if len(state.prefixes) > PREFIXES_KEPT:
+            state.prefixes.popitem(last=False)
+
+    def drop_prefix(self, name: str, prefix: str) -> None:
+        """Note that a replica no longer holds a prefix."""
+        state = self._states.get(name)
+        if state is not None:
+            state.prefixes.pop(prefix, None)
+
+    def in_flight(self, name: str) -> int:
+        """Return how many requests of this node a replica is serving."""
+        state = self._states.get(name)
+        return state.in_flight if state else 0
+
+    def ejected(self) -> list[str]:
+        """Return the names of replicas that get no work for now, sorted."""
+        now = self._clock.monotonic()
+        return sorted(n for n, s in self._states.items() if s.ejected_until > now)
+
+    def _updated_group(
+        self, name: str, members: Sequence[str], found: list[Replica]
+    ) -> _Group:
+        known = self._groups.get(name)
+        subset = choose_subset(members, self._node, found)
+        if known is not None and known.replicas == found:
+            known.subset = subset
+            return known
+        return _Group(found, subset)
+
+    def _options(
+        self, group: _Group, prefix: str, excluded: Sequence[str]
+    ) -> list[Replica]:
+        options = group.walk(prefix, AFFINITY_CHOICES) if prefix else []
+        count = RANDOM_CHOICES if options else AFFINITY_CHOICES + RANDOM_CHOICES
+        sample = min(count, len(group.subset))
+        options += self._random.sample(group.subset, sample)
+        usable = [item for item in options if self._usable(item, excluded)]
+        return usable or [i for i in group.replicas if self._usable(i, excluded)]
+
+    def _usable(self, replica: Replica, excluded: Sequence[str]) -> bool:
+        if replica.name in excluded:
+            return False
+        return self._states[replica.name].ejected_until <= self._clock.monotonic()
+
+    def _score(
+        self, replica: Replica, work_tokens: float, prefix: str, priority: Priority
+    ) -> float:
+        state = self._states[replica.name]
+        load = self._load(state)
+        if prefix and prefix not in state.prefixes:
+            load += work_tokens
+        if priority is Priority.BATCH:
+            load += state.batch_in_flight * TOKENS_PER_SLOT
+        return load / self._ramp(state)
+
+    def _load(self, state: _ReplicaState) -> float:
+        if state.report.at < 0:
+            return state.local_work
+        remote = max(0.0, state.report.work_tokens)
+        return max(state.local_work, remote + state.sent_since_report)
+
+    def _ramp(self, state: _ReplicaState) -> float:
+        age = self._clock.monotonic() - state.added_at
+        return min(1.0, max(SLOW_START_FLOOR, age / SLOW_START_S))
+
+    def _may_eject(self) -> bool:
+        limit = EJECTION_SHARE_LIMIT * len(self._states)
+        return len(self.ejected()) + 1 <= max(1.0, limit) and len(self._states) > 1
+
+
+def choose_subset(
+    nodes: Sequence[str], node: str, replicas: Sequence[Replica]
+) -> list[Replica]:
+    """Return the replicas that a node uses where there are many.
+
+    Nodes are taken in rounds; the nodes of a round share out the replicas in
+    one shuffled order, so that each replica is in as many subsets as any other.
+
+    :param nodes: names of all nodes, sorted.
+    :param node: the node in question, one of them.
+    :param replicas: all replicas, sorted.
+    """
+    if len(replicas) <= SUBSET_SIZE:
+        return list(replicas)
+    subsets = len(replicas) // SUBSET_SIZE
+    rank = list(nodes).index(node)
+    shuffled = list(replicas)
+    random.Random(rank // subsets).shuffle(shuffled)
+    start = (rank % subsets) * SUBSET_SIZE
+    return shuffled[start : start + SUBSET_SIZE]
+
+
+def prefix_hash(text: str, tokens: int) -> str:
+    """Return the hash of a prompt's shared prefix.
+
+    :param text: the text that later prompts may share.
+    :param tokens: its length in tokens; short ones give an empty hash.
+    """
+    if tokens < PREFIX_MINIMUM_TOKENS:
+        return ""
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -0,0 +1,89 @@
+"""Retry budgets per request tree and per upstream kind of work."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from lentilshore_kernel.types import Execution
+
+TREE_RETRIES = 3
+TREES_KEPT = 10_000
+BUDGET_RATIO = 0.1
+BUDGET_RESERVE = 10.0
+BUDGET_LIMIT = 100.0
+
+
+class RetryBudget:
+    """Lets retries be a bounded share of first attempts.
+
+    :param ratio: retries earned by one first attempt.
+    :param reserve: retries available at the start.
+    """
+
+    def __init__(
+        self, ratio: float = BUDGET_RATIO, reserve: float = BUDGET_RESERVE
+    ) -> None:
+        self._ratio = ratio
+        self._balance = reserve
+
+    @property
+    def balance(self) -> float:
+        """Retries that may still be made."""
+        return self._balance
+
+    def earn(self) -> None:
+        """Note a first attempt."""
+        self._balance = min(self._balance + self._ratio, BUDGET_LIMIT)
+
+    def spend(self) -> bool:
+        """Take one retry from the budget.
+
+        :returns: False if there is none left.
+        """
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
+
+
+class RetryPolicy:
+    """Decides whether a failed attempt is repeated.
+
+    :param tree_retries: retries that one request tree may make.
+    """
+
+    def __init__(self, tree_retries: int = TREE_RETRIES) -> None:
+        self._tree_retries = tree_retries
+        self._trees: OrderedDict[str, int] = OrderedDict()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def note_first(self, group: str) -> None:
+        """Note a first attempt at a group of upstreams.
+
+        :param group: a version or service name.
+        """
+        self._budget(group).earn()
+
+    def allow(
+        self, tree: str, group: str, repeatable: bool, execution: Execution
+    ) -> bool:
+        """Tell whether another attempt may be made, and count it if so.
+
+        :param tree: identifier of the request tree.
+        :param group: a version or service name.
+        :param repeatable: whether running twice does no harm.
+        :param execution: what is proved about the failed attempt.
+        """
+        if not repeatable and execution is not Execution.NOT_RUN:
+            return False
+        spent = self._trees.get(tree, 0)
+        if spent >= self._tree_retries or not self._budget(group).spend():
+            return False
+        self._trees[tree] = spent + 1
+        self._trees.move_to_end(tree)
+        if len(self._trees) > TREES_KEPT:
+            self._trees.popitem(last=False)
+        return True
+
+    def _budget(self, group: str) -> RetryBudget:
+        return self._budgets.setdefault(group, RetryBudget())
--- /dev/null
+++ b/packages/routing/src/lentilshore_routing/rollouts.py
@@ -0,0 +1,277 @@
+"""Guard of roll-outs: a sequential test and a budget of ungraded answers.
+
+The test is a mixture of likelihood ratios against the base version's rate. A
+mixture of such ratios is a non-negative martingale when the candidate is no
+worse, so that by Ville's inequality the chance that it ever passes 1 / alpha
+is at most alpha, however often it is looked at.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import NamedTuple, TypedDict
+
+FALSE_HALT_RATE = 0.01
+SIGNAL_SHARES: Mapping[str, float] = {"rating": 0.8, "error": 0.1, "latency": 0.1}
+EFFECT_ADDED_RATES = (0.03, 0.06, 0.12, 0.25, 0.5)
+POOLED_WEIGHT = 0.6
+BASE_PRIOR_BAD = 1.0
+BASE_PRIOR_TOTAL = 10.0
+RATE_FLOOR = 0.002
+RATE_CEILING = 0.95
+NEW_SESSION_SHARE = 0.6
+TRACKED_LIMIT = 100_000
+STAGE_MINIMUM_RATINGS = 30
+
+
+class Tally(NamedTuple):
+    """Outcomes of one signal.
+
+    :param bad: outcomes that speak against the version.
+    :param total: outcomes.
+    """
+
+    bad: int = 0
+    total: int = 0
+
+    def add(self, bad: bool) -> Tally:
+        """Return the tally with one more outcome."""
+        return Tally(self.bad + bad, self.total + 1)
+
+
+class Evidence(TypedDict):
+    """Tallies of one version, by signal and customer.
+
+    Keys are ``signal/customer``.
+    """
+
+    tallies: dict[str, tuple[int, int]]
+
+
+class Verdict(NamedTuple):
+    """Outcome of a test.
+
+    :param halt: whether the roll-out must be halted.
+    :param signal: the signal that weighs most.
+    :param customer: the customer that weighs most, empty for all together.
+    :param log_evidence: natural logarithm of the evidence.
+    :param log_threshold: value at which the roll-out is halted.
+    """
+
+    halt: bool
+    signal: str
+    customer: str
+    log_evidence: float
+    log_threshold: float
+
+    def explain(self) -> str:
+        """Return a sentence that says what was found."""
+        who = f"customer {self.customer}" if self.customer else "all customers"
+        return (
+            f"{self.signal} of {who}: log evidence {self.log_evidence:.2f}, "
+            f"threshold {self.log_threshold:.2f}"
+        )
+
+
+class EvidenceBook:
+    """Outcomes of versions on one node, or merged over nodes."""
+
+    def __init__(self) -> None:
+        self._tallies: dict[str, dict[tuple[str, str], Tally]] = {}
+
+    def add(self, version: str, signal: str, customer: str, bad: bool) -> None:
+        """Count an outcome.
+
+        :param version: name of the version.
+        :param signal: ``rating``, ``error`` or ``latency``.
+        :param customer: name of the customer.
+        :param bad: whether it speaks against the version.
+        """
+        tallies = self._tallies.setdefault(version, {})
+        key = (signal, customer)
+        tallies[key] = tallies.get(key, Tally()).add(bad)
+
+    def merge(self, version: str, evidence: Evidence) -> None:
+        """Add another book's tallies of a version."""
+        tallies = self._tallies.setdefault(version, {})
+        for name, (bad, total) in evidence["tallies"].items():
+            signal, _, customer = name.partition("/")
+            known = tallies.get((signal, customer), Tally())
+            tallies[signal, customer] = Tally(known.bad + bad, known.total + total)
+
+    def export(self, version: str) -> Evidence:
+        """Return the tallies of a version."""
+        tallies = self._tallies.get(version, {})
+        return Evidence(
+            tallies={f"{s}/{c}": (t.bad, t.total) for (s, c), t in tallies.items()}
+        )
+
+    def versions(self) -> list[str]:
+        """Return the versions that have tallies, sorted."""
+        return sorted(self._tallies)
+
+    def tally(self, version: str, signal: str, customer: str = "") -> Tally:
+        """Return the outcomes of a signal, of all customers if none is named."""
+        found = [
+            tally
+            for (name, owner), tally in self._tallies.get(version, {}).items()
+            if name == signal and customer in ("", owner)
+        ]
+        return Tally(sum(t.bad for t in found), sum(t.total for t in found))
+
+    def customers(self, version: str, signal: str) -> list[str]:
+        """Return the customers that a signal was seen for, sorted."""
+        return sorted(c for s, c in self._tallies.get(version, {}) if s == signal)
+
+
+def judge(book: EvidenceBook, base: str, candidate: str) -> Verdict:
+    """Test a candidate against its base on every signal.
+
+    :param book: outcomes of both.
+    :param base: name of the base version.
+    :param candidate: name of the candidate.
+    :returns: the verdict of the signal that weighs most.
+    """
+    verdicts = [
+        _judge_signal(book, base, candidate, signal, share)
+        for signal, share in SIGNAL_SHARES.items()
+    ]
+    return max(verdicts, key=lambda v: v.log_evidence - v.log_threshold)
+
+
+def log_mixture_ratio(tally: Tally, base_rate: float) -> float:
+    """Return the logarithm of the mixed likelihood ratio of worse rates.
+
+    :param tally: outcomes of the candidate.
+    :param base_rate: rate of bad outcomes if it is no worse.
+    """
+    rates = sorted({min(RATE_CEILING, base_rate + x) for x in EFFECT_ADDED_RATES})
+    rates = [rate for rate in rates if rate > base_rate]
+    if not rates:
+        return 0.0
+    good = tally.total - tally.bad
+    terms = [
+        tally.bad * math.log(rate / base_rate)
+        + good * math.log((1 - rate) / (1 - base_rate))
+        for rate in rates
+    ]
+    return _log_mean(terms)
+
+
+def base_rate(tally: Tally) -> float:
+    """Return the rate of bad outcomes of a base version, never 0."""
+    rate = (tally.bad + BASE_PRIOR_BAD) / (tally.total + BASE_PRIOR_TOTAL)
+    return min(max(rate, RATE_FLOOR), RATE_CEILING)
+
+
+def _judge_signal(
+    book: EvidenceBook, base: str, candidate: str, signal: str, share: float
+) -> Verdict:
+    threshold = math.log(1 / (FALSE_HALT_RATE * share))
+    pooled_base = base_rate(book.tally(base, signal))
+    pooled = log_mixture_ratio(book.tally(candidate, signal), pooled_base)
+    by_customer = {}
+    for customer in book.customers(candidate, signal):
+        known = book.tally(base, signal, customer)
+        rate = _shrunk_rate(known, pooled_base)
+        tally = book.tally(candidate, signal, customer)
+        by_customer[customer] = log_mixture_ratio(tally, rate)
+    worst = max(by_customer, key=lambda name: by_customer[name], default="")
+    terms = [math.log(POOLED_WEIGHT) + pooled]
+    if by_customer:
+        weight = math.log((1 - POOLED_WEIGHT) / len(by_customer))
+        terms += [weight + value for value in by_customer.values()]
+    evidence = _log_sum(terms)
+    blamed = worst if by_customer and by_customer[worst] > pooled + 1.0 else ""
+    return Verdict(evidence >= threshold, signal, blamed, evidence, threshold)
+
+
+def _shrunk_rate(tally: Tally, pooled: float) -> float:
+    weight = 50.0
+    rate = (tally.bad + weight * pooled) / (tally.total + weight)
+    return min(max(rate, RATE_FLOOR), RATE_CEILING)
+
+
+def _log_sum(terms: list[float]) -> float:
+    top = max(terms)
+    return top + math.log(sum(math.exp(term - top) for term in terms))
+
+
+def _log_mean(terms: list[float]) -> float:
+    return _log_sum(terms) - math.log(len(terms))
+
+
+class ExposureBudget:
+    """Bounds the ungraded answers of candidates on one node."""
+
+    def __init__(self) -> None:
+        self._limits: dict[str, int] = {}
+        self._open: OrderedDict[str, str] = OrderedDict()
+        self._counts: dict[str, int] = {}
+
+    def set_limits(self, limits: Mapping[str, int]) -> None:
+        """Set this node's part of each candidate's budget.
+
+        :param limits: most ungraded answers, by version.
+        """
+        self._limits = dict(limits)
+
+    def admit(self, version: str, request: str, pinned: bool) -> bool:
+        """Count a request to a candidate if the budget allows it.
+
+        :param version: the candidate.
+        :param request: identifier of the request.
+        :param pinned: whether its session already keeps the candidate; new
+            sessions leave a part of the budget to these.
+        :returns: False if the budget is used up.
+        """
+        limit = self._limits.get(version)
+        if limit is None:
+            return True
+        usable = limit if pinned else max(1, int(limit * NEW_SESSION_SHARE))
+        if limit == 0 or self._counts.get(version, 0) >= usable:
+            return False
+        self._open[request] = version
+        self._counts[version] = self._counts.get(version, 0) + 1
+        return True
+
+    def grade(self, request: str) -> None:
+        """Note that a request was rated, or that it did not run."""
+        version = self._open.pop(request, None)
+        if version is not None:
+            self._counts[version] -= 1
+
+    def ungraded(self, version: str) -> int:
+        """Return how many answers of a candidate are not rated yet."""
+        return self._counts.get(version, 0)
+
+
+def split_budget(budget: int, nodes: int, rank: int) -> int:
+    """Return a node's part of a fleet-wide budget; the parts sum to it.
+
+    :param budget: the whole.
+    :param nodes: number of nodes.
+    :param rank: rank of the node, from 0.
+    """
+    part, rest = divmod(budget, nodes)
+    return part + (rank < rest)
+
+
+def next_stage(
+    book: EvidenceBook, base: str, candidate: str, stage: int, stages: int
+) -> int:
+    """Return the stage that a healthy roll-out may go to.
+
+    :param book: outcomes of both versions.
+    :param base: name of the base version.
+    :param candidate: name of the candidate.
+    :param stage: stage it is at, from 0.
+    :param stages: number of stages; returned once all are passed.
+    """
+    rated = book.tally(candidate, "rating").total
+    needed = STAGE_MINIMUM_RATINGS * 2**stage
+    if rated < needed or judge(book, base, candidate).halt:
+        return stage
+    return min(stage + 1, stages)
