--- a/packages/fleet/src/lentilshore_fleet/membership.py
+++ b/packages/fleet/src/lentilshore_fleet/membership.py
@@ -86,6 +86,7 @@
         self._news: dict[str, _News] = {}
         self._ticked_at = clock.monotonic()
         self._superseded: set[str] = set()
+        self._contacts: dict[str, Member] = {}
 
     @property
     def superseded(self) -> set[str]:
@@ -170,6 +171,33 @@
                 del self._news[name]
         return [item.member for _, item in told]
 
+    def add_contacts(self, members: Iterable[Member]) -> None:
+        """Note where instances can be met, whoever lives there now.
+
+        :param members: instances from the settings or the platform's list, with
+            incarnation number 0.
+        """
+        for member in members:
+            if member.name != self._own.name:
+                self._contacts[member.name] = member
+                self._learn(member)
+
+    def lost(self) -> list[Member]:
+        """Return members to look for: those believed dead, and unknown contacts."""
+        dead = [m for m in self.members if m.state is MemberState.DEAD]
+        unknown = [m for n, m in self._contacts.items() if n not in self._members]
+        return sorted(dead + unknown)
+
+    def belief(self, name: str) -> list[Member]:
+        """Return what a member must know to refute it: that it is not alive."""
+        member = self._members.get(name)
+        if member is None or member.state not in (
+            MemberState.SUSPECT,
+            MemberState.DEAD,
+        ):
+            return []
+        return [member]
+
     def links(self) -> list[Member]:
         """Return the members this node keeps a link to.
 
--- a/packages/kernel/src/lentilshore_kernel/testing.py
+++ b/packages/kernel/src/lentilshore_kernel/testing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import itertools
 from collections.abc import Awaitable, Callable, Iterator
@@ -10,7 +11,6 @@
 
 import anyio
 from anyio.lowlevel import checkpoint
-from anyio.testing import wait_all_tasks_blocked
 
 
 class FakeClock:
@@ -74,7 +74,7 @@
 
     async def _advance_when_blocked(self) -> None:
         while True:
-            await wait_all_tasks_blocked()
+            await _wait_until_idle()
             if not self._timers:
                 await checkpoint()
                 continue
@@ -86,6 +86,14 @@
         heapq.heappush(self._timers, (due, next(self._sequence), action))
 
 
+async def _wait_until_idle() -> None:
+    """Wait until no other callback of the event loop is ready to run."""
+    ready = asyncio.get_running_loop()._ready  # type: ignore[attr-defined]
+    await checkpoint()
+    while ready:
+        await checkpoint()
+
+
 def run_with_clock(
     clock: FakeClock, function: Callable[..., Awaitable[Any]], *args: Any
 ) -> Any:
--- a/packages/node/src/lentilshore_node/completions.py
+++ b/packages/node/src/lentilshore_node/completions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from contextlib import aclosing
 from typing import Any
 
@@ -32,7 +31,7 @@
 from .upstreams import Usage
 
 EXPOSURE_RETRY_S = 5.0
-SESSION_BYTES = 12
+SESSION_BITS = 96
 
 
 class CompletionHandler:
@@ -96,7 +95,8 @@
         token = request.headers.session
         if token:
             return self._context.signer.verify(token, customer.name)
-        return Session(secrets.token_urlsafe(SESSION_BYTES), customer.name)
+        identifier = self._context.random.getrandbits(SESSION_BITS)
+        return Session(f"{identifier:x}", customer.name)
 
 
 class _Cascade:
@@ -264,7 +264,7 @@
             ("lentilshore-version", version.version),
             ("lentilshore-upstream", upstream),
             ("lentilshore-attempts", str(job.attempts)),
-            ("lentilshore-bill", job.request),
+            ("lentilshore-bill", job.bill_reference),
             ("lentilshore-execution", Execution.RAN.value),
             (SESSION_HEADER, self._context.signer.sign(session)),
         ]
--- a/packages/node/src/lentilshore_node/context.py
+++ b/packages/node/src/lentilshore_node/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 
 from lentilshore_fleet import (
@@ -42,6 +43,7 @@
 
     settings: Settings
     clock: Clock
+    random: random.Random
     metrics: MetricsRecorder
     incarnation: Incarnation
     platform: Platform
--- a/packages/node/src/lentilshore_node/jobs.py
+++ b/packages/node/src/lentilshore_node/jobs.py
@@ -39,6 +39,7 @@
         self.headers = headers
         self.session = Session("", customer.name)
         self.request = f"{context.incarnation}-{self._sequence}"
+        self.bill_reference = self.request
         self.tree = headers.tree or self.request
         self._proved = Execution.NOT_RUN
         self._dispatching = False
--- a/packages/node/src/lentilshore_node/links.py
+++ b/packages/node/src/lentilshore_node/links.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Awaitable
-from typing import Any
+import ssl
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any, NamedTuple
 
 import anyio
 import capnp
@@ -13,7 +14,7 @@
 from lentilshore_fleet import Bill, Member
 from lentilshore_fleet.bills import encode_bills
 from lentilshore_fleet.membership import HEARTBEAT_INTERVAL_S
-from lentilshore_kernel import log_event
+from lentilshore_kernel import Clock, log_event
 from lentilshore_kernel.exceptions import PeerUnavailableError
 from lentilshore_kernel.tls import create_client_context
 from lentilshore_kernel.types import Address, Incarnation
@@ -29,92 +30,97 @@
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+PROBE_INTERVAL_S = 3.0
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 5.0
 COPY_BATCH_BILLS = 256
 POSTED_LIMIT = 4_096
 
 
+class PeerConnection(NamedTuple):
+    """An open connection to a peer.
+
+    :param peer: object of the schema's ``Peer`` interface.
+    :param close: closes the connection.
+    """
+
+    peer: Any
+    close: Callable[[], None]
+
+
+Connector = Callable[[Address], Awaitable[PeerConnection]]
+
+
+async def connect_peer(
+    address: Address, tls: ssl.SSLContext | None = None
+) -> PeerConnection:
+    """Open a connection to a peer over TCP.
+
+    :param address: the peer's listener.
+    :param tls: context for mutual TLS, None for plain TCP.
+    """
+    stream = await capnp.AsyncIoStream.create_connection(
+        address.host, address.port, ssl=tls
+    )
+    client = capnp.TwoPartyClient(stream)
+    peer = client.bootstrap().cast_as(load_peer_schema().Peer)
+    return PeerConnection(peer, client.close)
+
+
 class PeerLink:
-    """Connection to one other node.
+    """Calls to one other node, each bounded in time.
 
-    :param context: this node.
     :param address: the other's peer listener.
+    :param clock: bounds calls.
+    :param connector: opens the connection.
     """
 
-    def __init__(self, context: NodeContext, address: Address) -> None:
-        self._context = context
+    def __init__(self, address: Address, clock: Clock, connector: Connector) -> None:
         self._address = address
-        self._peer: Any = None
-        self._client: Any = None
-        self._wake = anyio.Event()
-        self._revision: int | None = None
-        self._versions: dict[str, int] = {}
+        self._clock = clock
+        self._connector = connector
+        self._connection: PeerConnection | None = None
+
+    @property
+    def address(self) -> Address:
+        """The other's peer listener."""
+        return self._address
 
     @property
     def connected(self) -> bool:
         """Whether calls can be made."""
-        return self._peer is not None
-
-    def wake(self) -> None:
-        """Send the next heartbeat at once."""
-        self._wake.set()
-
-    async def run(self) -> None:
-        """Keep the connection and exchange heartbeats until cancelled."""
-        delay_s = RECONNECT_MIN_S
-        while True:
-            try:
-                await self.connect()
-                delay_s = RECONNECT_MIN_S
-                await self._exchange_forever()
-            except PeerUnavailableError as error:
-                self._context.metrics.count("peer.unavailable")
-                log_event("peer_unavailable", peer=self._address, detail=str(error))
-            finally:
-                self.close()
-            await self._context.clock.sleep(delay_s * random.uniform(0.5, 1.5))
-            delay_s = min(2 * delay_s, RECONNECT_MAX_S)
+        return self._connection is not None
 
     async def connect(self) -> None:
         """Open the connection.
 
         :raises PeerUnavailableError: if the other is not reached.
         """
-        tls = create_client_context(self._context.settings.peer_tls)
-        host, port = self._address
-        stream = await self._within(
-            capnp.AsyncIoStream.create_connection(host, port, ssl=tls),
-            CONNECT_TIMEOUT_S,
+        self._connection = await self._within(
+            self._connector(self._address), CONNECT_TIMEOUT_S
         )
-        self._client = capnp.TwoPartyClient(stream)
-        self._peer = self._client.bootstrap().cast_as(load_peer_schema().Peer)
 
     def close(self) -> None:
         """Close the connection."""
-        if self._client is not None:
-            self._client.close()
-        self._client = self._peer = None
-        self._revision = None
-        self._versions = {}
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
 
-    async def exchange(self) -> None:
+    async def exchange(self, message: dict[str, Any]) -> Any:
         """Exchange one heartbeat.
 
+        :param message: this node's heartbeat.
+        :returns: the other's.
         :raises PeerUnavailableError: if the other does not answer.
         """
-        message = build_exchange(self._context, self._revision, self._versions)
-        answer = await self._within(self._call().exchange(message=message))
-        self._revision = answer.reply.revision
-        self._versions = document_versions(answer.reply)
-        apply_exchange(self._context, answer.reply)
+        return (await self._within(self._peer().exchange(message=message))).reply
 
     async def members(self) -> list[Member]:
         """Return every member that the other knows.
 
         :raises PeerUnavailableError: if the other does not answer.
         """
-        answer = await self._within(self._call().members())
+        answer = await self._within(self._peer().members())
         return [member_from_message(item) for item in answer.members]
 
     async def copy_bills(self, owner: str, bills: list[Bill], watermark: int) -> None:
@@ -122,7 +128,7 @@
 
         :raises PeerUnavailableError: if the other does not confirm.
         """
-        call = self._call().copyBills(
+        call = self._peer().copyBills(
             owner=owner, bills=encode_bills(bills), watermark=watermark
         )
         await self._within(call)
@@ -132,36 +138,25 @@
 
         :raises PeerUnavailableError: if the other does not confirm.
         """
-        await self._within(self._call().releaseBills(owner=owner))
+        await self._within(self._peer().releaseBills(owner=owner))
 
     async def explain(self, request: str) -> bytes:
         """Return the record of a request that the other served.
 
         :raises PeerUnavailableError: if the other does not answer.
         """
-        return (await self._within(self._call().explain(request=request))).record
+        return (await self._within(self._peer().explain(request=request))).record
 
-    async def _exchange_forever(self) -> None:
-        while True:
-            self._wake = anyio.Event()
-            await self.exchange()
-            if self._revision != self._context.configuration.revision:
-                await self.exchange()
-            with self._context.clock.timeout(
-                HEARTBEAT_INTERVAL_S * random.uniform(0.9, 1.1)
-            ):
-                await self._wake.wait()
-
-    def _call(self) -> Any:
-        if self._peer is None:
+    def _peer(self) -> Any:
+        if self._connection is None:
             raise PeerUnavailableError(f"{self._address}: not connected")
-        return self._peer
+        return self._connection.peer
 
     async def _within(
         self, call: Awaitable[Any], timeout_s: float = CALL_TIMEOUT_S
     ) -> Any:
         try:
-            with self._context.clock.timeout(timeout_s):
+            with self._clock.timeout(timeout_s):
                 return await call
         except (capnp.KjException, OSError) as error:
             detail = str(error).partition("\n")[0][:120]
@@ -169,31 +164,91 @@
         raise PeerUnavailableError(f"{self._address}: no answer in {timeout_s:.0f} s")
 
 
+class _Heartbeat:
+    """The task that keeps one link and exchanges heartbeats over it."""
+
+    def __init__(self, context: NodeContext, name: str, link: PeerLink) -> None:
+        self._context = context
+        self._name = name
+        self._wake = anyio.Event()
+        self._revision: int | None = None
+        self._versions: dict[str, int] = {}
+        self.link = link
+        self.scope = anyio.CancelScope()
+
+    def wake(self) -> None:
+        """Send the next heartbeat at once."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Keep the connection and exchange heartbeats until cancelled."""
+        with self.scope:
+            delay_s = RECONNECT_MIN_S
+            while True:
+                try:
+                    await self.link.connect()
+                    delay_s = RECONNECT_MIN_S
+                    await self._exchange_forever()
+                except PeerUnavailableError as error:
+                    self._context.metrics.count("peer.unavailable")
+                    log_event("peer_unavailable", detail=str(error))
+                finally:
+                    self.link.close()
+                    self._revision, self._versions = None, {}
+                jitter = self._context.random.uniform(0.5, 1.5)
+                await self._context.clock.sleep(delay_s * jitter)
+                delay_s = min(2 * delay_s, RECONNECT_MAX_S)
+
+    async def _exchange_forever(self) -> None:
+        while True:
+            self._wake = anyio.Event()
+            await self._exchange()
+            if self._revision != self._context.configuration.revision:
+                await self._exchange()
+            jitter = self._context.random.uniform(0.9, 1.1)
+            with self._context.clock.timeout(HEARTBEAT_INTERVAL_S * jitter):
+                await self._wake.wait()
+
+    async def _exchange(self) -> None:
+        message = build_exchange(
+            self._context, self._name, self._revision, self._versions
+        )
+        reply = await self.link.exchange(message)
+        self._revision = reply.revision
+        self._versions = document_versions(reply)
+        apply_exchange(self._context, reply)
+
+
 class LinkManager:
     """Keeps the links that membership asks for.
 
     :param context: this node.
+    :param connector: opens connections; by TCP as the settings say if None.
     """
 
-    def __init__(self, context: NodeContext) -> None:
+    def __init__(
+        self, context: NodeContext, connector: Connector | None = None
+    ) -> None:
         self._context = context
-        self._links: dict[Incarnation, tuple[PeerLink, anyio.CancelScope]] = {}
+        self._connector = connector or partial(
+            connect_peer, tls=create_client_context(context.settings.peer_tls)
+        )
+        self._heartbeats: dict[Incarnation, _Heartbeat] = {}
         context.configuration.on_change(lambda _: self.wake_all())
 
     @property
     def connected(self) -> list[Incarnation]:
         """Incarnations with a working link, by name."""
-        return sorted(i for i, (link, _) in self._links.items() if link.connected)
+        return sorted(i for i, h in self._heartbeats.items() if h.link.connected)
 
-    def link(self, incarnation: Incarnation) -> PeerLink | None:
-        """Return the link to an incarnation, if it works."""
-        link = self._links.get(incarnation, (None, None))[0]
-        return link if link is not None and link.connected else None
+    def create_link(self, address: Address) -> PeerLink:
+        """Return a link that is not kept, for a single call."""
+        return PeerLink(address, self._context.clock, self._connector)
 
     def wake_all(self) -> None:
         """Send heartbeats on all links at once."""
-        for link, _ in self._links.values():
-            link.wake()
+        for heartbeat in self._heartbeats.values():
+            heartbeat.wake()
 
     def copy_targets(self) -> list[PeerLink]:
         """Return working links in the order in which bills are copied to them.
@@ -205,32 +260,61 @@
         for incarnation in self.connected:
             member = self._context.membership.find(incarnation.node)
             local = member is None or member.data_centre == own.data_centre
-            found.append((local, incarnation, self._links[incarnation][0]))
+            found.append((local, incarnation, self._heartbeats[incarnation].link))
         return [link for _, _, link in sorted(found, key=lambda item: item[:2])]
 
+    async def tell(self, link: PeerLink) -> None:
+        """Exchange one heartbeat outside the usual rhythm.
+
+        :raises PeerUnavailableError: if the other does not answer.
+        """
+        message = build_exchange(self._context, "", None, {})
+        apply_exchange(self._context, await link.exchange(message))
+
     async def run(self) -> None:
         """Open and close links as membership changes, until cancelled."""
         async with anyio.create_task_group() as group:
+            group.start_soon(self._probe_forever)
             while True:
                 self._reconcile(group)
-                names = [incarnation.node for incarnation in self._links]
+                names = [incarnation.node for incarnation in self._heartbeats]
                 for member in self._context.membership.tick(names):
-                    log_event(
-                        "member_changed", node=member.name, state=member.state.name
-                    )
+                    state = member.state.name
+                    log_event("member_changed", node=member.name, state=state)
                 await self._context.clock.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def _probe_forever(self) -> None:
+        """Look for lost members, so that both sides of a partition meet again."""
+        while True:
+            jitter = self._context.random.uniform(0.5, 1.5)
+            await self._context.clock.sleep(PROBE_INTERVAL_S * jitter)
+            lost = self._context.membership.lost()
+            if lost:
+                await self._probe(self._context.random.choice(lost))
+
+    async def _probe(self, member: Member) -> None:
+        link = self.create_link(member.address)
+        try:
+            await link.connect()
+            message = build_exchange(self._context, member.name, None, {})
+            apply_exchange(self._context, await link.exchange(message))
+            await self.tell(link)
+        except PeerUnavailableError:
+            self._context.metrics.count("peer.probe_failed")
+        finally:
+            link.close()
+
     def _reconcile(self, group: TaskGroup) -> None:
         wanted = {m.incarnation: m for m in self._context.membership.links()}
-        for incarnation in list(self._links):
+        for incarnation in list(self._heartbeats):
             if incarnation not in wanted:
-                self._links.pop(incarnation)[1].cancel()
+                self._heartbeats.pop(incarnation).scope.cancel()
         for incarnation, member in wanted.items():
-            if incarnation not in self._links:
-                scope = anyio.CancelScope()
-                link = PeerLink(self._context, member.address)
-                self._links[incarnation] = (link, scope)
-                group.start_soon(_run_in_scope, link, scope)
+            if incarnation not in self._heartbeats:
+                link = self.create_link(member.address)
+                heartbeat = _Heartbeat(self._context, member.name, link)
+                self._heartbeats[incarnation] = heartbeat
+                group.start_soon(heartbeat.run)
 
 
 class LinkCopier:
@@ -313,8 +397,3 @@
             except PeerUnavailableError:
                 continue
         return False
-
-
-async def _run_in_scope(link: PeerLink, scope: anyio.CancelScope) -> None:
-    with scope:
-        await link.run()
--- a/packages/node/src/lentilshore_node/operators.py
+++ b/packages/node/src/lentilshore_node/operators.py
@@ -25,7 +25,7 @@
 from lentilshore_routing.rollouts import judge
 
 from .context import NodeContext
-from .links import LinkManager, PeerLink
+from .links import LinkManager
 from .reports import book_of
 
 WATCH_CHECK_S = 0.05
@@ -300,7 +300,7 @@
     member = context.node.membership.find(owner.rpartition(".")[0])
     if member is None or str(member.incarnation) != owner:
         return b""
-    link = PeerLink(context.node, member.address)
+    link = context.links.create_link(member.address)
     try:
         await link.connect()
         return await link.explain(request)
--- a/packages/node/src/lentilshore_node/peer_messages.py
+++ b/packages/node/src/lentilshore_node/peer_messages.py
@@ -48,18 +48,23 @@
 
 
 def build_exchange(
-    context: NodeContext, revision: int | None, versions: dict[str, int]
+    context: NodeContext,
+    receiver: str,
+    revision: int | None,
+    versions: dict[str, int],
 ) -> dict[str, Any]:
     """Return a heartbeat with what the receiver lacks.
 
     :param context: the node.
+    :param receiver: name of the receiver, empty if it is not known.
     :param revision: the receiver's revision; None if it is not known yet.
     :param versions: versions of documents that the receiver has.
     """
     own = context.configuration.revision
+    news = context.membership.belief(receiver) + context.membership.news()
     message: dict[str, Any] = {
         "sender": member_to_message(context.membership.own),
-        "news": [member_to_message(m) for m in context.membership.news()],
+        "news": [member_to_message(m) for m in news],
         "revision": own,
         "documents": _documents(context, versions),
     }
--- a/packages/node/src/lentilshore_node/peers.py
+++ b/packages/node/src/lentilshore_node/peers.py
@@ -40,7 +40,8 @@
             """Take in a heartbeat and return one."""
             apply_exchange(self._context, message)
             versions = document_versions(message)
-            return build_exchange(self._context, message.revision, versions)
+            sender = message.sender.incarnation.node
+            return build_exchange(self._context, sender, message.revision, versions)
 
         async def members(self, _context: Any, **_: Any) -> Any:
             """Return every member known."""
--- a/packages/node/src/lentilshore_node/server.py
+++ b/packages/node/src/lentilshore_node/server.py
@@ -15,20 +15,9 @@
 import uvicorn
 from anyio.abc import TaskGroup
 
-from lentilshore_fleet import (
-    ClaimStore,
-    ConfigurationView,
-    CopyKeeper,
-    Ledger,
-    Member,
-    Membership,
-    SessionSigner,
-)
-from lentilshore_fleet.documents import INSTANCES, DocumentBoard
 from lentilshore_kernel import (
     Clock,
     Incarnation,
-    MetricsRecorder,
     Registry,
     Settings,
     log_event,
@@ -36,32 +25,19 @@
 from lentilshore_kernel.exceptions import PeerUnavailableError
 from lentilshore_kernel.metrics import flush_forever
 from lentilshore_kernel.settings import PeerSetting
-from lentilshore_kernel.tls import create_server_context
+from lentilshore_kernel.tls import create_client_context, create_server_context
 from lentilshore_kernel.types import Address
-from lentilshore_routing import (
-    AdmissionQueue,
-    Placement,
-    QualityEstimates,
-    QuotaLimiter,
-    RetryPolicy,
-)
-from lentilshore_routing.rollouts import EvidenceBook, ExposureBudget
 
 from .app import CallerApplication
+from .assembly import create_context, create_surroundings
+from .background import Background
 from .context import NodeContext
 from .http_client import HttpClient
-from .leading import Leader
-from .links import LinkCopier, LinkManager, PeerLink
+from .links import LinkCopier, LinkManager, PeerLink, connect_peer
 from .operators import OperatorServer, serve_operator_connection
 from .peers import create_peer_bootstrap, serve_rpc_connection
-from .ratings import RatingTracker
-from .upkeep import Upkeep
-from .watching import STORED_DOCUMENTS, Watcher, apply_instances
 
 LISTEN_BACKLOG = 1024
-DRAIN_CHECK_S = 0.05
-FINAL_FLUSH_SEGMENTS = 1_000
-FINAL_FLUSH_LIMIT_S = 10.0
 
 
 class NodeAddresses(NamedTuple):
@@ -79,6 +55,10 @@
     def capture_signals(self) -> Any:
         yield
 
+    def stop(self) -> None:
+        """Close the listener and finish what is in flight."""
+        self.should_exit = True
+
 
 class Node:
     """One running node.
@@ -98,7 +78,6 @@
         self._urgent = anyio.Event()
         self._started = anyio.Event()
         self._context: NodeContext | None = None
-        self._copier = LinkCopier()
 
     @property
     def addresses(self) -> NodeAddresses:
@@ -128,19 +107,27 @@
         :returns: whether every request in flight was finished.
         """
         incarnation = await self._choose_incarnation()
-        context = self._context = self._assemble(incarnation)
+        copier = LinkCopier()
+        context = self._context = create_context(
+            self._settings,
+            self._registry,
+            self._clock,
+            incarnation,
+            self.addresses.peer,
+            create_surroundings(self._settings, self._registry, self._http, copier),
+            random.SystemRandom(),
+        )
         links = LinkManager(context)
-        self._copier.attach(links)
-        leader = Leader(context)
+        background = Background(context, links, copier)
         async with anyio.create_task_group() as group:
-            server = await self._start(group, context, links, leader)
+            server = await self._start(group, context, links)
+            background.start(group)
             self._started.set()
-            log_event(
-                "node_started", instance=incarnation, caller=self.addresses.caller
-            )
+            caller = self.addresses.caller
+            log_event("node_started", instance=incarnation, caller=caller)
             await self._stop.wait()
-            whole = await self._drain(context, server)
-            await self._hand_over(context, links, leader)
+            whole = await background.drain(server.stop, self._urgent)
+            await background.hand_over()
             group.cancel_scope.cancel()
         await self._http.close()
         log_event("node_stopped", instance=incarnation, whole=whole)
@@ -155,8 +142,8 @@
         return Incarnation(self._settings.instance, max(number, known + 1))
 
     async def _known_number(self, setting: PeerSetting) -> int:
-        context = _LinkSettings(self._settings, self._clock)
-        link = PeerLink(context, setting.address)  # type: ignore[arg-type]
+        tls = create_client_context(self._settings.peer_tls)
+        link = PeerLink(setting.address, self._clock, partial(connect_peer, tls=tls))
         try:
             await link.connect()
             members = await link.members()
@@ -168,62 +155,8 @@
         numbers = [m.incarnation.number for m in members if m.name == own]
         return max(numbers, default=0)
 
-    def _assemble(self, incarnation: Incarnation) -> NodeContext:
-        settings, clock = self._settings, self._clock
-        limits = settings.limits
-        platform = self._registry.find("platform", settings.platform.kind)(
-            self._http, settings.platform.address, settings.platform.timeout_s
-        )
-        own = Member(incarnation, settings.data_centre, self.addresses.peer)
-        membership = Membership(own, clock)
-        membership.learn(
-            Member(Incarnation(peer.name, 0), peer.data_centre, peer.address)
-            for peer in settings.peers
-        )
-        estimates = QualityEstimates()
-        evidence, exposure = EvidenceBook(), ExposureBudget()
-        store = platform.store
-        context = NodeContext(
-            settings=settings,
-            clock=clock,
-            metrics=MetricsRecorder(),
-            incarnation=incarnation,
-            platform=platform,
-            configuration=ConfigurationView(clock),
-            documents=DocumentBoard(),
-            membership=membership,
-            placement=Placement(settings.instance, clock, random.Random()),
-            queue=AdmissionQueue(
-                clock,
-                limits.concurrent_requests,
-                limits.queued_requests,
-                limits.queue_wait_s,
-            ),
-            quota=QuotaLimiter(clock),
-            retries=RetryPolicy(),
-            estimates=estimates,
-            policy=self._registry.find("policy", settings.policy)(
-                estimates, random.Random()
-            ),
-            exposure=exposure,
-            evidence=evidence,
-            ratings=RatingTracker(estimates, evidence, exposure),
-            signer=SessionSigner([key.read() for key in settings.session_keys]),
-            ledger=Ledger(incarnation, store, clock, self._copier),
-            copies=CopyKeeper(incarnation, store, clock),
-            claims=ClaimStore(store, clock),
-            engine=self._registry.find("upstream", "engine")(
-                self._http, limits.upstream_stall_s
-            ),
-            service=self._registry.find("upstream", "service")(
-                self._http, limits.upstream_stall_s
-            ),
-        )
-        context.documents.on_change(INSTANCES, partial(apply_instances, context))
-        return context
-
     async def _start(
-        self, group: TaskGroup, context: NodeContext, links: LinkManager, leader: Leader
+        self, group: TaskGroup, context: NodeContext, links: LinkManager
     ) -> _CallerServer:
         peer_bootstrap = create_peer_bootstrap(context)
         operators = OperatorServer(context, links, self._registry)
@@ -240,15 +173,6 @@
             create_server_context(self._settings.operator_tls),
             lambda stream: serve_operator_connection(stream, operators),
         )
-        group.start_soon(links.run)
-        watcher = Watcher(context)
-        group.start_soon(watcher.run_configuration)
-        group.start_soon(watcher.run_instances)
-        for name in STORED_DOCUMENTS:
-            group.start_soon(watcher.run_document, name)
-        for task in Upkeep(context, links, self._copier).tasks():
-            group.start_soon(task)
-        group.start_soon(leader.run)
         if self._settings.statsd is not None:
             address = self._settings.statsd.address
             group.start_soon(flush_forever, context.metrics, self._clock, address)
@@ -278,46 +202,6 @@
             await anyio.sleep(0.005)
         return server
 
-    async def _drain(self, context: NodeContext, server: _CallerServer) -> bool:
-        """Stop taking requests, then finish those in flight.
-
-        :returns: whether all were finished.
-        """
-        context.notice = True
-        log_event("drain_started", in_flight=context.in_flight)
-        with self._clock.timeout(self._settings.drain_notice_s):
-            await self._urgent.wait()
-        context.draining = True
-        server.should_exit = True
-        until = self._clock.monotonic() + self._settings.drain_limit_s
-        while context.in_flight and self._clock.monotonic() < until:
-            if self._urgent.is_set():
-                break
-            await self._clock.sleep(DRAIN_CHECK_S)
-        return context.in_flight == 0
-
-    async def _hand_over(
-        self, context: NodeContext, links: LinkManager, leader: Leader
-    ) -> None:
-        with self._clock.timeout(FINAL_FLUSH_LIMIT_S):
-            await leader.lease.release()
-            await context.ledger.flush(FINAL_FLUSH_SEGMENTS)
-        targets = links.copy_targets()
-        context.membership.leave()
-        with self._clock.timeout(FINAL_FLUSH_LIMIT_S):
-            for link in targets:
-                try:
-                    if not context.ledger.unwritten:
-                        await link.release_bills(context.ledger.owner)
-                    await link.exchange()
-                except PeerUnavailableError:
-                    continue
-
-
-class _LinkSettings(NamedTuple):
-    settings: Settings
-    clock: Clock
-
 
 async def run_node(settings: Settings, registry: Registry, clock: Clock) -> bool:
     """Run a node until SIGTERM or SIGINT.
--- a/packages/node/src/lentilshore_node/services.py
+++ b/packages/node/src/lentilshore_node/services.py
@@ -94,7 +94,7 @@
             ("content-length", str(len(answer.body))),
             ("lentilshore-request", job.request),
             ("lentilshore-attempts", str(job.attempts)),
-            ("lentilshore-bill", job.request),
+            ("lentilshore-bill", job.bill_reference),
             ("lentilshore-execution", Execution.RAN.value),
         ]
         await responder.start(answer.status, headers)
@@ -133,7 +133,9 @@
             self._job.request,
         )
         if isinstance(claimed, Replay):
-            return _replayed(claimed)
+            answer = _replayed(claimed)
+            self._job.bill_reference = claimed.answer["request"]
+            return answer
         try:
             answer = await self._dispatch_within_deadline()
         except BaseException:
@@ -145,6 +147,7 @@
 
     async def _complete(self, claim: Claim, answer: ServiceAnswer) -> None:
         stored = {
+            "request": self._job.request,
             "status": answer.status,
             "content_type": answer.content_type,
             "body": base64.b64encode(answer.body).decode(),
--- a/packages/node/src/lentilshore_node/upkeep.py
+++ b/packages/node/src/lentilshore_node/upkeep.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Awaitable, Callable
 
 from lentilshore_fleet.ledger import FLUSH_INTERVAL_S
@@ -128,7 +127,8 @@
     ) -> Callable[[], Awaitable[None]]:
         async def run() -> None:
             while True:
-                await self._context.clock.sleep(interval_s() * random.uniform(0.8, 1.2))
+                jitter = self._context.random.uniform(0.8, 1.2)
+                await self._context.clock.sleep(interval_s() * jitter)
                 try:
                     await work()
                 except StoreError as error:
--- a/packages/node/src/lentilshore_node/watching.py
+++ b/packages/node/src/lentilshore_node/watching.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 from lentilshore_fleet import ConfigurationStore, Member
@@ -13,6 +12,7 @@
 from lentilshore_routing import Replica
 
 from .context import NodeContext
+from .links import LinkManager
 
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 15.0
@@ -28,10 +28,12 @@
     it asks the platform itself only while it has no configuration.
 
     :param context: the node.
+    :param links: its links; a node without any watches the platform itself.
     """
 
-    def __init__(self, context: NodeContext) -> None:
+    def __init__(self, context: NodeContext, links: LinkManager) -> None:
         self._context = context
+        self._links = links
         self._configuration = ConfigurationStore(context.platform.store, context.clock)
         self._head_version = 0
         self._started_at = context.clock.monotonic()
@@ -96,11 +98,15 @@
             except StoreError as error:
                 self._context.metrics.count("platform.unavailable")
                 log_event("platform_unavailable", detail=str(error))
-                await self._context.clock.sleep(delay_s * random.uniform(0.5, 1.5))
+                await self._pause(delay_s)
                 delay_s = min(2 * delay_s, RETRY_MAX_S)
 
+    async def _pause(self, delay_s: float) -> None:
+        jitter = self._context.random.uniform(0.5, 1.5)
+        await self._context.clock.sleep(delay_s * jitter)
+
     def _should_watch(self) -> bool:
-        if self._context.membership.is_watcher():
+        if self._context.membership.is_watcher() or not self._links.connected:
             return True
         waited_s = self._context.clock.monotonic() - self._started_at
         return self._context.configuration.revision == 0 and waited_s > RELAY_WAIT_S
@@ -114,7 +120,7 @@
         ``port``, ``groups`` and ``state``.
     """
     nodes = [item for item in instances if item["role"] == "node"]
-    context.membership.learn(
+    context.membership.add_contacts(
         Member(
             Incarnation(item["name"], 0),
             item["data_centre"],
--- /dev/null
+++ b/tests/faults/checker.py
@@ -0,0 +1,300 @@
+"""Checks the ten invariants from what was seen outside the nodes."""
+
+from __future__ import annotations
+
+import base64
+import json
+import zlib
+from collections import Counter, defaultdict
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .records import CallerRecord, History
+from .world import ANSWER_TOKENS, expected_tokens, token_event
+
+IN_FORCE_S = 7.0
+LEAVING_S = 5.0
+ALLOWED = {"archive": {"small", "large"}, "bureau": {"small"}}
+
+
+class Violation(NamedTuple):
+    """An invariant that did not hold."""
+
+    invariant: str
+    detail: str
+
+
+def check(history: History) -> list[Violation]:
+    """Return every violation."""
+    checks = (
+        check_allowed,
+        check_withdrawn,
+        check_sessions,
+        check_bills,
+        check_answers,
+        check_not_run,
+        check_at_most_once,
+        check_leaving,
+        check_stops,
+        check_configuration,
+        check_halts,
+        check_leases,
+    )
+    return [
+        Violation(function.__name__.removeprefix("check_"), detail)
+        for function in checks
+        for detail in function(history)
+    ]
+
+
+def check_allowed(history: History) -> list[str]:
+    return [
+        f"{run.request} of {run.customer} ran on {run.version}"
+        for run in history.engine_runs
+        if run.version.partition("@")[0] not in ALLOWED[run.customer]
+    ]
+
+
+def check_withdrawn(history: History) -> list[str]:
+    return [
+        f"{run.request} started on {run.version} {run.at - item.at:.1f} s after"
+        for item in history.withdrawals
+        for run in history.engine_runs
+        if run.version == item.name
+        and run.at > item.at + IN_FORCE_S
+        and not _was_isolated(history, run.node, run.at)
+    ]
+
+
+def check_sessions(history: History) -> list[str]:
+    kept: dict[tuple[str, str], set[str]] = defaultdict(set)
+    for record in history.callers:
+        if record.session and record.status == 200 and not record.service:
+            key = (_session_name(record), record.headers["lentilshore-model"])
+            kept[key].add(record.headers["lentilshore-version"])
+    return [f"{key} ran on {sorted(v)}" for key, v in kept.items() if len(v) > 1]
+
+
+def check_bills(history: History) -> list[str]:
+    bills = _read_bills(history)
+    problems = []
+    by_request: dict[str, list[Any]] = defaultdict(list)
+    for bill in bills.values():
+        by_request[bill[1]].append(bill)
+    for request, found in by_request.items():
+        if len(found) > 1:
+            problems.append(f"{request} has {len(found)} bills")
+    runs = Counter(run.request for run in history.engine_runs)
+    runs.update(run.request for run in history.service_runs)
+    for request, found in by_request.items():
+        served = sum(line[5] in ("served", "escalated") for line in found[0][4])
+        if served > runs[request]:
+            problems.append(f"{request} billed {served} runs, ran {runs[request]}")
+    delivered = [r for r in history.callers if _is_answer(r) and r.request]
+    for record in delivered:
+        found = by_request.get(record.headers["lentilshore-bill"], [])
+        if not found:
+            problems.append(f"{record.request} was answered and not billed")
+        elif not found[0][3]:
+            problems.append(f"{record.request} was answered, its bill is open")
+        elif not record.service:
+            problems += _check_tokens(record, found[0])
+    return problems + _check_totals(history, bills)
+
+
+def check_answers(history: History) -> list[str]:
+    problems = []
+    for record in history.callers:
+        if record.service or record.status != 200 or not record.finished:
+            continue
+        if record.left:
+            continue
+        problems += _check_answer(record)
+    return problems
+
+
+def check_not_run(history: History) -> list[str]:
+    ran = {run.request for run in history.engine_runs}
+    ran.update(run.request for run in history.service_runs)
+    problems = []
+    for record in history.callers:
+        if record.status < 400 or not record.finished:
+            continue
+        error = json.loads(record.body)["error"]
+        if error["execution"] == "not_run" and record.request in ran:
+            problems.append(f"{record.request} was refused as not run, and ran")
+    return problems
+
+
+def check_at_most_once(history: History) -> list[str]:
+    counts = Counter(run.customer_key for run in history.service_runs)
+    return [
+        f"key {key} ran {count} times" for key, count in counts.items() if count > 1
+    ]
+
+
+def check_leaving(history: History) -> list[str]:
+    return [
+        f"{run.request} started at {run.replica} {run.at - item.at:.1f} s after"
+        for item in history.departures
+        for run in history.engine_runs
+        if run.replica == item.name
+        and run.at > item.at + LEAVING_S
+        and not _was_isolated(history, run.node, run.at)
+    ]
+
+
+def check_stops(history: History) -> list[str]:
+    crashed = {name.rpartition(".")[0] for name in history.crashed}
+    return [
+        f"request {record.prompt} at {record.node} was cut by a planned stop"
+        for record in history.callers
+        if record.cut
+        and record.node in history.planned_stops
+        and record.node not in crashed
+        and not record.left
+    ]
+
+
+def check_configuration(history: History) -> list[str]:
+    problems = []
+    last: dict[str, tuple[str, int]] = {}
+    for sample in history.samples:
+        incarnation, revision = last.get(sample.node, ("", 0))
+        if incarnation == sample.incarnation and sample.revision < revision:
+            problems.append(f"{sample.node} went from {revision} to {sample.revision}")
+        last[sample.node] = (sample.incarnation, sample.revision)
+    for at, revision in history.accepted:
+        for sample in history.samples:
+            late = sample.at > at + IN_FORCE_S and sample.revision < revision
+            starting = sample.revision == 0
+            if late and not starting and not _was_isolated_or_back(history, sample):
+                problems.append(
+                    f"{sample.node} has {sample.revision} {sample.at - at:.1f} s "
+                    f"after {revision} was accepted"
+                )
+                break
+    return problems
+
+
+def check_halts(history: History) -> list[str]:
+    """Check that roll-outs of bad versions were halted in the end."""
+    return [f"{name} is {state}" for name, state in history.halts if state != "halted"]
+
+
+def check_leases(history: History) -> list[str]:
+    """Check that each change of a lease's holder raised the fencing number."""
+    problems = []
+    values = history.objects_seen.get("leases/leader", [])
+    for before, after in zip(values, values[1:], strict=False):
+        changed = after["holder"] not in ("", before["holder"])
+        if changed and after["fencing"] <= before["fencing"]:
+            problems.append(f"{after['holder']} took over with {after['fencing']}")
+    return problems
+
+
+def _was_isolated(history: History, node: str, at: float) -> bool:
+    """Tell whether a node was isolated within the time that news may take."""
+    return any(
+        sample.node == node and sample.isolated and at - IN_FORCE_S <= sample.at <= at
+        for sample in history.samples
+    ) or _was_silent(history, node, at)
+
+
+def _was_isolated_or_back(history: History, sample: Any) -> bool:
+    return _was_isolated(history, sample.node, sample.at)
+
+
+def _was_silent(history: History, node: str, at: float) -> bool:
+    """Tell whether a node did not answer operators in the time news may take.
+
+    It was paused, down, or has only just started.
+    """
+    times = [
+        s.at for s in history.samples if s.node == node and at - IN_FORCE_S < s.at <= at
+    ]
+    expected = int(IN_FORCE_S / 0.5) - 2
+    return len(times) < expected
+
+
+def _session_name(record: CallerRecord) -> str:
+    return record.prompt.rpartition("|")[2].partition("#")[0]
+
+
+def _is_answer(record: CallerRecord) -> bool:
+    if record.status != 200 or not record.finished or record.left:
+        return False
+    return not record.stream or record.body.endswith(b"data: [DONE]\n\n")
+
+
+def _check_answer(record: CallerRecord) -> list[str]:
+    version = (
+        f"{record.headers['lentilshore-model']}@{record.headers['lentilshore-version']}"
+    )
+    tokens = expected_tokens(version, record.prompt)
+    if not record.stream:
+        text = json.loads(record.body)["choices"][0]["message"]["content"]
+        wrong = text != " ".join(tokens)
+        return [f"{record.request}: another answer"] if wrong else []
+    if b"event: error" in record.body:
+        return []
+    if not record.body.endswith(b"data: [DONE]\n\n"):
+        return [f"{record.request}: stream ended without mark or error"]
+    streamed = b"".join(token_event(i, t) for i, t in enumerate(tokens))
+    whole = " ".join(tokens).encode()
+    if streamed not in record.body and whole not in record.body:
+        return [f"{record.request}: streamed another answer"]
+    return []
+
+
+def _check_tokens(record: CallerRecord, bill: Any) -> list[str]:
+    outputs = sum(line[3] for line in bill[4] if line[5] != "escalated")
+    if outputs != ANSWER_TOKENS:
+        return [f"{record.request} was billed {outputs} tokens of {ANSWER_TOKENS}"]
+    return []
+
+
+def _read_bills(history: History) -> dict[tuple[str, int], Any]:
+    """Return the bills in every segment ever written, the closed one of each."""
+    bills: dict[tuple[str, int], Any] = {}
+    for key, values in history.objects_seen.items():
+        if not key.startswith("bills/"):
+            continue
+        for value in values:
+            data = zlib.decompress(base64.b64decode(value["bills"]))
+            for bill in msgspec.msgpack.decode(data):
+                number = (value["incarnation"], bill[0])
+                known = bills.get(number)
+                if known is None or (bill[3] and not known[3]):
+                    bills[number] = bill
+    return bills
+
+
+def _check_totals(history: History, bills: dict[tuple[str, int], Any]) -> list[str]:
+    """Compare what the accounts and remaining segments sum to with the bills."""
+    expected: Counter[str] = Counter()
+    for bill in bills.values():
+        expected[bill[2]] += 1
+    counted: Counter[str] = Counter()
+    covered: dict[str, list[list[int]]] = {}
+    for key, value in history.objects.items():
+        if key.startswith("accounts/"):
+            covered[key.removeprefix("accounts/")] = value["covered"]
+            for customer, total in value["customers"].items():
+                counted[customer] += total["requests"]
+    remaining = set()
+    for key, value in history.objects.items():
+        if not key.startswith("bills/"):
+            continue
+        for bill in msgspec.msgpack.decode(
+            zlib.decompress(base64.b64decode(value["bills"]))
+        ):
+            ranges = covered.get(value["incarnation"], [])
+            if not any(low <= bill[0] <= high for low, high in ranges):
+                remaining.add((value["incarnation"], bill[0], bill[2]))
+    for _, _, customer in remaining:
+        counted[customer] += 1
+    if counted != expected:
+        return [f"totals count {dict(counted)}, bills {dict(expected)}"]
+    return []
--- /dev/null
+++ b/tests/faults/world.py
@@ -0,0 +1,842 @@
+"""A few nodes of production code between fakes, under a fake clock.
+
+Calls that a node makes pass through :meth:`World.call`, where a fault may be
+armed for a named step. Nothing here decides anything that the product decides.
+"""
+
+from __future__ import annotations
+
+import random
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager, contextmanager
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+import msgspec
+
+from lentilshore_fleet import Change, ConfigurationStore
+from lentilshore_kernel import Incarnation, Settings, load_plugins
+from lentilshore_kernel.exceptions import (
+    RefusalReason,
+    StoreAmbiguousError,
+    StoreUnavailableError,
+    UpstreamError,
+)
+from lentilshore_kernel.testing import FakeClock
+from lentilshore_kernel.types import Address, Execution
+from lentilshore_node.app import CallerApplication
+from lentilshore_node.assembly import Surroundings, create_context
+from lentilshore_node.background import Background
+from lentilshore_node.links import LinkCopier, LinkManager, PeerConnection
+from lentilshore_node.peers import create_peer_bootstrap
+from lentilshore_node.platform import Rating
+from lentilshore_node.upstreams import ServiceAnswer, StreamChunk, Usage, WholeAnswer
+from lentilshore_protocol import load_peer_schema
+from lentilshore_routing import hash_key
+from lentilshore_standins import PlatformStandIn
+
+from .records import CallerRecord, EngineRun, History, Sample, ServiceRun, Withdrawal
+
+LATENCY_S = 0.001
+STALL_S = 30.0
+SLOW_S = 0.8
+PAUSE_S = 40.0
+CUT_S = 45.0
+LATE_WRITE_S = 2.0
+SAMPLE_INTERVAL_S = 0.5
+RUN_LIMIT_S = 1_200.0
+ANSWER_TOKENS = 8
+TOKEN_INTERVAL_S = 0.05
+FIRST_PORT = 20_000
+
+KINDS = (
+    "refuse",
+    "stall",
+    "slow",
+    "lost",
+    "duplicate",
+    "reorder",
+    "pause",
+    "crash",
+    "crash_after",
+    "replace",
+    "cut_platform",
+    "cut_peers",
+    "cut_upstream",
+    "cut_both",
+    "refuse_twice",
+    "lost_twice",
+)
+CUTS = {
+    "cut_platform": ("platform",),
+    "cut_peers": ("peers",),
+    "cut_upstream": ("upstream",),
+    "cut_both": ("platform", "peers"),
+}
+
+
+class RunTooLongError(Exception):
+    """A scenario did not come to its end."""
+
+
+class NodeCrash(BaseException):  # noqa: N818
+    """The node has crashed; none of its code may go on, shielded or not."""
+
+
+class Armed(NamedTuple):
+    """A fault armed for one step of one node.
+
+    :param node: name of the node.
+    :param step: name of the step, with its number from 1 after ``#``.
+    :param kind: one of :data:`KINDS`.
+    """
+
+    node: str
+    step: str
+    kind: str
+
+
+class NodeClock:
+    """Clock of one node, which stands still for its tasks while it is paused."""
+
+    def __init__(self, world: World, node: WorldNode) -> None:
+        self._world = world
+        self._node = node
+        self._paused_until = 0.0
+
+    def pause(self, seconds: float) -> None:
+        """Pause the node's tasks at their next wait."""
+        self._paused_until = self._world.clock.monotonic() + seconds
+
+    def monotonic(self) -> float:
+        return self._world.clock.monotonic()
+
+    def wall(self) -> float:
+        return self._world.clock.wall()
+
+    async def sleep(self, seconds: float) -> None:
+        await self._world.clock.sleep(seconds)
+        await self.gate()
+        if not self._node.alive:
+            raise NodeCrash(self._node.name)
+
+    async def gate(self) -> None:
+        """Wait while the node is paused."""
+        while self._paused_until > self._world.clock.monotonic():
+            await self._world.clock.sleep(self._paused_until - self.monotonic())
+
+    @contextmanager
+    def timeout(self, seconds: float) -> Any:
+        with self._world.clock.timeout(seconds) as scope:
+            yield scope
+
+
+class WorldNode:
+    """One node: production context and tasks, and what the fakes know of it."""
+
+    def __init__(self, world: World, name: str, data_centre: str, port: int) -> None:
+        self.world = world
+        self.name = name
+        self.data_centre = data_centre
+        self.address = Address("127.0.0.1", port)
+        self.clock = NodeClock(world, self)
+        self.cut: set[str] = set()
+        self.alive = True
+        self.scope = anyio.CancelScope()
+        self.watches: set[anyio.CancelScope] = set()
+        self.callers: set[anyio.CancelScope] = set()
+        self.context: Any = None
+        self.background: Any = None
+        self.application: Any = None
+        self.bootstrap: Any = None
+
+    @property
+    def isolated(self) -> bool:
+        """Whether neither platform nor peers are in reach."""
+        return {"platform", "peers"} <= self.cut
+
+    def assemble(self, number: int) -> None:
+        """Create the production parts of a new life of this instance."""
+        world = self.world
+        incarnation = Incarnation(self.name, number)
+        copier = LinkCopier()
+        surroundings = Surroundings(
+            NodePlatform(self), NodeEngine(self), NodeService(self), copier
+        )
+        self.context = create_context(
+            world.settings_for(self),
+            world.registry,
+            self.clock,
+            incarnation,
+            self.address,
+            surroundings,
+            random.Random(world.seed * 1000 + number),
+        )
+        links = LinkManager(self.context, self.connect)
+        self.background = Background(self.context, links, copier)
+        self.application = CallerApplication(self.context)
+        self.bootstrap = create_peer_bootstrap(self.context)
+
+    async def run(self) -> None:
+        """Run the background tasks until the node crashes or stops."""
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as group:
+                    self.background.start(group)
+        except BaseExceptionGroup as error:
+            if error.split(NodeCrash)[1] is not None:
+                raise
+
+    def crash(self) -> None:
+        """End the node at once, with everything it was doing."""
+        self.alive = False
+        self.world.history.crashed.add(str(self.context.incarnation))
+        self.scope.cancel()
+        for scope in list(self.callers):
+            scope.cancel()
+
+    def cut_off(self, sides: tuple[str, ...]) -> None:
+        """Cut the node off from some sides."""
+        self.cut |= set(sides)
+        if "platform" in sides:
+            for scope in list(self.watches):
+                scope.cancel()
+
+    async def connect(self, address: Address) -> PeerConnection:
+        """Open a link to another node."""
+        await self.world.call(self, "peer.connect", _nothing, OSError, OSError)
+        target = self.world.at_address(address)
+        if target is None or not target.alive or "peers" in (self.cut | target.cut):
+            raise OSError("not reached")
+        return PeerConnection(FakePeer(self, target), lambda: None)
+
+
+class FakePeer:
+    """Peer protocol between two nodes of the world, by message objects."""
+
+    def __init__(self, source: WorldNode, target: WorldNode) -> None:
+        self._source = source
+        self._target = target
+        self._bootstrap = target.bootstrap
+
+    async def exchange(self, message: Any) -> Any:
+        schema = load_peer_schema()
+
+        async def effect() -> Any:
+            request = schema.Exchange.new_message(**message)
+            reply = await self._bootstrap.exchange(request, None)
+            return _Reply(reply=schema.Exchange.new_message(**reply))
+
+        return await self._call("peer.exchange", effect)
+
+    async def copyBills(self, owner: str, bills: bytes, watermark: int) -> None:  # noqa: N802
+        async def effect() -> None:
+            await self._bootstrap.copyBills(owner, bills, watermark, None)
+
+        await self._call("peer.copy", effect)
+
+    async def releaseBills(self, owner: str) -> None:  # noqa: N802
+        async def effect() -> None:
+            await self._bootstrap.releaseBills(owner, None)
+
+        await self._call("peer.release", effect)
+
+    async def _call(self, step: str, effect: Callable[[], Awaitable[Any]]) -> Any:
+        async def reach() -> Any:
+            current = self._target.bootstrap is self._bootstrap
+            cut = "peers" in (self._source.cut | self._target.cut)
+            if not self._target.alive or cut or not current:
+                raise OSError("not reached")
+            await self._target.clock.gate()
+            return await effect()
+
+        return await self._source.world.call(
+            self._source, step, reach, OSError, OSError
+        )
+
+
+class _Reply(NamedTuple):
+    reply: Any
+
+
+class NodePlatform:
+    """The platform as one node reaches it."""
+
+    def __init__(self, node: WorldNode) -> None:
+        self._node = node
+        self._platform = node.world.platform
+        self.store = NodeStore(node)
+
+    async def instances(self, after: int) -> Any:
+        return await watched(
+            self._node, "watch instances", lambda: self._platform.instances(after)
+        )
+
+    async def ratings(self, after: int, incarnation: str) -> list[Rating]:
+        async def effect() -> list[Rating]:
+            return [Rating(**r) for r in self._platform.ratings(after, incarnation)]
+
+        return await watched(self._node, "get ratings", effect)
+
+
+class NodeStore:
+    """The object API as one node reaches it."""
+
+    def __init__(self, node: WorldNode) -> None:
+        self._node = node
+        self._store = node.world.platform.store
+
+    async def get(self, key: str) -> Any:
+        return await self._read(f"get {_kind(key)}", lambda: self._store.get(key))
+
+    async def list(self, prefix: str) -> Any:
+        return await self._read(
+            f"list {_kind(prefix)}", lambda: self._store.list(prefix)
+        )
+
+    async def put(self, key: str, value: Any, expected_version: int) -> Any:
+        return await self._write(
+            f"put {_kind(key)}", lambda: self._store.put(key, value, expected_version)
+        )
+
+    async def delete(self, key: str, expected_version: int) -> None:
+        await self._write(
+            f"delete {_kind(key)}", lambda: self._store.delete(key, expected_version)
+        )
+
+    async def watch(self, key: str, after_version: int) -> Any:
+        return await watched(
+            self._node,
+            f"watch {_kind(key)}",
+            lambda: self._store.watch(key, after_version),
+        )
+
+    async def _read(self, step: str, effect: Callable[[], Awaitable[Any]]) -> Any:
+        lost = StoreUnavailableError
+        return await self._node.world.call(self._node, step, effect, lost, lost)
+
+    async def _write(self, step: str, effect: Callable[[], Awaitable[Any]]) -> Any:
+        return await self._node.world.call(
+            self._node, step, effect, StoreUnavailableError, StoreAmbiguousError
+        )
+
+
+class NodeEngine:
+    """Engines as one node reaches them."""
+
+    def __init__(self, node: WorldNode) -> None:
+        self._node = node
+        self._world = node.world
+
+    async def complete(self, replica: Any, call: Any) -> WholeAnswer:
+        async def effect() -> WholeAnswer:
+            self._start(replica, call)
+            tokens = expected_tokens(call.version, prompt_of(call.body))
+            await self._world.clock.sleep(TOKEN_INTERVAL_S * len(tokens))
+            body = self._end(call, len(tokens))
+            text = " ".join(tokens)
+            body["choices"] = [{"message": {"content": text}}]
+            self._world.rate(call)
+            usage = Usage(10, len(tokens), confidence_of(call))
+            return WholeAnswer(body, text, usage)
+
+        return await self._world.call(
+            self._node, "engine.complete", effect, _not_run, _unknown
+        )
+
+    @asynccontextmanager
+    async def stream(self, replica: Any, call: Any) -> Any:
+        async def open_stream() -> None:
+            self._start(replica, call)
+
+        await self._world.call(
+            self._node, "engine.open", open_stream, _not_run, _unknown
+        )
+        yield self._chunks(call)
+
+    async def _chunks(self, call: Any) -> Any:
+        tokens = expected_tokens(call.version, prompt_of(call.body))
+        for offset in range(call.offset, len(tokens)):
+            if self._world.replica_down(self._node):
+                raise _unknown("connection broke")
+
+            async def token(offset: int = offset) -> StreamChunk:
+                await self._world.clock.sleep(TOKEN_INTERVAL_S)
+                return StreamChunk(token_event(offset, tokens[offset]), offset + 1)
+
+            yield await self._world.call(
+                self._node, "engine.token", token, _unknown, _unknown
+            )
+
+        async def end() -> StreamChunk:
+            self._world.rate(call)
+            usage = Usage(10, len(tokens), confidence_of(call))
+            return StreamChunk(b"event: end\n\ndata: [DONE]\n\n", len(tokens), usage)
+
+        yield await self._world.call(self._node, "engine.end", end, _unknown, _unknown)
+
+    async def cancel(self, replica: Any, request: str) -> None:
+        await self._world.clock.sleep(LATENCY_S)
+
+    async def load(self, replica: Any) -> tuple[float, float]:
+        return 0.0, 1.0
+
+    async def cache_events(self, replica: Any, after: int) -> list[Any]:
+        return []
+
+    def _start(self, replica: Any, call: Any) -> None:
+        world, node = self._world, self._node
+        world.history.engine_runs.append(
+            EngineRun(
+                world.clock.monotonic(),
+                node.name,
+                call.request,
+                call.version,
+                prompt_of(call.body).partition("|")[0],
+                replica.name,
+                node.isolated,
+            )
+        )
+
+    def _end(self, call: Any, count: int) -> dict[str, Any]:
+        usage = {"prompt_tokens": 10, "completion_tokens": count}
+        return {"id": call.request, "request_id": call.request, "usage": usage}
+
+
+class NodeService:
+    """Plain services as one node reaches them."""
+
+    def __init__(self, node: WorldNode) -> None:
+        self._node = node
+
+    async def call(self, replica: Any, call: Any) -> ServiceAnswer:
+        async def effect() -> ServiceAnswer:
+            world = self._node.world
+            run = ServiceRun(world.clock.monotonic(), call.key, call.request)
+            world.history.service_runs.append(run)
+            await world.clock.sleep(TOKEN_INTERVAL_S)
+            return ServiceAnswer(200, "application/json", b'{"ok":true}')
+
+        return await self._node.world.call(
+            self._node, "service.call", effect, _not_run, _unknown
+        )
+
+
+class World:
+    """Nodes, platform and callers of one run.
+
+    :param seed: seed of every random choice.
+    :param armed: the fault, None for a run without one.
+    """
+
+    def __init__(self, seed: int, armed: Armed | None = None) -> None:
+        self.seed = seed
+        self.armed = armed
+        self.struck = 0
+        self.clock = FakeClock()
+        self.history = History()
+        self.platform = PlatformStandIn(self.clock, rating_lag_s=3.0)
+        self.registry = load_plugins()
+        self.nodes: dict[str, WorldNode] = {}
+        self.steps: Counter[tuple[str, str]] = Counter()
+        self.group: Any = None
+        self._lives = 0
+        self._tracking = False
+        self._bad_versions: set[str] = set()
+        self._ports = FIRST_PORT
+        random.seed(seed)
+
+    async def start(self, names: dict[str, str]) -> None:
+        """Start nodes.
+
+        :param names: data centre by name of the instance.
+        """
+        for name, data_centre in names.items():
+            self._ports += 1
+            self.nodes[name] = WorldNode(self, name, data_centre, self._ports)
+        for node in self.nodes.values():
+            self._begin(node)
+        self.group.start_soon(self._sample)
+
+    def replace(self, name: str) -> None:
+        """Start a new life of an instance."""
+        old = self.nodes[name]
+        node = WorldNode(self, name, old.data_centre, old.address.port)
+        self.nodes[name] = node
+        self._begin(node)
+
+    def _begin(self, node: WorldNode) -> None:
+        self._lives += 1
+        node.assemble(int(self.clock.wall() * 1000) + self._lives)
+        self.group.start_soon(node.run)
+
+    def settings_for(self, node: WorldNode) -> Settings:
+        """Return the settings of a node."""
+        listener = {"host": "127.0.0.1", "port": 0}
+        return Settings.model_validate(
+            {
+                "instance": node.name,
+                "data_centre": node.data_centre,
+                "caller": listener,
+                "operator": listener,
+                "peer": listener,
+                "platform": listener,
+                "session_keys": [{"id": "k1", "file": str(_session_key())}],
+                "peers": [
+                    {
+                        "name": other.name,
+                        "data_centre": other.data_centre,
+                        "host": other.address.host,
+                        "port": other.address.port,
+                    }
+                    for other in self.nodes.values()
+                    if other is not node
+                ],
+            }
+        )
+
+    def at_address(self, address: Address) -> WorldNode | None:
+        """Return the node that listens at an address."""
+        found = (node for node in self.nodes.values() if node.address == address)
+        return next(found, None)
+
+    def track(self) -> None:
+        """Count steps, and let the fault strike, from now on."""
+        self.steps.clear()
+        self._tracking = True
+
+    def untrack(self) -> None:
+        """Let no fault strike from now on."""
+        self._tracking = False
+
+    async def call(
+        self,
+        node: WorldNode,
+        step: str,
+        effect: Callable[[], Awaitable[Any]],
+        refused: Callable[..., Exception],
+        lost: Callable[..., Exception],
+    ) -> Any:
+        """Make a call of a node, with the fault that is armed for it.
+
+        :param refused: error of a call that certainly had no effect.
+        :param lost: error of a call whose answer was lost.
+        """
+        self._require_alive(node)
+        await self.clock.sleep(LATENCY_S)
+        await node.clock.gate()
+        self._require_alive(node)
+        kind = self._strike(node, step)
+        if kind in CUTS:
+            node.cut_off(CUTS[kind])
+            self.group.start_soon(self._heal_later, node, CUTS[kind])
+        if self._is_cut(node, step):
+            raise refused("cut off")
+        if kind in ("refuse", "refuse_twice"):
+            raise refused("refused")
+        if kind == "stall":
+            await self.clock.sleep(STALL_S)
+            raise lost("no answer")
+        if kind == "slow":
+            await self.clock.sleep(SLOW_S)
+        if kind == "pause":
+            node.clock.pause(PAUSE_S)
+            await node.clock.gate()
+        if kind == "reorder":
+            self.group.start_soon(self._late, effect)
+            raise lost("answer lost, effect late")
+        if kind in ("crash", "replace"):
+            await self._end_node(node, kind)
+        result = await effect()
+        if kind == "duplicate":
+            await self._again(step, effect)
+        if kind == "crash_after":
+            await self._end_node(node, "crash")
+        if kind in ("lost", "lost_twice"):
+            raise lost("answer lost")
+        if kind == "pause":
+            node.clock.pause(PAUSE_S)
+        await node.clock.gate()
+        self._require_alive(node)
+        return result
+
+    def _require_alive(self, node: WorldNode) -> None:
+        if not node.alive:
+            raise NodeCrash(node.name)
+
+    def heal(self) -> None:
+        """End every cut and every pause."""
+        for node in self.nodes.values():
+            node.cut = set()
+            node.clock.pause(0.0)
+
+    def rate(self, call: Any) -> None:
+        """Have the rating service rate an answer."""
+        self.platform.add_rating(call.request, call.version not in self._bad_versions)
+
+    def turn_bad(self, version: str) -> None:
+        """Have every answer of a version rated as bad."""
+        self._bad_versions.add(version)
+
+    def replica_down(self, node: WorldNode) -> bool:
+        """Tell whether a node cannot reach its upstreams."""
+        return "upstream" in node.cut
+
+    async def change(self, name: str, updated: dict[str, Any]) -> int:
+        """Make an operator's change through any store access, until it is made."""
+        store = ConfigurationStore(self.platform.store, self.clock)
+        stored = await self.platform.store.get("config/head")
+        revision = stored.value["revision"] if stored else 0
+        made = await store.change(Change(name, revision, updated))
+        self.history.accepted.append((self.clock.monotonic(), made))
+        return made
+
+    def note_withdrawal(self, version: str) -> None:
+        """Note that a withdrawal was accepted now."""
+        self.history.withdrawals.append(Withdrawal(self.clock.monotonic(), version))
+
+    async def send(self, node: WorldNode, record: CallerRecord) -> CallerRecord:
+        """Send a caller's request to a node and wait for its end."""
+        record.sent_at = self.clock.monotonic()
+        self.history.callers.append(record)
+        if not node.alive:
+            record.cut = True
+            return record
+        scope = anyio.CancelScope()
+        node.callers.add(scope)
+        try:
+            with scope:
+                await self._serve(node, record)
+        except (NodeCrash, BaseExceptionGroup):
+            if node.alive:
+                raise
+        node.callers.discard(scope)
+        record.cut = not record.finished
+        record.finished_at = self.clock.monotonic()
+        return record
+
+    async def _serve(self, node: WorldNode, record: CallerRecord) -> None:
+        sent = anyio.Event()
+        gone = anyio.Event()
+
+        async def receive() -> Any:
+            if not sent.is_set():
+                sent.set()
+                return {"type": "http.request", "body": _request_body(record)}
+            await gone.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message: Any) -> None:
+            await self.clock.sleep(LATENCY_S)
+            if message["type"] == "http.response.start":
+                record.status = message["status"]
+                record.headers = {
+                    k.decode().lower(): v.decode() for k, v in message["headers"]
+                }
+                return
+            record.body += message["body"]
+            record.finished = not message["more_body"]
+
+        async def leave() -> None:
+            await self.clock.sleep(3 * TOKEN_INTERVAL_S)
+            gone.set()
+
+        async with anyio.create_task_group() as group:
+            if record.left:
+                group.start_soon(leave)
+            await node.application(_scope(record), receive, send)
+            group.cancel_scope.cancel()
+
+    def _strike(self, node: WorldNode, step: str) -> str:
+        if not self._tracking:
+            return ""
+        self.steps[node.name, step] += 1
+        armed = self.armed
+        if armed is None or armed.node != node.name:
+            return ""
+        name, _, number = armed.step.partition("#")
+        count = self.steps[node.name, step]
+        first = int(number or 1)
+        last = first + 1 if armed.kind.endswith("_twice") else first
+        if name != step or not first <= count <= last:
+            return ""
+        self.struck += 1
+        return armed.kind
+
+    def _is_cut(self, node: WorldNode, step: str) -> bool:
+        if step.startswith(("engine", "service")):
+            return "upstream" in node.cut
+        if step.startswith("peer"):
+            return "peers" in node.cut
+        return "platform" in node.cut
+
+    async def _late(self, effect: Callable[[], Awaitable[Any]]) -> None:
+        await self.clock.sleep(LATE_WRITE_S)
+        try:
+            await effect()
+        except (Exception, NodeCrash):  # noqa: BLE001
+            return
+
+    async def _again(self, step: str, effect: Callable[[], Awaitable[Any]]) -> None:
+        if step.startswith(("engine", "service", "watch")):
+            return
+        try:
+            await effect()
+        except Exception:  # noqa: BLE001
+            return
+
+    async def _end_node(self, node: WorldNode, kind: str) -> None:
+        node.crash()
+        if kind == "replace":
+            self.group.start_soon(self._replace_later, node)
+        raise NodeCrash(node.name)
+
+    async def _replace_later(self, node: WorldNode) -> None:
+        await self.clock.sleep(0.5)
+        self.replace(node.name)
+
+    async def _heal_later(self, node: WorldNode, sides: tuple[str, ...]) -> None:
+        await self.clock.sleep(CUT_S)
+        node.cut -= set(sides)
+
+    async def _sample(self) -> None:
+        until = self.clock.monotonic() + RUN_LIMIT_S
+        while True:
+            if self.clock.monotonic() > until:
+                raise RunTooLongError("the scenario did not end")
+            await self.clock.sleep(SAMPLE_INTERVAL_S)
+            for node in self.nodes.values():
+                paused = node.clock._paused_until > self.clock.monotonic()
+                if not node.alive or paused:
+                    continue
+                self.history.samples.append(
+                    Sample(
+                        self.clock.monotonic(),
+                        node.name,
+                        str(node.context.incarnation),
+                        node.context.configuration.revision,
+                        node.isolated,
+                    )
+                )
+
+
+async def watched(
+    node: WorldNode, step: str, effect: Callable[[], Awaitable[Any]]
+) -> Any:
+    """Make a waiting call that breaks once the node is cut off."""
+
+    async def wait() -> Any:
+        with anyio.CancelScope() as scope:
+            node.watches.add(scope)
+            try:
+                return await effect()
+            finally:
+                node.watches.discard(scope)
+        raise StoreUnavailableError("watch broke")
+
+    lost = StoreUnavailableError
+    return await node.world.call(node, step, wait, lost, lost)
+
+
+def run_world(world: World, scenario: Callable[[World], Awaitable[None]]) -> History:
+    """Run a scenario and return what was seen."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            world.group = group
+            await scenario(world)
+            group.cancel_scope.cancel()
+
+    anyio.run(world.clock.run, run)
+    store = world.platform.store
+    world.history.objects = {k: v.value for k, v in store.objects.items()}
+    world.history.objects_seen = {
+        key: [item.value for item in items] for key, items in store.history.items()
+    }
+    return world.history
+
+
+def prompt_of(body: dict[str, Any]) -> str:
+    """Return the prompt of a completion's body."""
+    return body["messages"][-1]["content"]
+
+
+def expected_tokens(version: str, prompt: str) -> list[str]:
+    """Return the only right answer of a version to a prompt."""
+    return [f"{version}:{prompt}:{index}" for index in range(ANSWER_TOKENS)]
+
+
+def token_event(offset: int, token: str) -> bytes:
+    """Return the event of a token."""
+    return b"id: %d\ndata: %b\n\n" % (offset, token.encode())
+
+
+def confidence_of(call: Any) -> float:
+    """Return the confidence of an answer: low for hard prompts at small models."""
+    hard = "|hard|" in prompt_of(call.body) and call.version.startswith("small")
+    return 0.05 if hard else 0.95
+
+
+def customer_record(key: str, models: list[str]) -> dict[str, Any]:
+    """Return the record of a customer."""
+    return {
+        "key_hashes": [hash_key(key)],
+        "models": models,
+        "services": ["register"],
+    }
+
+
+def _request_body(record: CallerRecord) -> bytes:
+    if record.service:
+        return msgspec.json.encode({"entry": record.prompt})
+    return msgspec.json.encode(
+        {
+            "model": record.model,
+            "messages": [{"role": "user", "content": record.prompt}],
+            "max_tokens": 16,
+            "stream": record.stream,
+        }
+    )
+
+
+def _scope(record: CallerRecord) -> dict[str, Any]:
+    headers = {"authorization": f"Bearer key-{record.customer}"}
+    if record.session:
+        headers["lentilshore-session"] = record.session
+    if record.key:
+        headers["idempotency-key"] = record.key
+    path = f"/v1/services/{record.model}" if record.service else "/v1/chat/completions"
+    return {
+        "type": "http",
+        "method": "POST",
+        "path": path,
+        "headers": [(k.encode(), v.encode()) for k, v in headers.items()],
+    }
+
+
+def _kind(key: str) -> str:
+    if key in ("config/head", "learned/merged", "shares/table", "leases/leader"):
+        return key
+    return key.partition("/")[0] if not key.startswith("config/") else "config/part"
+
+
+def _not_run(detail: str) -> UpstreamError:
+    return UpstreamError(RefusalReason.UPSTREAM_FAILED, Execution.NOT_RUN, detail)
+
+
+def _unknown(detail: str) -> UpstreamError:
+    return UpstreamError(RefusalReason.UPSTREAM_FAILED, Execution.UNKNOWN, detail)
+
+
+async def _nothing() -> None:
+    return None
+
+
+def _session_key() -> Path:
+    path = Path(tempfile.gettempdir()) / "lentilshore-test-session.key"
+    if not path.exists():
+        path.write_text("test session key")
+    return path
