Keep every bill that a caller's answer depends on

A node cut off from platform and peers answered callers with bills that it alone held, and lost them when it died or stopped; a stored answer was given out before its bill was closed; a fallback to an earlier answer left its line marked as escalated; watchers waited up to 22 s after the platform had come back. Ruled out: holding answers back until the platform returns, which callers would notice for hours. Change: an isolated node is not ready and refuses with bill_copy_unavailable; bills that nobody else has are offered again every second and waited for at a stop; the bill is closed before its claim is completed; watchers retry within 6 s; requests that outlast the drain limit end with a typed error. Conclusion: the bill's copy, not the platform, is what an answer waits for.

--- a/packages/fleet/src/lentilshore_fleet/ledger.py
+++ b/packages/fleet/src/lentilshore_fleet/ledger.py
@@ -93,7 +93,7 @@
         self._unsettled: dict[int, None] = {}
         self._pending: list[Bill] = []
         self._sealed: deque[_Sealed] = deque()
-        self._uncopied = 0
+        self._uncopied: dict[int, Bill] = {}
 
     @property
     def owner(self) -> str:
@@ -118,8 +118,8 @@
 
     @property
     def uncopied(self) -> int:
-        """Bills that no peer nor the store had when their answer went out."""
-        return self._uncopied
+        """Bills that neither a peer nor the store has."""
+        return len(self._uncopied)
 
     def open(self) -> int:
         """Return the number of a new bill."""
@@ -151,7 +151,9 @@
         try:
             await self._copier.copy(self._owner, [bill], self.watermark)
         except PeerUnavailableError:
-            return await self._write_directly()
+            self._uncopied[bill.sequence] = bill
+            await self._write_directly()
+            return bill.sequence not in self._uncopied
         return True
 
     async def flush(self, limit: int = FLUSH_SEGMENTS) -> int:
@@ -172,16 +174,30 @@
             written += 1
         return written
 
+    async def secure(self) -> bool:
+        """Copy the bills that nobody else has, if there are any.
+
+        :returns: whether a peer or the store has every bill now.
+        """
+        bills = list(self._uncopied.values())
+        if not bills:
+            return True
+        try:
+            await self._copier.copy(self._owner, bills, self.watermark)
+        except PeerUnavailableError:
+            return False
+        for bill in bills:
+            self._uncopied.pop(bill.sequence, None)
+        return not self._uncopied
+
     def _settle(self, sealed: _Sealed) -> None:
         for sequence in sealed.sequences:
+            self._uncopied.pop(sequence, None)
             self._unsettled.pop(sequence, None)
 
-    async def _write_directly(self) -> bool:
-        backlog = len(self._sealed)
-        if backlog <= FLUSH_SEGMENTS and await self.flush() > 0 and not self._sealed:
-            return True
-        self._uncopied += 1
-        return False
+    async def _write_directly(self) -> None:
+        if len(self._sealed) <= FLUSH_SEGMENTS:
+            await self.flush()
 
     def _seal(self) -> None:
         for start in range(0, len(self._pending), SEAL_BILLS):
--- a/packages/kernel/src/lentilshore_kernel/exceptions.py
+++ b/packages/kernel/src/lentilshore_kernel/exceptions.py
@@ -35,6 +35,7 @@
     RefusalReason.IDEMPOTENCY_IN_PROGRESS: 409,
     RefusalReason.OUTCOME_UNKNOWN: 409,
     RefusalReason.CLAIM_UNAVAILABLE: 503,
+    RefusalReason.BILL_COPY_UNAVAILABLE: 503,
     RefusalReason.CONFIGURATION_MISSING: 503,
     RefusalReason.CONFIGURATION_STALE: 503,
     RefusalReason.DRAINING: 503,
--- a/packages/kernel/src/lentilshore_kernel/settings.py
+++ b/packages/kernel/src/lentilshore_kernel/settings.py
@@ -134,6 +134,15 @@
         ge=0,
         description="time from failing /readyz to refusing requests at a stop, seconds",
     )
+    hand_over_limit_s: Seconds = Field(
+        300.0,
+        description="longest wait at a stop for bills that nobody else has, seconds",
+    )
+    serve_without_copies: bool = Field(
+        False,
+        description="whether to serve while neither a peer nor the platform can "
+        "hold bills",
+    )
     stale_limit_s: Seconds = Field(
         86_400.0, description="age of configuration past which requests are refused"
     )
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -47,6 +47,7 @@
     IDEMPOTENCY_IN_PROGRESS = "idempotency_in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CLAIM_UNAVAILABLE = "claim_unavailable"
+    BILL_COPY_UNAVAILABLE = "bill_copy_unavailable"
     CONFIGURATION_MISSING = "configuration_missing"
     CONFIGURATION_STALE = "configuration_stale"
     DRAINING = "draining"
--- a/packages/node/src/lentilshore_node/app.py
+++ b/packages/node/src/lentilshore_node/app.py
@@ -111,7 +111,7 @@
     ) -> None:
         customer = self._admit(headers)
         request = parse_completion(headers, await self._read_body(receive))
-        job = await _until_disconnect(
+        job = await self._until_disconnect(
             receive, self._completions.serve, customer, request, responder
         )
         self._log(job)
@@ -132,7 +132,7 @@
         )
         body = await self._read_body(receive)
         request = ServiceRequest(headers, parts[0], parts[1], body, content_type)
-        job = await _until_disconnect(
+        job = await self._until_disconnect(
             receive, self._services.serve, customer, request, responder
         )
         self._log(job)
@@ -175,6 +175,40 @@
             )
         return b"".join(parts)
 
+    async def _until_disconnect(
+        self, receive: Receive, serve: Callable[..., Awaitable[Job]], *args: Any
+    ) -> Job | None:
+        """Serve a request, ending it if the caller leaves or the drain limit passes.
+
+        :returns: the job, or None if the caller left.
+        """
+        job: Job | None = None
+        failure: Exception | None = None
+
+        async def watch_caller() -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            group.cancel_scope.cancel()
+
+        async def watch_drain() -> None:
+            nonlocal failure
+            await self._context.expired.wait()
+            detail = "the node stopped before the answer was whole"
+            failure = RefusalError(RefusalReason.DRAINING, Execution.UNKNOWN, detail)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch_caller)
+            group.start_soon(watch_drain)
+            try:
+                job = await serve(*args)
+            except Exception as error:  # noqa: BLE001
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None and job is None:
+            raise failure
+        return job
+
     async def _refuse(self, refusal: RefusalError, responder: Responder) -> None:
         self._context.metrics.count(refusal_counter(refusal.reason))
         log_event(
@@ -213,33 +247,6 @@
         )
 
 
-async def _until_disconnect(
-    receive: Receive, serve: Callable[..., Awaitable[Job]], *args: Any
-) -> Job | None:
-    """Serve a request, cancelling it if the caller leaves.
-
-    :returns: the job, or None if the caller left.
-    """
-    job: Job | None = None
-    failure: Exception | None = None
-
-    async def watch() -> None:
-        while (await receive())["type"] != "http.disconnect":
-            pass
-        group.cancel_scope.cancel()
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(watch)
-        try:
-            job = await serve(*args)
-        except Exception as error:  # noqa: BLE001
-            failure = error
-        group.cancel_scope.cancel()
-    if failure is not None:
-        raise failure
-    return job
-
-
 def _usable(catalog: Any, customer: Customer, name: str) -> bool:
     try:
         return bool(catalog.cascade(customer, name))
--- a/packages/node/src/lentilshore_node/background.py
+++ b/packages/node/src/lentilshore_node/background.py
@@ -17,6 +17,8 @@
 from .watching import STORED_DOCUMENTS, Watcher
 
 DRAIN_CHECK_S = 0.05
+ABORT_LIMIT_S = 2.0
+HAND_OVER_RETRY_S = 1.0
 FINAL_FLUSH_SEGMENTS = 1_000
 FINAL_FLUSH_LIMIT_S = 10.0
 
@@ -53,7 +55,7 @@
 
         :param group: task group whose cancellation ends them.
         """
-        watcher = Watcher(self._context, self._links)
+        watcher = Watcher(self._context)
         group.start_soon(self._links.run)
         group.start_soon(watcher.run_configuration)
         group.start_soon(watcher.run_instances)
@@ -79,19 +81,35 @@
             await urgent.wait()
         context.draining = True
         stop_accepting()
-        until = context.clock.monotonic() + context.settings.drain_limit_s
-        while context.in_flight and context.clock.monotonic() < until:
+        whole = await self._wait_idle(context.settings.drain_limit_s, urgent)
+        if not whole:
+            context.expired.set()
+            await self._wait_idle(ABORT_LIMIT_S, anyio.Event())
+        return whole
+
+    async def _wait_idle(self, limit_s: float, urgent: anyio.Event) -> bool:
+        clock = self._context.clock
+        until = clock.monotonic() + limit_s
+        while self._context.in_flight and clock.monotonic() < until:
             if urgent.is_set():
                 break
-            await context.clock.sleep(DRAIN_CHECK_S)
-        return context.in_flight == 0
+            await clock.sleep(DRAIN_CHECK_S)
+        return self._context.in_flight == 0
 
-    async def hand_over(self) -> None:
-        """Give up the lease, write the ledger and tell the peers."""
+    async def hand_over(self) -> bool:
+        """Give up the lease, write the ledger and tell the peers.
+
+        :returns: whether a peer or the store has every bill.
+        """
         context = self._context
         with context.clock.timeout(FINAL_FLUSH_LIMIT_S):
             await self._leader.lease.release()
             await context.ledger.flush(FINAL_FLUSH_SEGMENTS)
+        with context.clock.timeout(context.settings.hand_over_limit_s):
+            while context.ledger.uncopied:
+                await context.clock.sleep(HAND_OVER_RETRY_S)
+                await context.ledger.secure()
+                await context.ledger.flush(FINAL_FLUSH_SEGMENTS)
         targets = self._links.copy_targets()
         if not context.ledger.unwritten:
             context.membership.leave()
@@ -103,3 +121,4 @@
                     await self._links.tell(link)
                 except PeerUnavailableError:
                     continue
+        return context.ledger.uncopied == 0
--- a/packages/node/src/lentilshore_node/completions.py
+++ b/packages/node/src/lentilshore_node/completions.py
@@ -147,6 +147,7 @@
         self, index: int, refusal: RefusalError, served: Served | None
     ) -> int | None:
         if served is not None:
+            self._job.restore_line("served")
             return None
         if index + 1 < len(self._options) and refusal.reason is not (
             RefusalReason.QUOTA_CUSTOMER
@@ -209,7 +210,7 @@
         answer = ServedAnswer(self._job.customer.name, cell)
         context.ratings.served(self._job.request, answer)
         self._note_evidence(version)
-        await self._job.close_bill()
+        await self._job.secure_bill()
 
     def _note_evidence(self, version: str) -> None:
         customer = self._job.customer.name
--- a/packages/node/src/lentilshore_node/context.py
+++ b/packages/node/src/lentilshore_node/context.py
@@ -5,6 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
+import anyio
+
 from lentilshore_fleet import (
     ClaimStore,
     ConfigurationView,
@@ -31,6 +33,7 @@
 from .explanations import ExplanationLog
 from .platform import Platform
 from .ratings import RatingTracker
+from .reachability import Reachability
 from .upstreams import Engine, PlainService
 
 DRAIN_RETRY_S = 0.5
@@ -68,6 +71,8 @@
     explanations: ExplanationLog = field(default_factory=ExplanationLog)
     notice: bool = False
     draining: bool = False
+    reachability: Reachability = field(default_factory=Reachability)
+    expired: anyio.Event = field(default_factory=anyio.Event)
     in_flight: int = 0
 
     def __post_init__(self) -> None:
@@ -82,13 +87,15 @@
     def ready(self) -> bool:
         """Whether a balancer should send requests here."""
         stopping = self.notice or self.draining
+        if self.reachability.isolated and not self.settings.serve_without_copies:
+            return False
         return not stopping and self.configuration.revision > 0
 
     def require_ready(self) -> None:
         """Refuse if the node cannot take a request now.
 
-        :raises RefusalError: ``draining``, ``configuration_missing`` or
-            ``configuration_stale``.
+        :raises RefusalError: ``draining``, ``bill_copy_unavailable``,
+            ``configuration_missing`` or ``configuration_stale``.
         """
         if self.draining:
             raise RefusalError(
@@ -96,6 +103,12 @@
                 detail="this node is stopping",
                 retry_after_s=DRAIN_RETRY_S,
             )
+        if self.reachability.isolated and not self.settings.serve_without_copies:
+            raise RefusalError(
+                RefusalReason.BILL_COPY_UNAVAILABLE,
+                detail="neither a peer nor the platform can hold a bill",
+                retry_after_s=CONFIGURATION_RETRY_S,
+            )
         if self.configuration.revision == 0:
             raise RefusalError(
                 RefusalReason.CONFIGURATION_MISSING,
--- a/packages/node/src/lentilshore_node/jobs.py
+++ b/packages/node/src/lentilshore_node/jobs.py
@@ -4,13 +4,15 @@
 
 from lentilshore_fleet import Bill, BillLine, Session
 from lentilshore_kernel import RetryReason, retry_counter
-from lentilshore_kernel.types import Execution
+from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing import Customer
 
 from .context import NodeContext
 from .explanations import AttemptRecord
 from .requests import CallerHeaders
 
+COPY_RETRY_S = 2.0
 _STRENGTH = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
 
 
@@ -35,6 +37,7 @@
         self._lines: list[BillLine] = []
         self._started_at = context.clock.monotonic()
         self._closed = False
+        self._secured = True
         self.customer = customer
         self.headers = headers
         self.session = Session("", customer.name)
@@ -111,6 +114,13 @@
         """Change the outcome of the last attempt on the bill."""
         self._lines[-1] = self._lines[-1]._replace(outcome=outcome)
 
+    def restore_line(self, outcome: str) -> None:
+        """Change the outcome of the last escalated attempt on the bill."""
+        for index in range(len(self._lines) - 1, -1, -1):
+            if self._lines[index].outcome == "escalated":
+                self._lines[index] = self._lines[index]._replace(outcome=outcome)
+                return
+
     async def close_bill(self) -> None:
         """Keep the bill, once; nothing is billed where nothing was run."""
         if self._closed:
@@ -122,9 +132,26 @@
         bill = self.bill
         self.explanation["cost"] = bill.cost
         self._context.metrics.observe("request.cost", bill.cost)
-        if not await self._context.ledger.close(bill):
+        self._secured = await self._context.ledger.close(bill)
+        if not self._secured:
             self._context.metrics.count("bill.uncopied")
 
+    async def secure_bill(self) -> None:
+        """Keep the bill, and refuse if nobody else could be given a copy.
+
+        :raises RefusalError: ``bill_copy_unavailable``; the request ran and its
+            bill is kept for as long as this node lives.
+        """
+        await self.close_bill()
+        if self._secured or self._context.settings.serve_without_copies:
+            return
+        raise RefusalError(
+            RefusalReason.BILL_COPY_UNAVAILABLE,
+            Execution.RAN,
+            "neither a peer nor the platform could hold the bill",
+            COPY_RETRY_S,
+        )
+
     def finish(self, outcome: str, execution: Execution) -> None:
         """Complete the record of the request.
 
--- a/packages/node/src/lentilshore_node/links.py
+++ b/packages/node/src/lentilshore_node/links.py
@@ -167,8 +167,15 @@
 class _Heartbeat:
     """The task that keeps one link and exchanges heartbeats over it."""
 
-    def __init__(self, context: NodeContext, name: str, link: PeerLink) -> None:
+    def __init__(
+        self,
+        context: NodeContext,
+        name: str,
+        link: PeerLink,
+        note_link: Callable[[], None],
+    ) -> None:
         self._context = context
+        self._note_link = note_link
         self._name = name
         self._wake = anyio.Event()
         self._revision: int | None = None
@@ -194,6 +201,7 @@
                     log_event("peer_unavailable", detail=str(error))
                 finally:
                     self.link.close()
+                    self._note_link()
                     self._revision, self._versions = None, {}
                 jitter = self._context.random.uniform(0.5, 1.5)
                 await self._context.clock.sleep(delay_s * jitter)
@@ -214,6 +222,7 @@
             self._context, self._name, self._revision, self._versions
         )
         reply = await self.link.exchange(message)
+        self._note_link()
         self._revision = reply.revision
         self._versions = document_versions(reply)
         apply_exchange(self._context, reply)
@@ -277,12 +286,16 @@
             group.start_soon(self._probe_forever)
             while True:
                 self._reconcile(group)
+                self._note_links()
                 names = [incarnation.node for incarnation in self._heartbeats]
                 for member in self._context.membership.tick(names):
                     state = member.state.name
                     log_event("member_changed", node=member.name, state=state)
                 await self._context.clock.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _note_links(self) -> None:
+        self._context.reachability.note_links(len(self.connected))
+
     async def _probe_forever(self) -> None:
         """Look for lost members, so that both sides of a partition meet again."""
         while True:
@@ -312,7 +325,9 @@
         for incarnation, member in wanted.items():
             if incarnation not in self._heartbeats:
                 link = self.create_link(member.address)
-                heartbeat = _Heartbeat(self._context, member.name, link)
+                heartbeat = _Heartbeat(
+                    self._context, member.name, link, self._note_links
+                )
                 self._heartbeats[incarnation] = heartbeat
                 group.start_soon(heartbeat.run)
 
--- a/packages/node/src/lentilshore_node/server.py
+++ b/packages/node/src/lentilshore_node/server.py
@@ -127,7 +127,7 @@
             log_event("node_started", instance=incarnation, caller=caller)
             await self._stop.wait()
             whole = await background.drain(server.stop, self._urgent)
-            await background.hand_over()
+            whole &= await background.hand_over()
             group.cancel_scope.cancel()
         await self._http.close()
         log_event("node_stopped", instance=incarnation, whole=whole)
--- a/packages/node/src/lentilshore_node/services.py
+++ b/packages/node/src/lentilshore_node/services.py
@@ -88,7 +88,7 @@
     async def _send(
         self, job: Job, answer: ServiceAnswer, responder: Responder
     ) -> None:
-        await job.close_bill()
+        await job.secure_bill()
         headers = [
             ("content-type", answer.content_type),
             ("content-length", str(len(answer.body))),
@@ -142,6 +142,7 @@
             if self._job.execution is Execution.NOT_RUN:
                 await self._context.claims.abandon(claimed)
             raise
+        await self._job.close_bill()
         await self._complete(claimed, answer)
         return answer
 
--- a/packages/node/src/lentilshore_node/upkeep.py
+++ b/packages/node/src/lentilshore_node/upkeep.py
@@ -14,6 +14,7 @@
 from .reports import Reporter, apply_exposure_limits
 
 POST_INTERVAL_S = 0.2
+SECURE_INTERVAL_S = 1.0
 COPY_CHECK_INTERVAL_S = 5.0
 REPORT_INTERVAL_S = 10.0
 RATING_INTERVAL_S = 5.0
@@ -47,6 +48,7 @@
         """Return the tasks to run until cancelled."""
         return [
             self._loop(self.flush_bills, lambda: FLUSH_INTERVAL_S),
+            self._loop(self._secure_bills, lambda: SECURE_INTERVAL_S),
             self._loop(self._post_bills, lambda: POST_INTERVAL_S),
             self._loop(self.write_for_dead, lambda: COPY_CHECK_INTERVAL_S),
             self._loop(self.report, lambda: self._scaled(REPORT_INTERVAL_S)),
@@ -110,6 +112,9 @@
             apply = placement.note_prefix if event["held"] else placement.drop_prefix
             apply(replica.name, event["prefix"])
 
+    async def _secure_bills(self) -> None:
+        await self._context.ledger.secure()
+
     async def _post_bills(self) -> None:
         await self._copier.send_posted()
 
--- a/packages/node/src/lentilshore_node/watching.py
+++ b/packages/node/src/lentilshore_node/watching.py
@@ -12,10 +12,9 @@
 from lentilshore_routing import Replica
 
 from .context import NodeContext
-from .links import LinkManager
 
 RETRY_MIN_S = 0.5
-RETRY_MAX_S = 15.0
+RETRY_MAX_S = 4.0
 RELAY_WAIT_S = 3.0
 IDLE_CHECK_S = 1.0
 STORED_DOCUMENTS = {LEARNED: "learned/merged", SHARES: "shares/table"}
@@ -25,15 +24,13 @@
     """Keeps configuration and documents current.
 
     A node that is not among its data centre's watchers gets them from peers;
-    it asks the platform itself only while it has no configuration.
+    it asks the platform itself only while it has no configuration or no link.
 
     :param context: the node.
-    :param links: its links; a node without any watches the platform itself.
     """
 
-    def __init__(self, context: NodeContext, links: LinkManager) -> None:
+    def __init__(self, context: NodeContext) -> None:
         self._context = context
-        self._links = links
         self._configuration = ConfigurationStore(context.platform.store, context.clock)
         self._head_version = 0
         self._started_at = context.clock.monotonic()
@@ -94,8 +91,10 @@
                 continue
             try:
                 await watch()
+                self._context.reachability.note_platform(True)
                 delay_s = RETRY_MIN_S
             except StoreError as error:
+                self._context.reachability.note_platform(False)
                 self._context.metrics.count("platform.unavailable")
                 log_event("platform_unavailable", detail=str(error))
                 await self._pause(delay_s)
@@ -106,7 +105,10 @@
         await self._context.clock.sleep(delay_s * jitter)
 
     def _should_watch(self) -> bool:
-        if self._context.membership.is_watcher() or not self._links.connected:
+        if (
+            self._context.membership.is_watcher()
+            or not self._context.reachability.linked
+        ):
             return True
         waited_s = self._context.clock.monotonic() - self._started_at
         return self._context.configuration.revision == 0 and waited_s > RELAY_WAIT_S
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -60,6 +60,7 @@
     "duplicate",
     "reorder",
     "pause",
+    "pause_after",
     "crash",
     "crash_after",
     "replace",
@@ -557,7 +558,7 @@
             await self._end_node(node, "crash")
         if kind in ("lost", "lost_twice"):
             raise lost("answer lost")
-        if kind == "pause":
+        if kind == "pause_after":
             node.clock.pause(PAUSE_S)
         await node.clock.gate()
         self._require_alive(node)
