Prove the checker with mutants and run a part of the matrix in every test run

Cause: a checker that never fails proves nothing. Change: fifteen breaks of production code, each to be caught by the check of its invariant; a column of stale reads; a session path; a node that is not a watcher. Conclusion: each invariant has a break that the matrix sees.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(VENV)/bin/lentilshore demo
 
 test: $(STAMP)
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n auto
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
@@ -26,3 +26,10 @@
 format: $(STAMP)
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
+
+.PHONY: faults faults-mutants
+faults: $(STAMP)
+	$(PYTHON) -m tests.faults.matrix
+
+faults-mutants: $(STAMP)
+	$(PYTHON) -m tests.faults.mutants
--- a/tests/faults/checker.py
+++ b/tests/faults/checker.py
@@ -70,7 +70,7 @@
 def check_sessions(history: History) -> list[str]:
     kept: dict[tuple[str, str], set[str]] = defaultdict(set)
     for record in history.callers:
-        if record.session and record.status == 200 and not record.service:
+        if record.finished and record.status == 200 and not record.service:
             key = (_session_name(record), record.headers["lentilshore-model"])
             kept[key].add(record.headers["lentilshore-version"])
     return [f"{key} ran on {sorted(v)}" for key, v in kept.items() if len(v) > 1]
@@ -243,7 +243,8 @@
         return [f"{record.request}: stream ended without mark or error"]
     streamed = b"".join(token_event(i, t) for i, t in enumerate(tokens))
     whole = " ".join(tokens).encode()
-    if streamed not in record.body and whole not in record.body:
+    relayed = record.body.startswith(streamed + b"event: end")
+    if not relayed and record.body.count(whole) != 1:
         return [f"{record.request}: streamed another answer"]
     return []
 
--- /dev/null
+++ b/tests/faults/mutants.py
@@ -0,0 +1,242 @@
+"""Deliberate breaks of production code, each of which the matrix must catch."""
+
+from __future__ import annotations
+
+import functools
+import multiprocessing
+import sys
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+from lentilshore_fleet import claims, configuration, leases, ledger, sessions
+from lentilshore_node import attempts, background, jobs, peer_messages, rollout_driver
+from lentilshore_routing import catalog, placement, retries
+from lentilshore_routing.rollouts import Verdict
+
+from .matrix import SEED, Cell, run_cell
+
+
+class Mutant(NamedTuple):
+    """A break of production code.
+
+    :param name: what is broken.
+    :param invariant: the check that must catch it.
+    :param patches: object, attribute and replacement; several where the
+        product has one guard behind another.
+    :param cells: cells that show it; an empty kind is a run without a fault.
+    """
+
+    name: str
+    invariant: str
+    patches: tuple[tuple[Any, str, Any], ...]
+    cells: tuple[Cell, ...]
+
+
+async def _drain_at_once(self: Any, *_: Any) -> bool:
+    return True
+
+
+async def _close_without_copy(self: Any, bill: Any) -> bool:
+    self._pending.append(bill)
+    return True
+
+
+async def _claim_always(
+    self: Any, customer: str, key: str, body: bytes, attempt: str
+) -> Any:
+    return claims.Claim(claims.claim_key(customer, key), 1, attempt, "")
+
+
+def _resume_from_start(original: Callable[..., Any]) -> Callable[..., Any]:
+    def call(self: Any, option: Any, offset: int) -> Any:
+        return original(self, option, 0)
+
+    return call
+
+
+def _install_anything(self: Any, snapshot: Any) -> bool:
+    self._install(snapshot)
+    return True
+
+
+def _expand_anew(original: Callable[..., Any]) -> Callable[..., Any]:
+    async def expand(self: Any, head: Any, known: Any) -> Any:
+        return await original(self, head, configuration.Snapshot(0, {}))
+
+    return expand
+
+
+def _keep_leaving(original: Callable[..., Any]) -> Callable[..., Any]:
+    def update(self: Any, replicas: Any, nodes: Any = ()) -> None:
+        original(self, [r._replace(leaving=False) for r in replicas], nodes)
+
+    return update
+
+
+def _retry_always(self: Any, *_: Any) -> bool:
+    return True
+
+
+def _never_halt(*_: Any) -> Verdict:
+    return Verdict(False, "rating", "", 0.0, 1.0)
+
+
+def _same_fencing(**fields: Any) -> Any:
+    return {**fields, "fencing": 1}
+
+
+MUTANTS = (
+    Mutant(
+        "any model is allowed",
+        "allowed",
+        (
+            (catalog.Catalog, "_allows_model", lambda self, customer, model: True),
+            (catalog.Catalog, "allows", lambda self, customer, version: True),
+        ),
+        (Cell("cascade", "engine.complete#1", ""),),
+    ),
+    Mutant(
+        "withdrawn versions stay active",
+        "withdrawn",
+        ((catalog.Catalog, "state", lambda self, version: "active"),),
+        (Cell("withdrawal", "get config/head", ""),),
+    ),
+    Mutant(
+        "sessions do not keep versions",
+        "sessions",
+        ((sessions.Session, "pinned", lambda self, model: None),),
+        (Cell("session", "engine.complete", ""),),
+    ),
+    Mutant(
+        "bills are not copied",
+        "bills",
+        ((ledger.Ledger, "close", _close_without_copy),),
+        (Cell("request", "peer.copy", "crash"), Cell("bill", "put bills", "crash")),
+    ),
+    Mutant(
+        "an open bill counts before a closed one",
+        "bills",
+        ((ledger, "prefer", lambda known, bill: known or bill),),
+        (Cell("bill", "put bills", "crash"), Cell("request", "peer.copy", "crash")),
+    ),
+    Mutant(
+        "streams resume from the start",
+        "answers",
+        (
+            (
+                attempts.AttemptRunner,
+                "_call",
+                _resume_from_start(attempts.AttemptRunner._call),
+            ),
+        ),
+        (Cell("stream", "engine.token#3", "lost"),),
+    ),
+    Mutant(
+        "every refusal says not run",
+        "not_run",
+        ((jobs.Job, "execution", property(lambda self: jobs.Execution.NOT_RUN)),),
+        (Cell("single_run", "service.call", "lost"),),
+    ),
+    Mutant(
+        "claims are always granted",
+        "at_most_once",
+        ((claims.ClaimStore, "acquire", _claim_always),),
+        (Cell("single_run", "service.call", ""),),
+    ),
+    Mutant(
+        "whatever failed is retried",
+        "at_most_once",
+        ((retries.RetryPolicy, "allow", _retry_always),),
+        (Cell("single_run", "service.call", "lost"),),
+    ),
+    Mutant(
+        "leaving replicas get work",
+        "leaving",
+        ((placement.Placement, "update", _keep_leaving(placement.Placement.update)),),
+        (Cell("leaving", "watch instances", ""),),
+    ),
+    Mutant(
+        "a stop does not wait",
+        "stops",
+        ((background.Background, "drain", _drain_at_once),),
+        (Cell("stop", "engine.token#5", ""),),
+    ),
+    Mutant(
+        "older configurations are adopted",
+        "configuration",
+        (
+            (configuration.ConfigurationView, "adopt", _install_anything),
+            (
+                configuration.ConfigurationStore,
+                "expand",
+                _expand_anew(configuration.ConfigurationStore.expand),
+            ),
+        ),
+        (
+            Cell("configuration", "watch config/head#2", "stale"),
+            Cell("configuration", "get config/head", "stale"),
+        ),
+    ),
+    Mutant(
+        "configuration is not relayed",
+        "configuration",
+        ((peer_messages, "_missing", lambda context, revision: {}),),
+        (Cell("configuration", "put config/head", ""),),
+    ),
+    Mutant(
+        "roll-outs are never halted",
+        "halts",
+        ((rollout_driver, "judge", _never_halt),),
+        (Cell("rollout", "put reports", ""),),
+    ),
+    Mutant(
+        "fencing numbers do not rise",
+        "leases",
+        ((leases, "LeaseRecord", _same_fencing),),
+        (Cell("lease", "put leases/leader", "crash"),),
+    ),
+)
+
+
+def is_caught(mutant: Mutant, seed: int = SEED) -> bool:
+    """Tell whether the right check catches a mutant in one of its cells."""
+    with ExitStack() as stack:
+        for target, attribute, replacement in mutant.patches:
+            stack.enter_context(patch.object(target, attribute, replacement))
+        for cell in mutant.cells:
+            outcome = run_cell(cell, seed)
+            if mutant.invariant in {v.invariant for v in outcome.violations}:
+                return True
+    return False
+
+
+def passes_unbroken(mutant: Mutant, seed: int = SEED) -> bool:
+    """Tell whether the mutant's cells pass with the code as it is."""
+    return all(not run_cell(cell, seed).violations for cell in mutant.cells)
+
+
+def _judge(index: int) -> tuple[bool, bool]:
+    mutant = MUTANTS[index]
+    return passes_unbroken(mutant), is_caught(mutant)
+
+
+def main() -> int:
+    """Run every mutant.
+
+    :returns: exit status, 0 if all were caught.
+    """
+    with multiprocessing.Pool() as pool:
+        results = pool.map(functools.partial(_judge), range(len(MUTANTS)), chunksize=1)
+    caught = 0
+    for mutant, (passed, found) in zip(MUTANTS, results, strict=True):
+        state = "caught" if found and passed else "MISSED" if passed else "BROKEN"
+        caught += found and passed
+        print(f"{state:<8}{mutant.invariant:<16}{mutant.name}")
+    print(f"mutants: {caught} of {len(MUTANTS)} caught")
+    return 0 if caught == len(MUTANTS) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/faults/scenarios.py
+++ b/tests/faults/scenarios.py
@@ -16,7 +16,7 @@
 from .records import CallerRecord, Withdrawal
 from .world import NodeCrash, World, WorldNode, customer_record
 
-NODES = {"a": "west-1", "b": "west-1", "c": "west-2"}
+NODES = {"a": "west-1", "b": "west-1", "c": "west-2", "d": "west-1"}
 READY_CHECK_S = 0.2
 WARM_UP_S = 4.0
 RETRY_S = 1.5
@@ -176,11 +176,26 @@
     await settle(world)
 
 
+async def session_path(world: World) -> None:
+    await prepare(world)
+    record = await ask(world, "a", "archive|easy|s1#0", "large")
+    world.track()
+    large = RECORDS["model/large"] | {"default": "large@2"}
+    await operate(world, "bc", "default", {"model/large": large})
+    await world.clock.sleep(5.0)
+    await follow_session(world, record, "s1")
+    await ask(world, "abc", "archive|easy|s5#0", "large")
+    await world.clock.sleep(10.0)
+    await follow_session(world, record, "s1")
+    await settle(world)
+
+
 async def cascade_path(world: World) -> None:
     await prepare(world)
     world.track()
     record = await ask(world, "abc", "archive|hard|s1#0")
     await ask(world, "abc", "archive|hard|s2#0", stream=True)
+    await ask(world, "abc", "bureau|hard|s4#0")
     await follow_session(world, record, "s1")
     await settle(world)
 
@@ -373,6 +388,7 @@
     "stream": Path(
         stream_path, "a", ("engine.open", "engine.token#3", "engine.end", "peer.copy")
     ),
+    "session": Path(session_path, "a", ("watch config/head", "engine.complete")),
     "cascade": Path(cascade_path, "a", ("engine.complete#1", "engine.complete#2")),
     "single_run": Path(
         single_run_path,
@@ -392,7 +408,13 @@
     "configuration": Path(
         configuration_path,
         "a",
-        ("get config/head", "put config/head", "put config/part", "get config/part"),
+        (
+            "get config/head",
+            "put config/head",
+            "put config/part",
+            "get config/part",
+            "watch config/head#2",
+        ),
     ),
     "lease": Path(lease_path, "leader", ("get leases/leader", "put leases/leader")),
     "bill": Path(bill_path, "a", ("peer.copy#2", "put bills")),
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from lentilshore_fleet import Change, ConfigurationStore
+from lentilshore_fleet.store import StoredObject
 from lentilshore_kernel import Incarnation, Settings, load_plugins
 from lentilshore_kernel.exceptions import (
     RefusalReason,
@@ -59,6 +60,7 @@
     "lost",
     "duplicate",
     "reorder",
+    "stale",
     "pause",
     "pause_after",
     "crash",
@@ -180,6 +182,18 @@
         self.background = Background(self.context, links, copier)
         self.application = CallerApplication(self.context)
         self.bootstrap = create_peer_bootstrap(self.context)
+        samples = world.history.samples
+        self.context.configuration.on_change(lambda _: samples.append(self.sample()))
+
+    def sample(self) -> Sample:
+        """Return the revision as an operator would read it now."""
+        return Sample(
+            self.world.clock.monotonic(),
+            self.name,
+            str(self.context.incarnation),
+            self.context.configuration.revision,
+            self.isolated,
+        )
 
     async def run(self) -> None:
         """Run the background tasks until the node crashes or stops."""
@@ -552,6 +566,8 @@
         if kind in ("crash", "replace"):
             await self._end_node(node, kind)
         result = await effect()
+        if kind == "stale":
+            result = self._older(result)
         if kind == "duplicate":
             await self._again(step, effect)
         if kind == "crash_after":
@@ -674,6 +690,13 @@
             return "peers" in node.cut
         return "platform" in node.cut
 
+    def _older(self, result: Any) -> Any:
+        """Return the oldest version, as a store that lags may."""
+        if not isinstance(result, StoredObject):
+            return result
+        versions = self.platform.store.history[result.key]
+        return versions[0]
+
     async def _late(self, effect: Callable[[], Awaitable[Any]]) -> None:
         await self.clock.sleep(LATE_WRITE_S)
         try:
@@ -713,15 +736,7 @@
                 paused = node.clock._paused_until > self.clock.monotonic()
                 if not node.alive or paused:
                     continue
-                self.history.samples.append(
-                    Sample(
-                        self.clock.monotonic(),
-                        node.name,
-                        str(node.context.incarnation),
-                        node.context.configuration.revision,
-                        node.isolated,
-                    )
-                )
+                self.history.samples.append(node.sample())
 
 
 async def watched(
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,35 @@
+"""A part of the fault matrix, small enough for every run; see ``make faults``."""
+
+import pytest
+
+from .faults.matrix import Cell, run_cell
+from .faults.mutants import MUTANTS, is_caught
+from .faults.scenarios import PATHS
+
+KINDS = ("lost", "crash_after", "cut_both")
+CELLS = [
+    Cell(name, path.steps[0], kind) for name, path in PATHS.items() for kind in KINDS
+]
+
+
+@pytest.mark.parametrize("cell", CELLS, ids="-".join)
+def test_invariants_hold_under_fault(cell):
+    outcome = run_cell(cell)
+    assert outcome.struck
+    assert outcome.violations == []
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_invariants_hold_without_fault(path):
+    outcome = run_cell(Cell(path, PATHS[path].steps[0], ""))
+    assert outcome.violations == []
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_checker_catches_mutant(mutant):
+    assert is_caught(mutant)
+
+
+def test_same_seed_gives_same_run():
+    cell = Cell("request", "engine.complete", "crash")
+    assert run_cell(cell) == run_cell(cell)
