--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,16 @@
 
 faults-mutants: $(STAMP)
 	$(PYTHON) -m tests.faults.mutants
+
+.PHONY: bench bench-quick bench-plot capacity
+bench: $(STAMP)
+	$(PYTHON) -m bench.run
+
+bench-quick: $(STAMP)
+	$(PYTHON) -m bench.run --quick
+
+bench-plot: $(STAMP)
+	$(PYTHON) -m bench.plot
+
+capacity: $(STAMP)
+	$(PYTHON) -m bench.capacity
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the production decision code, with a fake clock and seeded traces."""
--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,101 @@
+"""Processor time of one routed decision with the target's tables."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from lentilshore_fleet import Session
+from lentilshore_kernel.testing import FakeClock
+from lentilshore_kernel.types import Address, Priority
+from lentilshore_node.candidates import list_options
+from lentilshore_node.requests import CompletionRequest, parse_headers
+from lentilshore_routing import (
+    Catalog,
+    Features,
+    Placement,
+    QualityEstimates,
+    Query,
+    QuotaLimiter,
+    Replica,
+    hash_key,
+)
+from lentilshore_routing.cascade import create_calibrated_policy
+
+REPLICAS = 3_700
+MODELS = 5
+NODES = 340
+CUSTOMERS = 200
+
+
+def bench_decisions(length: int) -> dict[str, float]:
+    """Return the keys of this part.
+
+    :param length: decisions to time.
+    """
+    source = random.Random(5)
+    clock = FakeClock()
+    catalog = Catalog(_entries(), 1)
+    placement = Placement("n007", clock, source)
+    nodes = [f"n{number:03d}" for number in range(NODES)]
+    started = time.perf_counter()
+    placement.update(_replicas(), nodes)
+    update_ms = (time.perf_counter() - started) * 1000
+    quota = QuotaLimiter(clock)
+    quota.set_shares(1.0, {})
+    policy = create_calibrated_policy(QualityEstimates(), source)
+    headers = parse_headers({}, 30.0)
+    durations = []
+    for number in range(length):
+        request = CompletionRequest(headers, "all", {}, False, 400, 200, "")
+        prefix = f"p{source.randrange(2_000)}" if number % 3 == 0 else ""
+        key = f"key-{source.randrange(CUSTOMERS)}"
+        begin = time.perf_counter()
+        customer = catalog.authenticate(key)
+        session = Session(f"s{number}", customer.name)
+        options = list_options(catalog, customer, session, request)
+        candidates = [option.candidate for option in options]
+        query = Query(customer.name, Features("draft", 1), 0.9, 30.0)
+        index = policy.first(query, candidates)
+        reservation = quota.reserve(customer, "", f"t{number}", 600)
+        version = str(candidates[index].version)
+        lease = placement.choose(version, 600.0, prefix, Priority.NORMAL)
+        durations.append((time.perf_counter() - begin) * 1e6)
+        placement.release(lease, False)
+        quota.settle(reservation, 300)
+    durations.sort()
+    return {
+        "decision_us_p50": durations[len(durations) // 2],
+        "decision_us_p99": durations[int(len(durations) * 0.99)],
+        "placement_update_ms_at_3700_replicas": update_ms,
+    }
+
+
+def _replicas() -> list[Replica]:
+    return [
+        Replica(
+            f"r{number:04d}",
+            "engine",
+            Address("127.0.0.1", 1 + number),
+            f"dc-{number % 10}",
+            (f"m{number % MODELS}@1",),
+        )
+        for number in range(REPLICAS)
+    ]
+
+
+def _entries() -> dict[str, object]:
+    entries: dict[str, object] = {"cascade/all": {"models": []}}
+    for number in range(MODELS):
+        price = 4.0**number
+        entries[f"model/m{number}"] = {"input_price": price, "output_price": price}
+        entries[f"version/m{number}@1"] = {"state": "active"}
+        entries["cascade/all"]["models"].append(f"m{number}")
+    models = [f"m{number}" for number in range(MODELS)]
+    for number in range(CUSTOMERS):
+        entries[f"customer/c{number}"] = {
+            "key_hashes": [hash_key(f"key-{number}")],
+            "models": models,
+            "quota": {"tokens_per_s": 1e9, "burst_tokens": 1e9},
+        }
+    return entries
--- a/packages/node/src/lentilshore_node/completions.py
+++ b/packages/node/src/lentilshore_node/completions.py
@@ -12,12 +12,11 @@
 from lentilshore_kernel.exceptions import RefusalError
 from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
 from lentilshore_routing import (
-    Cell,
     Customer,
     Features,
     Query,
     Tried,
-    confidence_class,
+    answer_cell,
     length_class,
 )
 
@@ -200,12 +199,9 @@
     async def _accept(self, index: int, usage: Usage, whole: bool = False) -> None:
         if not whole:
             self._tried.append(Tried(index, usage.confidence))
-        option = self._options[index]
-        version = str(option.candidate.version)
-        tries = sum(tried.index == index for tried in self._tried) - 1
-        confidence = confidence_class(usage.confidence)
-        cell = Cell(*self._query.features, version, tries, confidence)
+        version = str(self._candidates[index].version)
         context = self._context
+        cell = answer_cell(self._query, self._candidates, self._tried)
         context.policy.served(self._query, self._candidates, self._tried)
         answer = ServedAnswer(self._job.customer.name, cell)
         context.ratings.served(self._job.request, answer)
--- a/packages/routing/src/lentilshore_routing/__init__.py
+++ b/packages/routing/src/lentilshore_routing/__init__.py
@@ -1,7 +1,7 @@
 """Routing decisions: catalogue, cascade, placement, admission, limits, retries."""
 
 from .admission import AdmissionQueue
-from .cascade import Candidate, CascadePolicy, Query, Tried
+from .cascade import Candidate, CascadePolicy, Query, Tried, answer_cell
 from .catalog import Catalog, Customer, check_record, hash_key
 from .estimates import (
     Cell,
@@ -31,6 +31,7 @@
     "Reservation",
     "RetryPolicy",
     "Tried",
+    "answer_cell",
     "check_record",
     "confidence_class",
     "hash_key",
--- a/packages/routing/src/lentilshore_routing/admission.py
+++ b/packages/routing/src/lentilshore_routing/admission.py
@@ -85,11 +85,13 @@
     async def _acquire(
         self, customer: str, priority: Priority, remaining_s: float
     ) -> None:
-        if not self._waiting_count and self._fits(customer, priority):
+        if self._fits(customer, priority):
             self._admit(customer, priority)
             return
         expected = self._expected_wait_s(priority)
-        if self._waiting_count >= self._queued:
+        of_customer = sum(item[3].customer == customer for item in self._waiting)
+        limit = self._queued * CUSTOMER_LIMIT_SHARE
+        if self._waiting_count >= self._queued or of_customer >= limit:
             raise RefusalError(
                 RefusalReason.QUEUE_FULL,
                 detail=f"{self._waiting_count} requests are waiting",
--- a/packages/routing/src/lentilshore_routing/cascade.py
+++ b/packages/routing/src/lentilshore_routing/cascade.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
@@ -11,17 +10,16 @@
 from lentilshore_kernel.types import ModelVersion
 
 from .estimates import (
+    FIRST_PATH,
     Cell,
     Features,
     QualityEstimates,
     confidence_class,
+    path_after,
 )
+from .prices import Plan, QualityPrices
 
-STEP_SIZE = 0.02
-LAMBDA_START_COSTS = 4.0
-LAMBDA_LIMIT_COSTS = 2_000.0
-TARGET_MARGIN = 0.002
-EXPLORATION_SHARE = 0.01
+EXPLORATION_SHARE = 0.004
 TRIES_PER_MODEL = 2
 REPEAT_MINIMUM_RATINGS = 30
 
@@ -90,10 +88,8 @@
 class CalibratedPolicy:
     """Minimises cost at the quality target by a price on quality.
 
-    Each customer and kind has a price per good answer. An answer is accepted
-    if its calibrated probability, valued at that price, beats the best
-    escalation net of its cost. The price follows the gap between target and
-    the quality served (dual ascent).
+    An answer is accepted if its calibrated probability, valued at the price of
+    a good answer, beats the best escalation net of its cost.
 
     :param estimates: calibrated probabilities.
     :param random_source: source of exploration.
@@ -104,38 +100,42 @@
     ) -> None:
         self._estimates = estimates
         self._random = random_source
-        self._prices: dict[tuple[str, str], float] = {}
+        self._prices = QualityPrices(estimates)
 
     def first(self, query: Query, candidates: Sequence[Candidate]) -> int:
         """Return the index of the candidate to try first."""
         feasible = self._feasible(query, candidates, 0.0)
+        if not feasible:
+            return min(range(len(candidates)), key=lambda i: candidates[i].duration_s)
         if len(feasible) > 1 and self._random.random() < EXPLORATION_SHARE:
             return self._random.choice(feasible)
-        price = self._price(query, candidates)
-        values = {i: self._start_value(query, candidates, i, price) for i in feasible}
-        return max(feasible, key=lambda index: (values[index], -index))
+        plan = self._plan(query, candidates)
+        if plan.first in feasible:
+            return plan.first
+        price = plan.price * max(candidate.cost for candidate in candidates)
+        return max(
+            feasible,
+            key=lambda i: self._value(query, candidates[i], price, FIRST_PATH),
+        )
 
     def escalate(
         self, query: Query, candidates: Sequence[Candidate], tried: Sequence[Tried]
     ) -> int | None:
         """Return the index to try next, or None to accept the last answer."""
         last = tried[-1]
-        tries = sum(item.index == last.index for item in tried) - 1
-        cell = _cell(query, candidates[last.index], tries, last.confidence)
-        price = self._price(query, candidates)
-        accept = price * self._estimates.probability(cell)
         spent = sum(candidates[item.index].duration_s for item in tried)
-        options = [
-            index
-            for index in self._feasible(query, candidates, spent)
-            if index > last.index
-        ]
-        if self._may_repeat(query, candidates[last.index], tries + 1, spent):
-            options.append(last.index)
-        best, best_value = None, accept
-        for index in options:
-            repeat = tries + 1 if index == last.index else 0
-            value = self._direct_value(query, candidates[index], price, repeat)
+        feasible = self._feasible(query, candidates, spent)
+        plan = self._plan(query, candidates)
+        path = path_after(last.index, last.confidence)
+        price = plan.price * max(candidate.cost for candidate in candidates)
+        cell = answer_cell(query, candidates, tried)
+        best, best_value = None, price * self._estimates.probability(cell)
+        for index in feasible:
+            if index < last.index:
+                continue
+            if index == last.index and not self._may_repeat(candidates, tried, path):
+                continue
+            value = self._value(query, candidates[index], price, path)
             if value > best_value:
                 best, best_value = index, value
         return best
@@ -145,105 +145,53 @@
     ) -> bool:
         """Tell whether an answer of a candidate could still be escalated."""
         spent = candidates[index].duration_s
-        later = [
-            i for i in self._feasible(query, candidates, spent, False) if i > index
-        ]
-        if not later:
-            return False
-        price = self._price(query, candidates)
-        best = max(self._direct_value(query, candidates[i], price, 0) for i in later)
-        lowest = self._estimates.probability(_cell(query, candidates[index], 0, 0.0))
-        return best > price * lowest
+        feasible = self._feasible(query, candidates, spent)
+        following = self._plan(query, candidates).following[index]
+        return any(later in feasible for later in set(following) - {-1})
 
     def served(
         self, query: Query, candidates: Sequence[Candidate], tried: Sequence[Tried]
     ) -> None:
-        """Move the price of quality towards the target."""
-        last = tried[-1]
-        tries = sum(item.index == last.index for item in tried) - 1
-        cell = _cell(query, candidates[last.index], tries, last.confidence)
-        gap = query.target + TARGET_MARGIN - self._estimates.probability(cell)
-        price = self._price(query, candidates) * math.exp(STEP_SIZE * gap)
-        dearest = max(candidate.cost for candidate in candidates)
-        limit = LAMBDA_LIMIT_COSTS * max(dearest, 1e-9)
-        key = (query.customer, query.features.kind)
-        self._prices[key] = min(max(price, 1e-9), limit)
+        """Note the expected quality of the answer."""
+        quality = self._estimates.probability(answer_cell(query, candidates, tried))
+        kind = query.features.kind
+        self._prices.served(query.customer, kind, query.target, quality)
 
     def _may_repeat(
-        self, query: Query, candidate: Candidate, tries: int, spent_s: float
+        self, candidates: Sequence[Candidate], tried: Sequence[Tried], path: int
     ) -> bool:
         """Tell whether the same model may be tried again.
 
         Whether that helps is only known once repeated tries have been rated,
         which exploration brings about.
         """
-        if tries >= TRIES_PER_MODEL:
-            return False
-        if candidate.duration_s > query.remaining_s - spent_s:
+        last = tried[-1].index
+        if sum(item.index == last for item in tried) >= TRIES_PER_MODEL:
             return False
         if self._random.random() < EXPLORATION_SHARE:
             return True
-        version = str(candidate.version)
-        return self._estimates.rated_tries(version, tries) >= REPEAT_MINIMUM_RATINGS
-
-    def _price(self, query: Query, candidates: Sequence[Candidate]) -> float:
-        key = (query.customer, query.features.kind)
-        price = self._prices.get(key)
-        if price is None:
-            price = LAMBDA_START_COSTS * max(item.cost for item in candidates)
-            self._prices[key] = price
-        return price
+        version = str(candidates[last].version)
+        return self._estimates.rated(version, path) >= REPEAT_MINIMUM_RATINGS
+
+    def _plan(self, query: Query, candidates: Sequence[Candidate]) -> Plan:
+        versions = tuple([str(candidate.version) for candidate in candidates])
+        costs = [candidate.cost for candidate in candidates]
+        return self._prices.find(
+            query.customer, query.features, query.target, versions, costs
+        )
 
     def _feasible(
-        self,
-        query: Query,
-        candidates: Sequence[Candidate],
-        spent_s: float,
-        keep_one: bool = True,
+        self, query: Query, candidates: Sequence[Candidate], spent_s: float
     ) -> list[int]:
         left = query.remaining_s - spent_s
-        fitting = [i for i, item in enumerate(candidates) if item.duration_s <= left]
-        if fitting or not keep_one or spent_s > 0:
-            return fitting
-        return [min(range(len(candidates)), key=lambda i: candidates[i].duration_s)]
+        return [i for i, item in enumerate(candidates) if item.duration_s <= left]
 
-    def _direct_value(
-        self, query: Query, candidate: Candidate, price: float, tries: int
+    def _value(
+        self, query: Query, candidate: Candidate, price: float, path: int
     ) -> float:
-        return price * self._expected(query, candidate, tries) - candidate.cost
-
-    def _expected(self, query: Query, candidate: Candidate, tries: int) -> float:
-        name = str(candidate.version)
-        weights = self._estimates.distribution(query.features, name, tries)
-        return sum(
-            weight
-            * self._estimates.probability(
-                Cell(*query.features, name, tries, confidence_index)
-            )
-            for confidence_index, weight in enumerate(weights)
-        )
-
-    def _start_value(
-        self, query: Query, candidates: Sequence[Candidate], index: int, price: float
-    ) -> float:
-        candidate = candidates[index]
-        later = [
-            i
-            for i in self._feasible(query, candidates, candidate.duration_s, False)
-            if i > index
-        ]
-        onward = max(
-            (self._direct_value(query, candidates[i], price, 0) for i in later),
-            default=-math.inf,
-        )
-        name = str(candidate.version)
-        weights = self._estimates.distribution(query.features, name, 0)
-        value = 0.0
-        for confidence_index, weight in enumerate(weights):
-            cell = Cell(*query.features, name, 0, confidence_index)
-            good = price * self._estimates.probability(cell)
-            value += weight * max(good, onward)
-        return value - candidate.cost
+        version = str(candidate.version)
+        curve = self._estimates.curve(query.features, version, path)
+        return price * curve.expected - candidate.cost
 
 
 class FixedThresholdPolicy:
@@ -297,8 +245,19 @@
     return FixedThresholdPolicy()
 
 
-def _cell(
-    query: Query, candidate: Candidate, tries: int, confidence: float | None
+def answer_cell(
+    query: Query, candidates: Sequence[Candidate], tried: Sequence[Tried]
 ) -> Cell:
-    name = str(candidate.version)
-    return Cell(*query.features, name, tries, confidence_class(confidence))
+    """Return what is known of the last answer, for estimates and ratings.
+
+    :param query: the request.
+    :param candidates: versions that could be tried.
+    :param tried: answers in order; the last one is meant.
+    """
+    last = tried[-1]
+    path = FIRST_PATH
+    if len(tried) > 1:
+        before = tried[-2]
+        path = path_after(before.index, before.confidence)
+    version = str(candidates[last.index].version)
+    return Cell(*query.features, version, path, confidence_class(last.confidence))
--- a/packages/routing/src/lentilshore_routing/estimates.py
+++ b/packages/routing/src/lentilshore_routing/estimates.py
@@ -1,8 +1,10 @@
 """Estimates of answer quality from late, sparse ratings, as mergeable counts.
 
-Counts are kept per request kind, length class, version, try and confidence
-class. Sparse cells borrow from coarser ones. Counts of one incarnation are
-cumulative, so that a later report replaces an earlier one.
+Counts are kept per request kind, length class, version, path and confidence
+class, where the path says what an earlier answer to the request looked like: a
+cheap model that is unsure tells how hard a request is for the next. Sparse
+cells borrow from coarser ones. Counts of one incarnation are cumulative, so
+that a later report replaces an earlier one.
 """
 
 from __future__ import annotations
@@ -11,8 +13,12 @@
 from typing import NamedTuple, TypedDict
 
 CONFIDENCE_CLASSES = 10
+FIRST_PATH = 0
+ANY_PATH = -1
 LENGTH_CLASS_LIMITS = (64, 512, 4096)
 SHRINKAGE = 20.0
+CURVE_CHANGES = 16
+CURVE_GROWTH = 0.02
 PRIOR_GOOD_LOW = 0.2
 PRIOR_GOOD_HIGH = 0.98
 
@@ -34,14 +40,15 @@
     :param kind: request kind, empty for all.
     :param length_class: class of prompt tokens, -1 for all.
     :param version: name of the version.
-    :param tries: earlier tries of the same model for the request.
+    :param path: what came before the answer, as :func:`path_after` numbers it;
+        :data:`FIRST_PATH` for a first try, :data:`ANY_PATH` for all.
     :param confidence_class: class of the answer's confidence.
     """
 
     kind: str
     length_class: int
     version: str
-    tries: int
+    path: int
     confidence_class: int
 
 
@@ -52,6 +59,25 @@
     cells: list[list[object]]
 
 
+class Curve(NamedTuple):
+    """What is known of a version's answers to requests of some features.
+
+    :param weights: probability of each confidence class before answering.
+    :param goods: probability of a good answer in each confidence class.
+    :param expected: probability of a good answer before answering.
+    """
+
+    weights: tuple[float, ...]
+    goods: tuple[float, ...]
+    expected: float
+
+
+class _CachedCurve:
+    def __init__(self, curve: Curve, changes: int) -> None:
+        self.curve = curve
+        self.changes = changes
+
+
 class QualityEstimates:
     """Probability that an answer is good, given what is known of it."""
 
@@ -61,8 +87,9 @@
         self._fleet: EstimateSummary | None = None
         self._own_in_fleet: EstimateSummary | None = None
         self._sequence = 0
-        self._cache: dict[Cell, float] = {}
-        self._distributions: dict[tuple[Features, str, int], list[float]] = {}
+        self._changes: dict[tuple[str, int], int] = {}
+        self._version_changes: dict[str, int] = {}
+        self._curves: dict[tuple[Features, str, int], _CachedCurve] = {}
 
     @property
     def sequence(self) -> int:
@@ -72,7 +99,6 @@
     def observe(self, cell: Cell) -> None:
         """Count an answer, whether or not it will be rated."""
         self._add(cell, (0.0, 0.0, 1.0))
-        self._distributions.clear()
 
     def rate(self, cell: Cell, good: bool) -> None:
         """Count a rating of an answer.
@@ -81,43 +107,54 @@
         :param good: whether the rating service found it good.
         """
         self._add(cell, (1.0 if good else 0.0, 1.0, 0.0))
-        for parent in _ancestors(cell):
-            self._cache.pop(parent, None)
-        if cell.confidence_class >= 0:
-            self._cache.clear()
 
     def probability(self, cell: Cell) -> float:
         """Return the probability that an answer is good.
 
         :param cell: what is known of the answer.
         """
-        cached = self._cache.get(cell)
+        features = Features(cell.kind, cell.length_class)
+        return self.curve(features, cell.version, cell.path).goods[
+            cell.confidence_class
+        ]
+
+    def curve(self, features: Features, version: str, path: int) -> Curve:
+        """Return what is known of a version's answers.
+
+        A curve is kept until the counts behind it have grown by a small part.
+
+        :param features: features of the requests.
+        :param version: name of the version.
+        :param path: what came before the answer.
+        """
+        key = (features, version, path)
+        changes = self._changes.get((version, path), 0)
+        cached = self._curves.get(key)
         if cached is not None:
-            return cached
+            allowed = max(CURVE_CHANGES, cached.changes * CURVE_GROWTH)
+            if changes - cached.changes < allowed:
+                return cached.curve
+        curve = self._build_curve(features, version, path)
+        self._curves[key] = _CachedCurve(curve, changes)
+        return curve
+
+    def _build_curve(self, features: Features, version: str, path: int) -> Curve:
+        cell = Cell(*features, version, path, 0)
+        cells = [cell._replace(confidence_class=c) for c in range(CONFIDENCE_CLASSES)]
+        goods = tuple(self._estimate(item) for item in cells)
+        weights = self._weights(cell)
+        expected = sum(w * g for w, g in zip(weights, goods, strict=True))
+        return Curve(tuple(weights), goods, expected)
+
+    def _estimate(self, cell: Cell) -> float:
         estimate = _prior(cell.confidence_class)
         for parent in reversed(_ancestors(cell)):
             good, rated, _ = self._sums.get(parent, (0.0, 0.0, 0.0))
             estimate = (good + SHRINKAGE * estimate) / (rated + SHRINKAGE)
-        self._cache[cell] = estimate
         return estimate
 
-    def rated_tries(self, version: str, tries: int) -> float:
-        """Return how many ratings a version's answers have.
-
-        :param version: name of the version.
-        :param tries: earlier tries of the same model for the request.
-        """
-        cells = (Cell("", -1, version, tries, c) for c in range(CONFIDENCE_CLASSES))
-        return sum(self._sums.get(cell, (0.0, 0.0, 0.0))[1] for cell in cells)
-
-    def distribution(self, features: Features, version: str, tries: int) -> list[float]:
-        """Return the probability of each confidence class before answering."""
-        key = (features, version, tries)
-        cached = self._distributions.get(key)
-        if cached is not None:
-            return cached
+    def _weights(self, cell: Cell) -> list[float]:
         weights = [1.0 / CONFIDENCE_CLASSES] * CONFIDENCE_CLASSES
-        cell = Cell(features.kind, features.length_class, version, tries, 0)
         for parent in reversed(_ancestors(cell)):
             seen = [
                 self._sums.get(parent._replace(confidence_class=index), (0, 0, 0))[2]
@@ -128,9 +165,17 @@
                 (count + SHRINKAGE * weight) / (total + SHRINKAGE)
                 for count, weight in zip(seen, weights, strict=True)
             ]
-        self._distributions[key] = weights
         return weights
 
+    def changes(self, versions: Iterable[str]) -> int:
+        """Return how many observations and ratings of versions there have been."""
+        return sum(self._version_changes.get(version, 0) for version in versions)
+
+    def rated(self, version: str, path: int) -> float:
+        """Return how many ratings a version's answers on a path have."""
+        cells = (Cell("", -1, version, path, c) for c in range(CONFIDENCE_CLASSES))
+        return sum(self._sums.get(cell, (0.0, 0.0, 0.0))[1] for cell in cells)
+
     def summary(self) -> EstimateSummary:
         """Return this incarnation's counts for the platform's store."""
         cells = [[*cell, *counts] for cell, counts in sorted(self._own.items())]
@@ -150,8 +195,7 @@
         self._apply(fleet, 1.0)
         if own is not None:
             self._apply(own, -1.0)
-        self._cache.clear()
-        self._distributions.clear()
+        self._curves.clear()
 
     def _apply(self, summary: EstimateSummary, sign: float) -> None:
         for row in summary["cells"]:
@@ -164,6 +208,10 @@
         for index, value in enumerate(counts):
             own[index] += value
         self._accumulate(cell, counts)
+        key = (cell.version, cell.path)
+        self._changes[key] = self._changes.get(key, 0) + 1
+        changes = self._version_changes.get(cell.version, 0)
+        self._version_changes[cell.version] = changes + 1
 
     def _accumulate(self, cell: Cell, counts: Iterable[float]) -> None:
         values = list(counts)
@@ -180,6 +228,15 @@
     return min(max(int(confidence * CONFIDENCE_CLASSES), 0), CONFIDENCE_CLASSES - 1)
 
 
+def path_after(rank: int, confidence: float | None) -> int:
+    """Return the number of the path that follows an answer.
+
+    :param rank: rank of the model that gave it, from 0 for the cheapest.
+    :param confidence: its confidence, 0 to 1, if reported.
+    """
+    return 1 + rank * CONFIDENCE_CLASSES + confidence_class(confidence)
+
+
 def length_class(prompt_tokens: int) -> int:
     """Return the class of a prompt's length in tokens."""
     return sum(prompt_tokens > limit for limit in LENGTH_CLASS_LIMITS)
@@ -204,6 +261,7 @@
     return PRIOR_GOOD_LOW + span * (index + 0.5) / CONFIDENCE_CLASSES
 
 
-def _ancestors(cell: Cell) -> tuple[Cell, Cell, Cell]:
+def _ancestors(cell: Cell) -> tuple[Cell, Cell, Cell, Cell]:
     by_kind = cell._replace(length_class=-1)
-    return cell, by_kind, by_kind._replace(kind="")
+    by_path = by_kind._replace(kind="")
+    return cell, by_kind, by_path, by_path._replace(path=ANY_PATH)
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -5,7 +5,7 @@
 import bisect
 import hashlib
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -19,6 +19,8 @@
 AFFINITY_LOAD_FACTOR = 1.25
 PREFIX_MINIMUM_TOKENS = 128
 PREFIXES_KEPT = 64
+REPORT_LIMIT_S = 5.0
+CHANGES_KEPT = 256
 SLOW_START_S = 20.0
 SLOW_START_FLOOR = 0.1
 EJECTION_FAILURES = 5
@@ -67,7 +69,7 @@
         self.batch_in_flight = 0
         self.local_work = 0.0
         self.report = LoadReport(0.0, -1.0)
-        self.sent_since_report = 0.0
+        self.changes: deque[tuple[float, float]] = deque(maxlen=CHANGES_KEPT)
         self.failures = 0
         self.ejected_until = 0.0
         self.prefixes: OrderedDict[str, None] = OrderedDict()
@@ -127,6 +129,7 @@
         self._random = random_source
         self._states: dict[str, _ReplicaState] = {}
         self._groups: dict[str, _Group] = {}
+        self._nodes = 1
 
     @property
     def groups(self) -> list[str]:
@@ -162,6 +165,7 @@
             for group in replica.groups:
                 groups.setdefault(group, []).append(replica)
         members = sorted({*nodes, self._node})
+        self._nodes = len(members)
         self._groups = {
             name: self._updated_group(name, members, found)
             for name, found in groups.items()
@@ -199,7 +203,7 @@
         state.in_flight += 1
         state.batch_in_flight += batch
         state.local_work += work_tokens
-        state.sent_since_report += work_tokens
+        state.changes.append((self._clock.monotonic(), work_tokens))
         if prefix:
             self.note_prefix(replica.name, prefix)
         return Lease(replica, work_tokens, batch)
@@ -216,6 +220,7 @@
         state.in_flight = max(0, state.in_flight - 1)
         state.batch_in_flight = max(0, state.batch_in_flight - lease.batch)
         state.local_work = max(0.0, state.local_work - lease.work_tokens)
+        state.changes.append((self._clock.monotonic(), -lease.work_tokens))
         if not failed:
             state.failures = 0
             return
@@ -238,7 +243,8 @@
         if at <= state.report.at:
             return
         state.report = LoadReport(work_tokens, at)
-        state.sent_since_report = 0.0
+        while state.changes and state.changes[0][0] < at:
+            state.changes.popleft()
 
     def note_prefix(self, name: str, prefix: str) -> None:
         """Note that a replica holds a prefix in its cache."""
@@ -303,10 +309,18 @@
         return load / self._ramp(state)
 
     def _load(self, state: _ReplicaState) -> float:
-        if state.report.at < 0:
-            return state.local_work
-        remote = max(0.0, state.report.work_tokens)
-        return max(state.local_work, remote + state.sent_since_report)
+        """Return the tokens of work that a replica is believed to have.
+
+        A lagging report is brought up to date by what this node has sent and
+        seen finished since, taken as a sample of what all nodes have. Without a
+        recent report, this node's own work is the sample.
+        """
+        age_s = self._clock.monotonic() - state.report.at
+        if state.report.at < 0 or age_s > REPORT_LIMIT_S:
+            return state.local_work * self._nodes
+        change = sum(tokens for _, tokens in state.changes)
+        estimate = state.report.work_tokens + change * self._nodes
+        return max(state.local_work, estimate)
 
     def _ramp(self, state: _ReplicaState) -> float:
         age = self._clock.monotonic() - state.added_at
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -8,7 +8,7 @@
 
 TREE_RETRIES = 3
 TREES_KEPT = 10_000
-BUDGET_RATIO = 0.1
+BUDGET_RATIO = 0.08
 BUDGET_RESERVE = 10.0
 BUDGET_LIMIT = 100.0
 
--- a/packages/routing/src/lentilshore_routing/rollouts.py
+++ b/packages/routing/src/lentilshore_routing/rollouts.py
@@ -19,6 +19,8 @@
 POOLED_WEIGHT = 0.6
 BASE_PRIOR_BAD = 1.0
 BASE_PRIOR_TOTAL = 10.0
+CUSTOMER_PRIOR_TOTAL = 50.0
+BASE_ERRORS = 1.0
 RATE_FLOOR = 0.002
 RATE_CEILING = 0.95
 NEW_SESSION_SHARE = 0.6
@@ -163,7 +165,7 @@
 def base_rate(tally: Tally) -> float:
     """Return the rate of bad outcomes of a base version, never 0."""
     rate = (tally.bad + BASE_PRIOR_BAD) / (tally.total + BASE_PRIOR_TOTAL)
-    return min(max(rate, RATE_FLOOR), RATE_CEILING)
+    return _raised(rate, tally.total + BASE_PRIOR_TOTAL)
 
 
 def _judge_signal(
@@ -189,9 +191,16 @@
 
 
 def _shrunk_rate(tally: Tally, pooled: float) -> float:
-    weight = 50.0
-    rate = (tally.bad + weight * pooled) / (tally.total + weight)
-    return min(max(rate, RATE_FLOOR), RATE_CEILING)
+    total = tally.total + CUSTOMER_PRIOR_TOTAL
+    rate = (tally.bad + CUSTOMER_PRIOR_TOTAL * pooled) / total
+    return _raised(rate, total)
+
+
+def _raised(rate: float, total: float) -> float:
+    """Return a rate raised by its standard error, so that noise halts nothing."""
+    rate = min(max(rate, RATE_FLOOR), RATE_CEILING)
+    error = math.sqrt(rate * (1 - rate) / max(1.0, total))
+    return min(rate + BASE_ERRORS * error, RATE_CEILING)
 
 
 def _log_sum(terms: list[float]) -> float:
