Measure the data path and take connections without scanning a pool

Cause: at 352 streams of 25 tokens a second the router delivered nothing: the library's pool looks at every connection for each request. Also, tasks of RPC connections were referred to only weakly by the event loop and were collected now and then, so that operators saw their connection reset; and a control answer of an unexpected shape ended the node.

--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,167 @@
+"""Processes of a measurement: stand-ins, routers and load, on loopback."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from lentilshore_kernel.types import Address
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 15.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Process:
+    """A process that was started for a measurement.
+
+    :param arguments: program and arguments.
+    :param cores: processor cores it may use, None for all.
+    """
+
+    def __init__(
+        self, arguments: Sequence[str], cores: Sequence[int] | None = None
+    ) -> None:
+        self._log = open(os.environ.get("BENCH_LOG", os.devnull), "ab")  # noqa: SIM115
+        self._process = subprocess.Popen(
+            arguments, stdout=subprocess.PIPE, stderr=self._log, text=True
+        )
+        if cores is not None:
+            os.sched_setaffinity(self._process.pid, cores)
+
+    @property
+    def pid(self) -> int:
+        """Identifier of the process."""
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self._process.poll() is None
+
+    def read_address(self) -> Address:
+        """Return the address that the process prints once it listens."""
+        line = self._process.stdout.readline()  # type: ignore[union-attr]
+        host, _, port = line.split()[-1].rpartition(":")
+        return Address(host, int(port))
+
+    def processor_s(self) -> float:
+        """Return the processor time used so far, seconds."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def resident_mb(self) -> float:
+        """Return the resident memory, megabytes."""
+        for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    def output(self) -> str:
+        """Wait for the end of the process and return what it printed."""
+        return self._process.communicate()[0]
+
+    def terminate(self) -> int:
+        """Stop the process in good order.
+
+        :returns: its exit status; killed if it does not end.
+        """
+        self._process.terminate()
+        return self.wait()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._process.kill()
+        self._process.wait()
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Return the exit status; the process is killed past the limit."""
+        try:
+            return self._process.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -9
+
+
+@contextmanager
+def started(
+    arguments: Sequence[str], cores: Sequence[int] | None = None
+) -> Iterator[Process]:
+    """Run a process while the body runs."""
+    process = Process(arguments, cores)
+    try:
+        yield process
+    finally:
+        if process.running:
+            process.kill()
+
+
+def start_standin(stack: ExitStack, *arguments: str) -> Address:
+    """Start a stand-in and return where it listens."""
+    command = [sys.executable, "-m", "lentilshore_standins", *arguments]
+    return stack.enter_context(started(command)).read_address()
+
+
+def write_settings(directory: Path, name: str, **changes: Any) -> Path:
+    """Write the settings file of a node.
+
+    :param directory: where the file and the session key go.
+    :param name: name of the instance.
+    :param changes: settings beyond the needed ones.
+    :returns: path of the file.
+    """
+    key = directory / "session.key"
+    key.write_text("bench session key")
+    settings = {
+        "instance": name,
+        "data_centre": "dc-1",
+        "session_keys": [{"id": "k1", "file": str(key)}],
+        **changes,
+    }
+    path = directory / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    return path
+
+
+def node_command(settings: Path) -> list[str]:
+    """Return the command of a node."""
+    program = Path(sys.executable).parent / "lentilshore"
+    return [str(program), "serve", str(settings)]
+
+
+def listener(port: int) -> dict[str, Any]:
+    """Return the setting of a listener on loopback."""
+    return {"host": "127.0.0.1", "port": port}
+
+
+def instance(name: str, role: str, address: Address, groups: Sequence[str]) -> Any:
+    """Return an entry of the instance list."""
+    return {
+        "name": name,
+        "role": role,
+        "data_centre": "dc-1",
+        "host": address.host,
+        "port": address.port,
+        "groups": list(groups),
+        "state": "live",
+    }
+
+
+def wait_until(check: Any, limit_s: float = START_LIMIT_S) -> None:
+    """Wait until a check holds.
+
+    :raises TimeoutError: if it does not in time.
+    """
+    until = time.monotonic() + limit_s
+    while not check():
+        if time.monotonic() > until:
+            raise TimeoutError("a process did not come up")
+        time.sleep(0.05)
--- a/packages/kernel/src/lentilshore_kernel/__init__.py
+++ b/packages/kernel/src/lentilshore_kernel/__init__.py
@@ -3,7 +3,13 @@
 from .clock import Clock, SystemClock
 from .exceptions import LentilshoreError, RefusalError, StoreError, UpstreamError
 from .logs import log_event, start_logging
-from .metrics import Metrics, MetricsRecorder, refusal_counter, retry_counter
+from .metrics import (
+    Metrics,
+    MetricsRecorder,
+    refusal_counter,
+    report_failure,
+    retry_counter,
+)
 from .registry import Registry, load_plugins, plugin
 from .settings import Settings, load_settings
 from .types import (
@@ -41,6 +47,7 @@
     "parse_model_version",
     "plugin",
     "refusal_counter",
+    "report_failure",
     "retry_counter",
     "start_logging",
 ]
--- a/packages/kernel/src/lentilshore_kernel/metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/metrics.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import Counter
 from typing import Any, Protocol
 
 from .clock import Clock
+from .logs import log_event
 from .types import Address, RefusalReason, RetryReason
 
 FLUSH_INTERVAL_S = 1.0
@@ -76,6 +78,17 @@
         recorder.flush(client)
 
 
+def report_failure(metrics: Metrics, error: Exception) -> None:
+    """Count and log a failure of a recurring task, which goes on.
+
+    :param metrics: receives the counter ``task.failed``.
+    :param error: what was raised, an error that nobody foresaw.
+    """
+    metrics.count("task.failed")
+    trace = "".join(traceback.format_exception(error))
+    log_event("task_failed", error=type(error).__name__, trace=trace)
+
+
 def refusal_counter(reason: RefusalReason) -> str:
     """Return the counter name of a refusal reason."""
     return f"refusal.{reason.value}"
--- a/packages/node/src/lentilshore_node/app.py
+++ b/packages/node/src/lentilshore_node/app.py
@@ -33,6 +33,7 @@
 
 SERVICE_PREFIX = "/v1/services/"
 SERVICE_PATH_PARTS = 2
+LIMIT_CHECK_S = 1.0
 
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
@@ -53,8 +54,7 @@
         """Serve one request of the ASGI server."""
         if scope["type"] != "http":
             return
-        limits = self._context.settings.limits
-        responder = AsgiResponder(send, self._context.clock, limits.caller_stall_s)
+        responder = AsgiResponder(send, self._context.clock)
         self._context.in_flight += 1
         try:
             await self._guard(scope, receive, responder)
@@ -112,7 +112,7 @@
         customer = self._admit(headers)
         request = parse_completion(headers, await self._read_body(receive))
         job = await self._until_disconnect(
-            receive, self._completions.serve, customer, request, responder
+            receive, responder, self._completions.serve, customer, request
         )
         self._log(job)
 
@@ -133,7 +133,7 @@
         body = await self._read_body(receive)
         request = ServiceRequest(headers, parts[0], parts[1], body, content_type)
         job = await self._until_disconnect(
-            receive, self._services.serve, customer, request, responder
+            receive, responder, self._services.serve, customer, request
         )
         self._log(job)
 
@@ -176,7 +176,11 @@
         return b"".join(parts)
 
     async def _until_disconnect(
-        self, receive: Receive, serve: Callable[..., Awaitable[Job]], *args: Any
+        self,
+        receive: Receive,
+        responder: Responder,
+        serve: Callable[..., Awaitable[Job]],
+        *args: Any,
     ) -> Job | None:
         """Serve a request, ending it if the caller leaves or the drain limit passes.
 
@@ -190,18 +194,16 @@
                 pass
             group.cancel_scope.cancel()
 
-        async def watch_drain() -> None:
+        async def watch_limits() -> None:
             nonlocal failure
-            await self._context.expired.wait()
-            detail = "the node stopped before the answer was whole"
-            failure = RefusalError(RefusalReason.DRAINING, Execution.UNKNOWN, detail)
+            failure = await self._wait_limit(responder)
             group.cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch_caller)
-            group.start_soon(watch_drain)
+            group.start_soon(watch_limits)
             try:
-                job = await serve(*args)
+                job = await serve(*args, responder)
             except Exception as error:  # noqa: BLE001
                 failure = error
             group.cancel_scope.cancel()
@@ -209,6 +211,20 @@
             raise failure
         return job
 
+    async def _wait_limit(self, responder: Responder) -> RefusalError:
+        """Wait until the drain limit has passed or the caller reads too slowly."""
+        stall_s = self._context.settings.limits.caller_stall_s
+        while not self._context.expired.is_set():
+            with self._context.clock.timeout(LIMIT_CHECK_S):
+                await self._context.expired.wait()
+            if responder.stalled_s > stall_s:
+                detail = f"nothing was read for {stall_s:.0f} s"
+                return RefusalError(
+                    RefusalReason.CALLER_TOO_SLOW, Execution.UNKNOWN, detail
+                )
+        detail = "the node stopped before the answer was whole"
+        return RefusalError(RefusalReason.DRAINING, Execution.UNKNOWN, detail)
+
     async def _refuse(self, refusal: RefusalError, responder: Responder) -> None:
         self._context.metrics.count(refusal_counter(refusal.reason))
         log_event(
--- a/packages/node/src/lentilshore_node/engine.py
+++ b/packages/node/src/lentilshore_node/engine.py
@@ -22,7 +22,14 @@
     HttpClient,
     translated_errors,
 )
-from .upstreams import Engine, EngineCall, StreamChunk, WholeAnswer
+from .upstreams import (
+    CacheEvent,
+    Engine,
+    EngineCall,
+    LoadAnswer,
+    StreamChunk,
+    WholeAnswer,
+)
 
 CONTROL_TIMEOUT_S = 1.0
 REFUSED_STATUSES = (429, 503)
@@ -90,12 +97,13 @@
 
     async def load(self, replica: Replica) -> tuple[float, float]:
         """Return tokens of work waiting and the age of the report in seconds."""
-        report = await self._control(replica, "GET", "/v1/load")
-        return float(report["work_tokens"]), float(report["age_s"])
+        report = _convert(await self._control(replica, "GET", "/v1/load"), LoadAnswer)
+        return report["work_tokens"], report["age_s"]
 
-    async def cache_events(self, replica: Replica, after: int) -> list[dict[str, Any]]:
+    async def cache_events(self, replica: Replica, after: int) -> list[CacheEvent]:
         """Return cache events after a sequence number."""
-        return await self._control(replica, "GET", f"/v1/cache-events?after={after}")
+        path = f"/v1/cache-events?after={after}"
+        return _convert(await self._control(replica, "GET", path), list[CacheEvent])
 
     async def order(self, replica: Replica, order: dict[str, Any]) -> dict[str, Any]:
         """Give an order and return the engine's new state."""
@@ -178,6 +186,16 @@
     return msgspec.json.encode(body)
 
 
+def _convert(value: Any, kind: Any) -> Any:
+    """Return a control answer as its type; engines are not trusted to keep it."""
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        raise UpstreamError(
+            RefusalReason.UPSTREAM_GARBLED, Execution.UNKNOWN, str(error)
+        ) from error
+
+
 def _check_status(status: int) -> None:
     if status == 200:
         return
--- a/packages/node/src/lentilshore_node/http_client.py
+++ b/packages/node/src/lentilshore_node/http_client.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
+import anyio
 import httpcore
 import msgspec
 
@@ -14,7 +15,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_S = 30.0
-CONNECTION_LIMIT = 1024
+IDLE_LIMIT = 64
 ANSWER_LIMIT_BYTES = 16_777_216
 
 
@@ -58,19 +59,55 @@
         return msgspec.json.decode(self.body)
 
 
+class _ConnectionList:
+    """Idle connections by address; each stream has a connection of its own.
+
+    The library's pool looks at every connection for each request, which costs
+    more than the relay itself once there are hundreds of streams.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[Address, list[httpcore.AsyncHTTPConnection]] = {}
+
+    def take(self, address: Address) -> httpcore.AsyncHTTPConnection:
+        """Return an idle connection that is still open, else a new one."""
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_idle() and not connection.has_expired():
+                return connection
+        host = f"[{address.host}]" if ":" in address.host else address.host
+        origin = httpcore.Origin(b"http", host.encode(), address.port)
+        return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEP_ALIVE_S)
+
+    async def give_back(
+        self, address: Address, connection: httpcore.AsyncHTTPConnection
+    ) -> None:
+        """Keep a connection for the next request if it can serve one."""
+        idle = self._idle.setdefault(address, [])
+        if connection.is_idle() and len(idle) < IDLE_LIMIT:
+            idle.append(connection)
+            return
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            for connection in idle:
+                await connection.aclose()
+        self._idle.clear()
+
+
 class HttpClient:
     """Client for servers that are named by IP number and port."""
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTION_LIMIT,
-            max_keepalive_connections=CONNECTION_LIMIT,
-            keepalive_expiry=KEEP_ALIVE_S,
-        )
+        self._connections = _ConnectionList()
 
     async def close(self) -> None:
-        """Close every connection."""
-        await self._pool.aclose()
+        """Close every idle connection."""
+        await self._connections.close()
 
     async def request(
         self,
@@ -114,7 +151,6 @@
         :raises CallNotSentError: if nothing was sent.
         :raises CallBrokenError: if the call failed after that.
         """
-        host = f"[{address.host}]" if ":" in address.host else address.host
         timeouts = {
             "connect": min(CONNECT_TIMEOUT_S, timeout_s),
             "pool": timeout_s,
@@ -123,19 +159,41 @@
         }
         fields = {} if body is None else {"content-type": "application/json"}
         fields.update(headers or {})
-        call = self._pool.stream(
-            method,
-            f"http://{host}:{address.port}{path}",
-            headers=fields,
-            content=body,
-            extensions={"timeout": timeouts},
-        )
-        with _translated_errors():
-            reply = await call.__aenter__()
+        request = _build_request(method, address, path, body, fields, timeouts)
+        connection = self._connections.take(address)
         try:
-            yield reply
+            with _translated_errors():
+                reply = await connection.handle_async_request(request)
+            try:
+                yield reply
+            finally:
+                await reply.aclose()
         finally:
-            await reply.aclose()
+            await self._connections.give_back(address, connection)
+
+
+def _build_request(
+    method: str,
+    address: Address,
+    path: str,
+    body: bytes | None,
+    fields: Mapping[str, str],
+    timeouts: Mapping[str, float],
+) -> httpcore.Request:
+    url = httpcore.URL(
+        scheme=b"http",
+        host=address.host.encode(),
+        port=address.port,
+        target=path.encode(),
+    )
+    headers = [(b"host", f"{address.host}:{address.port}".encode())]
+    headers += [(k.encode("latin-1"), v.encode("latin-1")) for k, v in fields.items()]
+    if body is not None:
+        headers.append((b"content-length", str(len(body)).encode()))
+    extensions = {"timeout": timeouts}
+    return httpcore.Request(
+        method, url, headers=headers, content=body, extensions=extensions
+    )
 
 
 class _translated_errors:  # noqa: N801
--- a/packages/node/src/lentilshore_node/operators.py
+++ b/packages/node/src/lentilshore_node/operators.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
 
-import capnp
 import msgspec
 
 from lentilshore_fleet import Change, ConfigurationStore, Snapshot, read_totals
@@ -326,12 +325,3 @@
 
 def _failure(kind: str, message: str, problems: list[str] | None = None) -> Any:
     return {"kind": kind, "message": message, "problems": problems or []}
-
-
-async def serve_operator_connection(stream: Any, server: OperatorServer) -> None:
-    """Serve one operator's connection until it closes."""
-    try:
-        bootstrap = server.create_bootstrap()
-        await capnp.TwoPartyServer(stream, bootstrap=bootstrap).on_disconnect()
-    except capnp.KjException:
-        return
--- a/packages/node/src/lentilshore_node/peers.py
+++ b/packages/node/src/lentilshore_node/peers.py
@@ -74,6 +74,7 @@
     :param bootstrap: the object that the other side calls.
     """
     try:
-        await capnp.TwoPartyServer(stream, bootstrap=bootstrap).on_disconnect()
+        server = capnp.TwoPartyServer(stream, bootstrap=bootstrap)
+        await server.on_disconnect()
     except capnp.KjException:
         return
--- a/packages/node/src/lentilshore_node/responder.py
+++ b/packages/node/src/lentilshore_node/responder.py
@@ -9,7 +9,6 @@
 
 from lentilshore_kernel import Clock
 from lentilshore_kernel.exceptions import RefusalError
-from lentilshore_kernel.types import Execution, RefusalReason
 
 Headers = Sequence[tuple[str, str]]
 
@@ -23,6 +22,10 @@
     def started(self) -> bool:
         """Whether status and headers have been sent."""
 
+    @property
+    def stalled_s(self) -> float:
+        """Seconds for which the caller has not read what waits for it."""
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
 
@@ -37,18 +40,22 @@
     """Answer through an ASGI server.
 
     :param send: the server's function.
-    :param clock: bounds the wait for a slow reader.
-    :param stall_s: longest wait for the caller to read, seconds.
+    :param clock: measures how long a caller has not read.
     """
 
-    def __init__(
-        self, send: Callable[[Any], Awaitable[None]], clock: Clock, stall_s: float
-    ) -> None:
+    def __init__(self, send: Callable[[Any], Awaitable[None]], clock: Clock) -> None:
         self._send = send
         self._clock = clock
-        self._stall_s = stall_s
+        self._writing_since: float | None = None
         self._started = False
 
+    @property
+    def stalled_s(self) -> float:
+        """Seconds for which the caller has not read what waits for it."""
+        if self._writing_since is None:
+            return 0.0
+        return self._clock.monotonic() - self._writing_since
+
     @property
     def started(self) -> bool:
         """Whether status and headers have been sent."""
@@ -63,29 +70,18 @@
         )
 
     async def send(self, data: bytes) -> None:
-        """Send a part of the body.
-
-        :raises RefusalError: ``caller_too_slow``.
-        """
+        """Send a part of the body."""
         await self._write(data, True)
 
     async def finish(self, data: bytes = b"") -> None:
-        """Send the last part of the body.
-
-        :raises RefusalError: ``caller_too_slow``.
-        """
+        """Send the last part of the body."""
         await self._write(data, False)
 
     async def _write(self, data: bytes, more: bool) -> None:
         message = {"type": "http.response.body", "body": data, "more_body": more}
-        with self._clock.timeout(self._stall_s) as scope:
-            await self._send(message)
-        if scope.cancelled_caught:
-            raise RefusalError(
-                RefusalReason.CALLER_TOO_SLOW,
-                Execution.RAN,
-                f"nothing was read for {self._stall_s:.0f} s",
-            )
+        self._writing_since = self._clock.monotonic()
+        await self._send(message)
+        self._writing_since = None
 
 
 def encode_refusal(refusal: RefusalError, request: str) -> bytes:
--- a/packages/node/src/lentilshore_node/server.py
+++ b/packages/node/src/lentilshore_node/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import signal
 import socket
@@ -34,7 +35,7 @@
 from .context import NodeContext
 from .http_client import HttpClient
 from .links import LinkCopier, LinkManager, PeerLink, connect_peer
-from .operators import OperatorServer, serve_operator_connection
+from .operators import OperatorServer
 from .peers import create_peer_bootstrap, serve_rpc_connection
 
 LISTEN_BACKLOG = 1024
@@ -171,7 +172,7 @@
             _serve_rpc,
             operator_socket,
             create_server_context(self._settings.operator_tls),
-            lambda stream: serve_operator_connection(stream, operators),
+            lambda stream: serve_rpc_connection(stream, operators.create_bootstrap()),
         )
         if self._settings.statsd is not None:
             address = self._settings.statsd.address
@@ -242,8 +243,20 @@
 
 
 async def _serve_rpc(listener: socket.socket, tls: Any, serve: Any) -> None:
+    connections: set[Any] = set()
+
+    async def serve_connection(stream: Any) -> None:
+        # The event loop refers to tasks only weakly, and nothing else refers to
+        # one that waits for a call of the RPC library.
+        task = asyncio.current_task()
+        connections.add(task)
+        try:
+            await serve(stream)
+        finally:
+            connections.discard(task)
+
     server = await capnp.AsyncIoStream.create_server(
-        serve, sock=listener, ssl=tls, backlog=LISTEN_BACKLOG
+        serve_connection, sock=listener, ssl=tls, backlog=LISTEN_BACKLOG
     )
     async with server:
         await server.serve_forever()
--- a/packages/node/src/lentilshore_node/upstreams.py
+++ b/packages/node/src/lentilshore_node/upstreams.py
@@ -4,7 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, TypedDict
 
 from lentilshore_kernel.types import Priority
 from lentilshore_routing.placement import Replica
@@ -102,6 +102,30 @@
     body: bytes
 
 
+class LoadAnswer(TypedDict):
+    """An engine's load report.
+
+    :param work_tokens: tokens of work waiting or running.
+    :param age_s: age of the report, seconds.
+    """
+
+    work_tokens: float
+    age_s: float
+
+
+class CacheEvent(TypedDict):
+    """A change of an engine's prefix cache.
+
+    :param sequence: number of the event; numbers may be missing.
+    :param prefix: hash of the prefix.
+    :param held: whether the engine holds it now.
+    """
+
+    sequence: int
+    prefix: str
+    held: bool
+
+
 class Engine(Protocol):
     """An upstream that runs models.
 
@@ -122,7 +146,7 @@
     async def load(self, replica: Replica) -> tuple[float, float]:
         """Return tokens of work waiting and the age of the report in seconds."""
 
-    async def cache_events(self, replica: Replica, after: int) -> list[dict[str, Any]]:
+    async def cache_events(self, replica: Replica, after: int) -> list[CacheEvent]:
         """Return cache events after a sequence number."""
 
     async def order(self, replica: Replica, order: dict[str, Any]) -> dict[str, Any]:
