--- a/packages/fleet/src/lentilshore_fleet/membership.py
+++ b/packages/fleet/src/lentilshore_fleet/membership.py
@@ -10,7 +10,7 @@
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.types import Address, Incarnation
 
-HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.25
 SUSPECT_AFTER_S = 3.0
 DEAD_AFTER_S = 10.0
 FORGET_AFTER_S = 600.0
