--- a/bench/relay.py
+++ b/bench/relay.py
@@ -90,7 +90,6 @@
         )
         measure(PORT_CALLER, 500, router)
         figures["rss_mb_at_500_streams"] = router.resident_mb()
-        figures["slow_reader_bytes_max"] = 65_536.0
         return figures
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+
 from lentilshore_fleet import ConfigurationView, Snapshot
 from lentilshore_fleet.configuration import Delta
 from lentilshore_kernel.testing import FakeClock
--- a/packages/kernel/src/lentilshore_kernel/settings.py
+++ b/packages/kernel/src/lentilshore_kernel/settings.py
@@ -18,9 +18,10 @@
 from .exceptions import SettingProblemError, SettingsError
 from .types import Address
 
-Port = Annotated[int, Field(ge=0, le=65535)]
+Port = Annotated[int, Field(strict=True, ge=0, le=65535)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$")]
-Seconds = Annotated[float, Field(gt=0)]
+Seconds = Annotated[float, Field(strict=True, gt=0)]
+Count = Annotated[int, Field(strict=True, ge=0)]
 
 
 class _Section(BaseModel):
@@ -80,17 +81,16 @@
 class LimitSettings(_Section):
     """Bounds of one node."""
 
-    body_bytes: int = Field(4_194_304, gt=0, description="largest request body, bytes")
-    caller_buffer_bytes: int = Field(
-        65_536, gt=0, description="most bytes held for a caller that reads slowly"
+    body_bytes: Count = Field(
+        4_194_304, gt=0, description="largest request body, bytes"
     )
     caller_stall_s: Seconds = Field(
         30.0, description="longest wait for a caller to read, seconds"
     )
-    concurrent_requests: int = Field(
+    concurrent_requests: Count = Field(
         512, gt=0, description="requests dispatched at once by this node"
     )
-    queued_requests: int = Field(512, ge=0, description="requests that may wait")
+    queued_requests: Count = Field(512, ge=0, description="requests that may wait")
     queue_wait_s: Seconds = Field(2.0, description="longest wait in the queue, seconds")
     upstream_stall_s: Seconds = Field(
         10.0, description="longest silence of an upstream, seconds"
@@ -131,6 +131,7 @@
     )
     drain_notice_s: float = Field(
         2.0,
+        strict=True,
         ge=0,
         description="time from failing /readyz to refusing requests at a stop, seconds",
     )
--- a/packages/standins/src/lentilshore_standins/demo.py
+++ b/packages/standins/src/lentilshore_standins/demo.py
@@ -4,7 +4,7 @@
 
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -92,11 +92,21 @@
 
     async def post(self, path: str, body: Any, **headers: str) -> HttpAnswer:
         """Send a request."""
-        fields = {"authorization": f"Bearer {CALLER_KEY}"}
-        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
-        data = msgspec.json.encode(body)
+        fields = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self.send(path, body, fields)
+
+    async def send(
+        self, path: str, body: Any, headers: Mapping[str, str]
+    ) -> HttpAnswer:
+        """Send a request with headers as they are, the key aside."""
+        fields = {"authorization": f"Bearer {CALLER_KEY}"} | dict(headers)
+        data = body if isinstance(body, bytes) else msgspec.json.encode(body)
         return await self._http.request("POST", self._address, path, data, fields)
 
+    async def get(self, path: str, headers: Mapping[str, str]) -> HttpAnswer:
+        """Read a path."""
+        return await self._http.request("GET", self._address, path, None, headers)
+
     async def explain(self, answer: HttpAnswer) -> Any:
         """Return how a request was served, None for one that got no identifier."""
         request = answer.headers.get("lentilshore-request")
@@ -227,7 +237,7 @@
         revision = (await operator.read()).revision
         await operator.change("demonstration", revision, RECORDS)
         caller = DemoCaller(node.addresses.caller, operator)
-        await _wait_ready(node)
+        await wait_ready(node)
         steps = [await show(caller, operator) for show in STEPS]
         await caller.close()
         return steps
@@ -236,6 +246,15 @@
 @asynccontextmanager
 async def running_fleet() -> AsyncIterator[Node]:
     """Run one node and every stand-in in this process."""
+    async with running_fleet_with_standins() as (node, _, _):
+        yield node
+
+
+@asynccontextmanager
+async def running_fleet_with_standins() -> AsyncIterator[
+    tuple[Node, EngineStandIn, ServiceStandIn]
+]:
+    """Run one node; give out the stand-ins as well, to plan faults."""
     clock = SystemClock()
     platform = PlatformStandIn(clock)
 
@@ -260,7 +279,7 @@
             key.write_text("demonstration session key")
             settings = _settings(platform_address, key)
             async with running_node(settings, load_plugins(), clock) as node:
-                yield node
+                yield node, engine, service
 
 
 def _settings(platform: Address, key: Path) -> Settings:
@@ -291,7 +310,8 @@
     }
 
 
-async def _wait_ready(node: Node) -> None:
+async def wait_ready(node: Node) -> None:
+    """Wait until a node serves."""
     with anyio.fail_after(READY_TIMEOUT_S):
         while not (node.context.ready and node.context.placement.groups):
             await anyio.sleep(0.02)
