Copy bills to two peers and again when one is lost

Cause: the soak showed answers without a bill. The peer that held a killed node's copies had been stopped in good order before, which threw them away, and nothing told the owner. Ruled out: writing each bill to the store at once, several thousand a second. Change: bills go to two peers at once; an owner that loses a holder copies its unwritten bills anew; a stopping holder writes what it holds. Conclusion: a bill is lost only if the owner and both holders are within the time of detection, or the owner alone while cut off from everybody.

--- a/packages/fleet/src/lentilshore_fleet/ledger.py
+++ b/packages/fleet/src/lentilshore_fleet/ledger.py
@@ -183,16 +183,24 @@
         :returns: whether a peer or the store has every bill now.
         """
         bills = list(self._uncopied.values())
-        if not bills:
-            return True
-        try:
-            await self._copier.copy(self._owner, bills, self.watermark)
-        except PeerUnavailableError:
-            return False
-        for bill in bills:
-            self._uncopied.pop(bill.sequence, None)
+        for start in range(0, len(bills), SEAL_BILLS):
+            part = bills[start : start + SEAL_BILLS]
+            try:
+                await self._copier.copy(self._owner, part, self.watermark)
+            except PeerUnavailableError:
+                return False
+            for bill in part:
+                self._uncopied.pop(bill.sequence, None)
         return not self._uncopied
 
+    def forget_copies(self) -> None:
+        """Take every bill that is not in the store as not copied."""
+        for sealed in self._sealed:
+            for bill in decode_bills(sealed.data):
+                self._uncopied[bill.sequence] = bill
+        for bill in self._pending:
+            self._uncopied[bill.sequence] = bill
+
     def _settle(self, sealed: _Sealed) -> None:
         for sequence in sealed.sequences:
             self._uncopied.pop(sequence, None)
--- a/packages/node/src/lentilshore_node/background.py
+++ b/packages/node/src/lentilshore_node/background.py
@@ -110,6 +110,8 @@
                 await context.clock.sleep(HAND_OVER_RETRY_S)
                 await context.ledger.secure()
                 await context.ledger.flush(FINAL_FLUSH_SEGMENTS)
+        with context.clock.timeout(FINAL_FLUSH_LIMIT_S):
+            await self._write_copies()
         targets = self._links.copy_targets()
         if not context.ledger.unwritten:
             context.membership.leave()
@@ -122,3 +124,9 @@
                 except PeerUnavailableError:
                     continue
         return context.ledger.uncopied == 0
+
+    async def _write_copies(self) -> None:
+        """Write the bills that this node holds for others."""
+        copies = self._context.copies
+        for owner in copies.owners:
+            await copies.write_for(owner)
--- a/packages/node/src/lentilshore_node/links.py
+++ b/packages/node/src/lentilshore_node/links.py
@@ -33,6 +33,7 @@
 PROBE_INTERVAL_S = 3.0
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 5.0
+COPIES = 2
 COPY_BATCH_BILLS = 256
 POSTED_LIMIT = 4_096
 
@@ -260,7 +261,11 @@
             heartbeat.wake()
 
     def copy_targets(self) -> list[PeerLink]:
-        """Return working links in the order in which bills are copied to them.
+        """Return working links in the order in which bills are copied to them."""
+        return [link for _, link in self.copy_holders()]
+
+    def copy_holders(self) -> list[tuple[Incarnation, PeerLink]]:
+        """Return working links as :meth:`copy_targets`, with the other's name.
 
         Peers in other data centres come first.
         """
@@ -270,7 +275,8 @@
             member = self._context.membership.find(incarnation.node)
             local = member is None or member.data_centre == own.data_centre
             found.append((local, incarnation, self._heartbeats[incarnation].link))
-        return [link for _, _, link in sorted(found, key=lambda item: item[:2])]
+        found.sort(key=lambda item: item[:2])
+        return [(incarnation, link) for _, incarnation, link in found]
 
     async def tell(self, link: PeerLink) -> None:
         """Exchange one heartbeat outside the usual rhythm.
@@ -345,6 +351,7 @@
         self._owner = ""
         self._watermark = 0
         self._sending = False
+        self._holders: set[Incarnation] = set()
 
     def attach(self, links: LinkManager) -> None:
         """Set the links to copy over."""
@@ -371,6 +378,13 @@
         if not all(done[0] for _, _, done in entries):
             raise PeerUnavailableError("no peer took a copy of the bill")
 
+    def lost_holder(self) -> bool:
+        """Tell, once, whether a peer that holds copies is no longer linked."""
+        linked = set(self._links.connected) if self._links else set()
+        lost = self._holders - linked
+        self._holders -= lost
+        return bool(lost)
+
     async def send_posted(self) -> None:
         """Send posted bills, unless a call that takes them along is under way."""
         if not self._posted or self._sending:
@@ -404,11 +418,24 @@
             event.set()
 
     async def _send(self, bills: list[Bill]) -> bool:
-        targets = self._links.copy_targets() if self._links else []
-        for link in targets:
+        """Copy bills to several peers at once.
+
+        :returns: whether at least one has them.
+        """
+        targets = self._links.copy_holders() if self._links else []
+        sent: list[Incarnation] = []
+
+        async def send(incarnation: Incarnation, link: PeerLink) -> None:
             try:
                 await link.copy_bills(self._owner, bills, self._watermark)
-                return True
+                sent.append(incarnation)
             except PeerUnavailableError:
-                continue
-        return False
+                return
+
+        while targets and len(sent) < COPIES:
+            batch, targets = targets[:COPIES], targets[COPIES:]
+            async with anyio.create_task_group() as group:
+                for incarnation, link in batch:
+                    group.start_soon(send, incarnation, link)
+        self._holders.update(sent)
+        return bool(sent)
--- a/packages/node/src/lentilshore_node/upkeep.py
+++ b/packages/node/src/lentilshore_node/upkeep.py
@@ -113,7 +113,13 @@
             apply(replica.name, event["prefix"])
 
     async def _secure_bills(self) -> None:
-        await self._context.ledger.secure()
+        """Copy again what a lost peer held, and what nobody holds."""
+        ledger = self._context.ledger
+        if self._copier.lost_holder():
+            self._context.metrics.count("bill.holder_lost")
+            ledger.forget_copies()
+        if not await ledger.secure():
+            await ledger.flush()
 
     async def _post_bills(self) -> None:
         await self._copier.send_posted()
--- a/tests/faults/scenarios.py
+++ b/tests/faults/scenarios.py
@@ -308,6 +308,39 @@
     await settle(world)
 
 
+async def keeper_path(world: World) -> None:
+    """The peer that holds copies stops, then the owner of the bills crashes.
+
+    An owner that is cut off from everybody by then is spared: nobody else can
+    have its bills.
+    """
+    await prepare(world)
+    for number in range(3):
+        await ask(world, "a", f"archive|easy|k{number}#0")
+    world.track()
+    world.history.planned_stops.add("c")
+    await stop_node(world, world.nodes["c"])
+    await world.clock.sleep(5.0)
+    if not world.nodes["a"].isolated and world.nodes["a"].alive:
+        world.nodes["a"].crash()
+    world.history.planned_stops.discard("c")
+    world.replace("c")
+    await settle(world)
+
+
+async def lost_keeper_path(world: World) -> None:
+    """The peer that holds copies crashes, then the owner of the bills."""
+    await prepare(world)
+    for number in range(3):
+        await ask(world, "a", f"archive|easy|k{number}#0")
+    world.track()
+    world.nodes["c"].crash()
+    await world.clock.sleep(6.0)
+    if not world.nodes["a"].isolated and world.nodes["a"].alive:
+        world.nodes["a"].crash()
+    await settle(world)
+
+
 async def stop_path(world: World) -> None:
     await prepare(world)
     node = world.nodes["a"]
@@ -418,6 +451,8 @@
     ),
     "lease": Path(lease_path, "leader", ("get leases/leader", "put leases/leader")),
     "bill": Path(bill_path, "a", ("peer.copy#2", "put bills")),
+    "keeper": Path(keeper_path, "c", ("put bills", "peer.exchange")),
+    "lost_keeper": Path(lost_keeper_path, "a", ("peer.copy", "peer.exchange")),
     "stop": Path(
         stop_path,
         "a",
