Make the operators' commands run, and split them by subject

Cause: each command of lentilshorectl printed its help and failed when run: the command-line library could not resolve an untyped argument. Change: commands call their function with themselves; the file of 569 lines is split into connection, records, rollouts and fleet; serving a job and running a program stand once. Conclusion: help texts prove nothing of a program.

--- a/packages/ctl/src/lentilshore_ctl/cli.py
+++ b/packages/ctl/src/lentilshore_ctl/cli.py
@@ -2,27 +2,23 @@
 
 from __future__ import annotations
 
-import sys
 from dataclasses import dataclass
 
 import cappa
 
-from lentilshore_kernel.exceptions import LentilshoreError
+from lentilshore_kernel.program import run_program
 
-from .commands import (
-    Bills,
+from .fleet import Bills, Explain, Status, Watch
+from .records import (
     CascadeCommands,
     CustomerCommands,
-    Explain,
     ModelCommands,
     Restore,
-    RolloutCommands,
     ServiceCommands,
-    Status,
     VersionCommands,
-    Watch,
     Withdraw,
 )
+from .rollouts import RolloutCommands
 
 EXIT_CODES = (
     "Exit codes: 0 success, 1 failure or not found, 2 bad usage or an invalid record, "
@@ -62,12 +58,4 @@
     :param arguments: arguments without the program's name; those of the process
         if None.
     """
-    argv = sys.argv[1:] if arguments is None else arguments
-    try:
-        cappa.invoke(Lentilshorectl, argv=argv)
-    except LentilshoreError as error:
-        print(f"Error: {error.format_message()}", file=sys.stderr)
-        sys.exit(error.exit_code)
-    except OSError as error:
-        print(f"Error: {error}", file=sys.stderr)
-        sys.exit(1)
+    run_program(Lentilshorectl, arguments)
--- /dev/null
+++ b/packages/ctl/src/lentilshore_ctl/records.py
@@ -0,0 +1,156 @@
+"""Commands that list, show, set and remove records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+
+from .client import NotFoundError, OperatorClient
+from .connection import (
+    ChangeOptions,
+    Connection,
+    FileArgument,
+    NameArgument,
+    command,
+    read_record,
+)
+from .output import print_fields, print_rows
+
+
+def list_records(command: Any) -> None:
+    """Print the records of a kind."""
+
+    async def work(client: OperatorClient) -> None:
+        found = await client.read(command.KIND)
+        rows = [
+            {"name": key.partition("/")[2], **record}
+            for key, record in found.records.items()
+        ]
+        columns = ["name", *command.COLUMNS]
+        print_rows(rows, columns, command.output)
+
+    command.run(work)
+
+
+def show_record(command: Any) -> None:
+    """Print one record."""
+
+    async def work(client: OperatorClient) -> None:
+        key = f"{command.KIND}/{command.name}"
+        found = await client.read(command.KIND)
+        if key not in found.records:
+            raise NotFoundError(f"no {command.KIND} named {command.name!r}")
+        print_fields(found.records[key], command.output)
+
+    command.run(work)
+
+
+def set_record(command: Any) -> None:
+    """Create or replace one record from a file."""
+    record = read_record(command.file)
+
+    async def work(client: OperatorClient) -> None:
+        await command.apply(client, {f"{command.KIND}/{command.name}": record})
+
+    command.run(work)
+
+
+def remove_record(command: Any) -> None:
+    """Remove one record."""
+
+    async def work(client: OperatorClient) -> None:
+        await command.apply(client, {}, (f"{command.KIND}/{command.name}",))
+
+    command.run(work)
+
+
+def change_version_state(command: Any) -> None:
+    """Set the state of a version."""
+
+    async def work(client: OperatorClient) -> None:
+        key = f"version/{command.name}"
+        await command.apply(client, {key: {"state": command.STATE}})
+
+    command.run(work)
+
+
+def create_record_commands(kind: str, columns: tuple[str, ...], noun: str) -> type:
+    """Return the command group of one kind of record.
+
+    :param kind: kind of the records.
+    :param columns: columns of the list.
+    :param noun: what the help texts call a record of the kind.
+    """
+    base = {"KIND": kind, "COLUMNS": columns}
+
+    def create(name: str, invoke: Any, help_text: str, fields: Any, parent: Any) -> Any:
+        namespace = {"__annotations__": dict(fields), "__doc__": help_text, **base}
+        made = type(
+            f"{noun.title().replace(' ', '')}{name.title()}", (parent,), namespace
+        )
+        made = dataclass(kw_only=True)(made)
+        return command(invoke, name=name, help=help_text)(made)
+
+    list_command = create("list", list_records, f"List every {noun}.", (), Connection)
+    show = create(
+        "show", show_record, f"Show one {noun}.", (("name", NameArgument),), Connection
+    )
+    put = create(
+        "set",
+        set_record,
+        f"Create or replace one {noun} from a YAML file.",
+        (("name", NameArgument), ("file", FileArgument)),
+        ChangeOptions,
+    )
+    remove = create(
+        "remove",
+        remove_record,
+        f"Remove one {noun}.",
+        (("name", NameArgument),),
+        ChangeOptions,
+    )
+    subcommands = cappa.Subcommands[list_command | show | put | remove]
+    group = dataclass(
+        type(
+            f"{noun.title().replace(' ', '')}Group",
+            (),
+            {"__annotations__": {"command": subcommands}, "__doc__": f"Each {noun}."},
+        )
+    )
+    name = kind + "s"
+    return cappa.command(name=name, help=f"List, show, set and remove {noun}s.")(group)
+
+
+CustomerCommands = create_record_commands(
+    "customer", ("models", "services", "quality_targets"), "customer"
+)
+ModelCommands = create_record_commands(
+    "model", ("input_price", "output_price", "default"), "model"
+)
+CascadeCommands = create_record_commands("cascade", ("models",), "cascade")
+ServiceCommands = create_record_commands("service", ("operations",), "service")
+VersionCommands = create_record_commands("version", ("state",), "version")
+
+
+@command(
+    change_version_state,
+    help="Withdraw a version: no node sends it a new request, not even for sessions "
+    "that started on it.",
+)
+@dataclass(kw_only=True)
+class Withdraw(ChangeOptions):
+    """Withdraw a version."""
+
+    STATE = "withdrawn"
+    name: Annotated[str, cappa.Arg(value_name="MODEL@VERSION", help="The version.")]
+
+
+@command(change_version_state, help="Make a withdrawn or halted version active again.")
+@dataclass(kw_only=True)
+class Restore(ChangeOptions):
+    """Make a version active."""
+
+    STATE = "active"
+    name: Annotated[str, cappa.Arg(value_name="MODEL@VERSION", help="The version.")]
--- /dev/null
+++ b/packages/ctl/src/lentilshore_ctl/rollouts.py
@@ -0,0 +1,120 @@
+"""Commands for roll-outs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+
+from .client import NotFoundError, OperatorClient
+from .connection import ChangeOptions, Connection, FileArgument, ModelArgument, command
+from .output import print_fields
+from .records import list_records, set_record
+
+
+def change_rollout(command: Any) -> None:
+    """Change the state of a roll-out, from its record."""
+
+    async def work(client: OperatorClient) -> None:
+        found = await client.read("rollout")
+        key = f"rollout/{command.model}"
+        if key not in found.records:
+            raise NotFoundError(f"no roll-out of {command.model!r}")
+        record = dict(found.records[key]) | {"state": command.STATE}
+        reason = getattr(command, "reason", None)
+        if reason:
+            record["reason"] = reason
+        if command.revision is None:
+            command.revision = found.revision
+        await command.apply(client, {key: record})
+
+    command.run(work)
+
+
+def show_rollout(command: Any) -> None:
+    """Print a roll-out with exposure and evidence."""
+
+    async def work(client: OperatorClient) -> None:
+        answer = await client.rollout(command.model)
+        print_fields(answer.pop("record") | answer, command.output)
+
+    command.run(work)
+
+
+def _rollout_command(name: str, state: str, help_text: str) -> Any:
+    made = type(
+        f"Rollout{name.title()}",
+        (ChangeOptions,),
+        {
+            "__annotations__": {
+                "model": ModelArgument,
+                "reason": Annotated[
+                    str | None,
+                    cappa.Arg(long=True, help="Why; kept in the record."),
+                ],
+            },
+            "__doc__": help_text,
+            "STATE": state,
+            "reason": None,
+        },
+    )
+    made = dataclass(kw_only=True)(made)
+    return command(change_rollout, name=name, help=help_text)(made)
+
+
+@command(set_record, name="start", help="Start a roll-out from a YAML record.")
+@dataclass(kw_only=True)
+class RolloutStart(ChangeOptions):
+    """Start a roll-out."""
+
+    KIND = "rollout"
+    name: Annotated[str, cappa.Arg(value_name="MODEL", help="Name of the model.")]
+    file: FileArgument
+
+
+@command(show_rollout, name="show", help="Show a roll-out, its exposure and evidence.")
+@dataclass(kw_only=True)
+class RolloutShow(Connection):
+    """Show a roll-out."""
+
+    model: ModelArgument
+
+
+@command(list_records, name="list", help="List every roll-out.")
+@dataclass(kw_only=True)
+class RolloutList(Connection):
+    """List roll-outs."""
+
+    KIND = "rollout"
+    COLUMNS = ("base", "candidate", "state", "stage", "reason")
+
+
+RolloutHalt = _rollout_command(
+    "halt", "halted", "Halt a roll-out: new sessions get the base version at once."
+)
+RolloutPause = _rollout_command(
+    "pause", "paused", "Keep a roll-out at its stage; it is still guarded."
+)
+RolloutResume = _rollout_command(
+    "resume", "running", "Resume a halted or paused roll-out at its stage."
+)
+RolloutBack = _rollout_command(
+    "rollback", "rolled_back", "End a roll-out in favour of its base version."
+)
+
+
+@cappa.command(name="rollouts", help="Start, show, halt, resume and end roll-outs.")
+@dataclass
+class RolloutCommands:
+    """Roll-outs of versions."""
+
+    command: cappa.Subcommands[
+        RolloutList
+        | RolloutStart
+        | RolloutShow
+        | RolloutHalt
+        | RolloutPause
+        | RolloutResume
+        | RolloutBack
+    ]
--- a/packages/node/src/lentilshore_node/cli.py
+++ b/packages/node/src/lentilshore_node/cli.py
@@ -13,7 +13,8 @@
 import cappa
 
 from lentilshore_kernel import SystemClock, load_plugins, load_settings, start_logging
-from lentilshore_kernel.exceptions import LentilshoreError, UsageError
+from lentilshore_kernel.exceptions import UsageError
+from lentilshore_kernel.program import run_program
 
 from .server import run_node
 
@@ -135,12 +136,4 @@
     :param arguments: arguments without the program's name; those of the process
         if None.
     """
-    argv = sys.argv[1:] if arguments is None else arguments
-    try:
-        cappa.invoke(Lentilshore, argv=argv)
-    except LentilshoreError as error:
-        print(f"Error: {error.format_message()}", file=sys.stderr)
-        sys.exit(error.exit_code)
-    except OSError as error:
-        print(f"Error: {error}", file=sys.stderr)
-        sys.exit(1)
+    run_program(Lentilshore, arguments)
--- a/packages/node/src/lentilshore_node/completions.py
+++ b/packages/node/src/lentilshore_node/completions.py
@@ -5,7 +5,6 @@
 from contextlib import aclosing
 from typing import Any
 
-import anyio
 import msgspec
 
 from lentilshore_fleet import Session
@@ -55,20 +54,12 @@
         """
         context = self._context
         job = Job(context, customer, request.headers, request.model)
-        outcome, execution = "cancelled", Execution.UNKNOWN
         try:
-            await self._admit(job, request, responder)
-            outcome, execution = "served", Execution.RAN
-        except RefusalError as refusal:
-            outcome, execution = refusal.reason.value, refusal.execution
-            refusal.request = job.request
-            raise
+            async with job.serving():
+                await self._admit(job, request, responder)
         finally:
-            with anyio.CancelScope(shield=True):
-                await job.close_bill()
-            if outcome != "served":
+            if job.explanation["outcome"] != "served":
                 context.exposure.grade(job.request)
-            job.finish(outcome, execution)
         return job
 
     async def _admit(
--- a/packages/node/src/lentilshore_node/jobs.py
+++ b/packages/node/src/lentilshore_node/jobs.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
 from lentilshore_fleet import Bill, BillLine, Session
 from lentilshore_kernel import RetryReason, retry_counter
 from lentilshore_kernel.exceptions import RefusalError
@@ -152,6 +157,22 @@
             COPY_RETRY_S,
         )
 
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        """Close the bill and the record when the body ends, however it does."""
+        outcome, execution = "cancelled", Execution.UNKNOWN
+        try:
+            yield
+            outcome, execution = "served", Execution.RAN
+        except RefusalError as refusal:
+            outcome, execution = refusal.reason.value, refusal.execution
+            refusal.request = self.request
+            raise
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.close_bill()
+            self.finish(outcome, execution)
+
     def finish(self, outcome: str, execution: Execution) -> None:
         """Complete the record of the request.
 
--- a/packages/node/src/lentilshore_node/services.py
+++ b/packages/node/src/lentilshore_node/services.py
@@ -44,8 +44,7 @@
         """
         asked = f"{request.service}/{request.operation}"
         job = Job(self._context, customer, request.headers, asked)
-        outcome, execution = "cancelled", Execution.UNKNOWN
-        try:
+        async with job.serving():
             operation = self._operation(customer, request)
             async with self._context.queue.slot(
                 customer.name, request.headers.priority, job.remaining_s
@@ -53,15 +52,6 @@
                 call = _Call(self._context, job, request, operation)
                 answer = await call.run()
             await self._send(job, answer, responder)
-            outcome, execution = "served", Execution.RAN
-        except RefusalError as refusal:
-            outcome, execution = refusal.reason.value, refusal.execution
-            refusal.request = job.request
-            raise
-        finally:
-            with anyio.CancelScope(shield=True):
-                await job.close_bill()
-            job.finish(outcome, execution)
         return job
 
     def _operation(self, customer: Customer, request: ServiceRequest) -> Any:
