--- a/bench/load.py
+++ b/bench/load.py
@@ -115,6 +115,7 @@
         "gap_ms_p95": _quantile(gaps, 0.95) * 1000,
         "first_ms_p50": _quantile(first, 0.5) * 1000,
         "first_ms_p99": _quantile(first, 0.99) * 1000,
+        "elapsed_s": time.perf_counter() - begin,
         "streams": len(first),
         "errors": results.errors + results.broken,
     }
