Serve the users' platform through one adapter, a gateway and its store's view

Cause: the repository served none of the platform's requests.

What: a pass-through edge beside the completions' edge (gateway, forwarder), a view of configuration, replicas and roll-outs read from the store, and roll-out steps that any node may make under a condition. The adapter translates headers and objects. The HTTP client now parses with httptools: the client library took an extra answer on a kept connection for the next call's, and could not be asked whether bytes nobody waited for had come.

Weighed: a lease for the duty of roll-outs, dropped because each step is a conditional write at the record's revision, which a paused node loses by itself.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 PACKAGES := kernel protocol routing fleet node ctl standins
-PYPROJECTS := $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml)
+MEMBERS := $(foreach name,$(PACKAGES),packages/$(name)) platform
+PYPROJECTS := $(addsuffix /pyproject.toml,$(MEMBERS))
 
 .PHONY: demo test lint format
 
@@ -10,7 +11,7 @@
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
 		-c constraints.txt -r requirements-dev.txt \
-		$(foreach name,$(PACKAGES),-e packages/$(name))
+		$(foreach member,$(MEMBERS),-e ./$(member))
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/packages/kernel/src/lentilshore_kernel/__init__.py
+++ b/packages/kernel/src/lentilshore_kernel/__init__.py
@@ -1,5 +1,7 @@
 """Kernel: types, errors, settings, plug-in registry, clock, logs, metrics."""
 
+from typing import Any
+
 from .clock import Clock, SystemClock
 from .exceptions import LentilshoreError, RefusalError, StoreError, UpstreamError
 from .logs import log_event, start_logging
@@ -11,7 +13,6 @@
     retry_counter,
 )
 from .registry import Registry, load_plugins, plugin
-from .settings import Settings, load_settings
 from .types import (
     Address,
     Execution,
@@ -51,3 +52,14 @@
     "retry_counter",
     "start_logging",
 ]
+
+_SETTINGS_NAMES = ("Settings", "load_settings")
+
+
+def __getattr__(name: str) -> Any:
+    """Import the settings, and with them their checker, only when they are used."""
+    if name not in _SETTINGS_NAMES:
+        raise AttributeError(name)
+    from . import settings
+
+    return getattr(settings, name)
--- a/packages/kernel/src/lentilshore_kernel/exceptions.py
+++ b/packages/kernel/src/lentilshore_kernel/exceptions.py
@@ -29,6 +29,7 @@
     RefusalReason.UPSTREAM_GARBLED: 502,
     RefusalReason.UPSTREAM_STALLED: 504,
     RefusalReason.UPSTREAM_TRUNCATED: 502,
+    RefusalReason.UPSTREAM_FULL: 503,
     RefusalReason.ANSWER_MISMATCH: 502,
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 400,
     RefusalReason.IDEMPOTENCY_KEY_REUSED: 422,
@@ -40,6 +41,7 @@
     RefusalReason.CONFIGURATION_STALE: 503,
     RefusalReason.DRAINING: 503,
     RefusalReason.CALLER_TOO_SLOW: 408,
+    RefusalReason.KEY_UNPROVED: 503,
     RefusalReason.INTERNAL: 500,
 }
 
@@ -177,6 +179,10 @@
         super().__init__(f"{key}: version is {current_version}")
 
 
+class StoreHistoryGoneError(StoreError):
+    """The store no longer has the changes since a revision; list anew."""
+
+
 class StoreValueTooLargeError(StoreError):
     """A value exceeds what the store takes."""
 
--- a/packages/kernel/src/lentilshore_kernel/metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/metrics.py
@@ -37,6 +37,10 @@
         """Counter values since the process started."""
         return dict(self._totals)
 
+    def render(self) -> str:
+        """Return the counters as lines of text."""
+        return "".join(f"{name} {value}\n" for name, value in self._totals.items())
+
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
         self._totals[name] += by
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -41,6 +41,7 @@
     UPSTREAM_GARBLED = "upstream_garbled"
     UPSTREAM_STALLED = "upstream_stalled"
     UPSTREAM_TRUNCATED = "upstream_truncated"
+    UPSTREAM_FULL = "upstream_full"
     ANSWER_MISMATCH = "answer_mismatch"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -52,6 +53,7 @@
     CONFIGURATION_STALE = "configuration_stale"
     DRAINING = "draining"
     CALLER_TOO_SLOW = "caller_too_slow"
+    KEY_UNPROVED = "key_unproved"
     INTERNAL = "internal"
 
 
--- a/packages/node/src/lentilshore_node/app.py
+++ b/packages/node/src/lentilshore_node/app.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
-import anyio
 import msgspec
 
 from lentilshore_kernel import log_event, refusal_counter
@@ -15,6 +15,7 @@
 
 from .completions import CompletionHandler
 from .context import NodeContext
+from .edge import Receive, Send, read_body, serve_until_disconnect
 from .jobs import Job
 from .requests import (
     CallerHeaders,
@@ -35,9 +36,6 @@
 SERVICE_PATH_PARTS = 2
 LIMIT_CHECK_S = 1.0
 
-Receive = Callable[[], Awaitable[Any]]
-Send = Callable[[Any], Awaitable[None]]
-
 
 class CallerApplication:
     """Receives callers' requests and answers each once.
@@ -150,30 +148,9 @@
 
     async def _read_body(self, receive: Receive) -> bytes:
         limits = self._context.settings.limits
-        parts = []
-        size = 0
-        with self._context.clock.timeout(limits.caller_stall_s) as scope:
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    raise RefusalError(
-                        RefusalReason.MALFORMED_REQUEST,
-                        detail="the connection closed before the end of the body",
-                    )
-                size += len(message.get("body", b""))
-                if size > limits.body_bytes:
-                    raise RefusalError(
-                        RefusalReason.BODY_TOO_LARGE,
-                        detail=f"body exceeds {limits.body_bytes} bytes",
-                    )
-                parts.append(message.get("body", b""))
-                if not message.get("more_body"):
-                    break
-        if scope.cancelled_caught:
-            raise RefusalError(
-                RefusalReason.CALLER_TOO_SLOW, detail="the body did not come in time"
-            )
-        return b"".join(parts)
+        return await read_body(
+            receive, self._context.clock, limits.body_bytes, limits.caller_stall_s
+        )
 
     async def _until_disconnect(
         self,
@@ -182,34 +159,11 @@
         serve: Callable[..., Awaitable[Job]],
         *args: Any,
     ) -> Job | None:
-        """Serve a request, ending it if the caller leaves or the drain limit passes.
-
-        :returns: the job, or None if the caller left.
-        """
-        job: Job | None = None
-        failure: Exception | None = None
-
-        async def watch_caller() -> None:
-            while (await receive())["type"] != "http.disconnect":
-                pass
-            group.cancel_scope.cancel()
-
-        async def watch_limits() -> None:
-            nonlocal failure
-            failure = await self._wait_limit(responder)
-            group.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(watch_caller)
-            group.start_soon(watch_limits)
-            try:
-                job = await serve(*args, responder)
-            except Exception as error:  # noqa: BLE001
-                failure = error
-            group.cancel_scope.cancel()
-        if failure is not None and job is None:
-            raise failure
-        return job
+        return await serve_until_disconnect(
+            receive,
+            partial(serve, *args, responder),
+            partial(self._wait_limit, responder),
+        )
 
     async def _wait_limit(self, responder: Responder) -> RefusalError:
         """Wait until the drain limit has passed or the caller reads too slowly."""
--- /dev/null
+++ b/packages/node/src/lentilshore_node/edge.py
@@ -0,0 +1,92 @@
+"""What the edges towards callers share: bodies, disconnects, limits of waiting."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.types import RefusalReason
+
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+T = TypeVar("T")
+
+
+async def read_body(
+    receive: Receive, clock: Clock, limit_bytes: int, stall_s: float
+) -> bytes:
+    """Return the whole body of a caller's request.
+
+    :param receive: the ASGI server's function.
+    :param limit_bytes: largest body that is taken.
+    :param stall_s: longest time that the body may take, seconds.
+    :raises RefusalError: ``malformed_request``, ``body_too_large`` or
+        ``caller_too_slow``.
+    """
+    parts = []
+    size = 0
+    with clock.timeout(stall_s) as scope:
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise RefusalError(
+                    RefusalReason.MALFORMED_REQUEST,
+                    detail="the connection closed before the end of the body",
+                )
+            size += len(message.get("body", b""))
+            if size > limit_bytes:
+                raise RefusalError(
+                    RefusalReason.BODY_TOO_LARGE,
+                    detail=f"body exceeds {limit_bytes} bytes",
+                )
+            parts.append(message.get("body", b""))
+            if not message.get("more_body"):
+                break
+    if scope.cancelled_caught:
+        raise RefusalError(
+            RefusalReason.CALLER_TOO_SLOW, detail="the body did not come in time"
+        )
+    return b"".join(parts)
+
+
+async def serve_until_disconnect(
+    receive: Receive,
+    serve: Callable[[], Awaitable[T]],
+    watch_limits: Callable[[], Awaitable[Exception]] | None = None,
+) -> T | None:
+    """Serve a request, ending it if the caller leaves or a limit is reached.
+
+    :param receive: the ASGI server's function, after the body was read.
+    :param watch_limits: returns once a limit is reached, with what to raise.
+    :returns: what the request returned, or None if the caller left.
+    """
+    result: T | None = None
+    failure: Exception | None = None
+
+    async def watch_caller() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        group.cancel_scope.cancel()
+
+    async def watch() -> None:
+        nonlocal failure
+        if watch_limits is not None:
+            failure = await watch_limits()
+            group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch_caller)
+        if watch_limits is not None:
+            group.start_soon(watch)
+        try:
+            result = await serve()
+        except Exception as error:  # noqa: BLE001
+            failure = error
+        group.cancel_scope.cancel()
+    if failure is not None and result is None:
+        raise failure
+    return result
--- a/packages/node/src/lentilshore_node/engine.py
+++ b/packages/node/src/lentilshore_node/engine.py
@@ -6,7 +6,6 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-import httpcore
 import msgspec
 
 from lentilshore_kernel.exceptions import UpstreamError
@@ -20,7 +19,7 @@
     CallNotSentError,
     CallTimedOutError,
     HttpClient,
-    translated_errors,
+    Reply,
 )
 from .upstreams import (
     CacheEvent,
@@ -157,10 +156,8 @@
 translated_failures = _translated_failures
 
 
-async def _read_chunks(
-    reply: httpcore.Response, reader: EventReader
-) -> AsyncIterator[StreamChunk]:
-    with _translated_failures(), translated_errors():
+async def _read_chunks(reply: Reply, reader: EventReader) -> AsyncIterator[StreamChunk]:
+    with _translated_failures():
         async for data in reply.aiter_stream():
             chunk = reader.feed(data)
             if chunk is not None:
--- /dev/null
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -0,0 +1,182 @@
+"""ASGI application of a gateway: callers' edge for requests passed on unchanged."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Any
+
+from lentilshore_kernel import log_event, refusal_counter
+from lentilshore_kernel.exceptions import (
+    STATUS_BY_REASON,
+    LentilshoreError,
+    RefusalError,
+)
+from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing.routes import CallerLimits
+
+from .edge import Receive, Send, read_body, serve_until_disconnect
+from .forwarder import Forwarder, Outcome
+from .forwarding import ForwardRequest
+from .gateway_context import CALLER_STALL_S, GatewayContext
+from .responder import AsgiResponder, encode_refusal, send_json
+
+# Statuses that tell the caller that the request did not run and never will.
+NOT_RUN_STATUSES = (400, 401, 403, 404, 408, 413, 421, 429, 431, 503)
+NOT_SERVED_STATUS = 503
+FAILED_STATUS = 502
+TIMED_OUT_STATUS = 504
+
+
+class GatewayApplication:
+    """Receives callers' requests and answers each once.
+
+    :param context: the gateway.
+    :param ready_port: port at which the balancer asks; 0 if it asks at any.
+    :param metrics_port: port at which metrics are served, 0 for none.
+    """
+
+    def __init__(
+        self, context: GatewayContext, ready_port: int = 0, metrics_port: int = 0
+    ) -> None:
+        self._context = context
+        self._forwarder = Forwarder(context)
+        self._ready_port = ready_port
+        self._metrics_port = metrics_port
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one request of the ASGI server."""
+        if scope["type"] != "http":
+            return
+        responder = AsgiResponder(send, self._context.clock, self._closing)
+        port = scope["server"][1] if scope.get("server") else 0
+        if self._metrics_port and port == self._metrics_port:
+            await self._send_metrics(responder)
+            return
+        asked_ready = scope["path"] == self._context.translator.ready_path
+        if asked_ready and self._ready_port in (0, port):
+            await self._send_ready(responder)
+            return
+        self._context.in_flight += 1
+        try:
+            await self._guard(scope, receive, responder)
+        finally:
+            self._context.in_flight -= 1
+
+    def _closing(self) -> bool:
+        return self._context.draining
+
+    async def _send_ready(self, responder: AsgiResponder) -> None:
+        status = 200 if self._context.ready else NOT_SERVED_STATUS
+        await send_json(responder, status, b"{}")
+
+    async def _send_metrics(self, responder: AsgiResponder) -> None:
+        body = self._context.metrics.render().encode()
+        fields = [
+            ("content-type", "text/plain; version=0.0.4"),
+            ("content-length", str(len(body))),
+        ]
+        await responder.start(200, fields)
+        await responder.finish(body)
+
+    async def _guard(self, scope: Any, receive: Receive, responder: Any) -> None:
+        request = ""
+        try:
+            head = self._read_head(scope)
+            request = head.request
+            await self._serve(head, receive, responder)
+        except RefusalError as refusal:
+            await self._refuse(refusal, request, responder)
+        except (LentilshoreError, OSError, ValueError, KeyError, TypeError) as error:
+            log_event(
+                "request_failed",
+                request=request or "-",
+                error=type(error).__name__,
+                detail=str(error),
+            )
+            refusal = RefusalError(RefusalReason.INTERNAL, Execution.UNKNOWN)
+            await self._refuse(refusal, request, responder)
+
+    def _read_head(self, scope: Any) -> ForwardRequest:
+        target = scope["raw_path"]
+        if scope["query_string"]:
+            target += b"?" + scope["query_string"]
+        return self._context.translator.read_request(
+            scope["method"], target, scope["path"], scope["headers"]
+        )
+
+    async def _serve(
+        self, head: ForwardRequest, receive: Receive, responder: AsgiResponder
+    ) -> None:
+        received_at = self._context.clock.monotonic()
+        route, holder = self._forwarder.route(head)
+        table = self._context.view.table
+        limits = table.limits if table else CallerLimits()
+        body = await read_body(
+            receive,
+            self._context.clock,
+            limits.body_bytes,
+            CALLER_STALL_S,
+        )
+        if body:
+            head = head._replace(body=body)
+        serve = partial(
+            self._forwarder.serve, head, route, holder, received_at, responder
+        )
+        outcome = await serve_until_disconnect(receive, serve)
+        version = table.version if table else 0
+        self._log(head, route.name, version, outcome)
+
+    def _log(
+        self, head: ForwardRequest, route: str, version: int, outcome: Outcome | None
+    ) -> None:
+        if outcome is None:
+            self._context.metrics.count("request.cancelled")
+            log_event("request_cancelled", request=head.request, route=route)
+            return
+        self._context.metrics.count("request.served")
+        self._context.metrics.observe("request.first_ms", outcome.first_s * 1000)
+        log_event(
+            "request_served",
+            request=head.request,
+            route=route,
+            configuration=version,
+            status=outcome.status,
+            attempts=outcome.attempts,
+            replica=outcome.replica,
+            model=outcome.model or "-",
+            first_ms=f"{outcome.first_s * 1000:.1f}",
+        )
+
+    async def _refuse(
+        self, refusal: RefusalError, request: str, responder: AsgiResponder
+    ) -> None:
+        self._context.metrics.count(refusal_counter(refusal.reason))
+        status = answer_status(refusal)
+        log_event(
+            "request_refused",
+            request=request or "-",
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+            status=status,
+            cut=responder.started,
+            detail=refusal.detail,
+            retry_after_s=refusal.retry_after_s or "-",
+        )
+        if responder.started:
+            # Leaving the answer unfinished makes the server close the connection,
+            # so that the caller sees that it is not whole.
+            return
+        fields = self._context.translator.refusal_fields(refusal, request)
+        if refusal.retry_after_s is not None and status == NOT_SERVED_STATUS:
+            fields = [*fields, ("retry-after", f"{refusal.retry_after_s:g}")]
+        await send_json(responder, status, encode_refusal(refusal, request), fields)
+
+
+def answer_status(refusal: RefusalError) -> int:
+    """Return the status of a refusal, which must not promise more than is proved."""
+    status = STATUS_BY_REASON[refusal.reason]
+    if refusal.execution is Execution.NOT_RUN:
+        return status if status in NOT_RUN_STATUSES else NOT_SERVED_STATUS
+    if refusal.reason is RefusalReason.DEADLINE_EXCEEDED:
+        return TIMED_OUT_STATUS
+    return FAILED_STATUS if status in NOT_RUN_STATUSES else status
--- /dev/null
+++ b/packages/node/src/lentilshore_node/gateway_assembly.py
@@ -0,0 +1,65 @@
+"""Assembles the parts of a gateway."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.metrics import MetricsRecorder
+from lentilshore_routing.placement import Placement
+from lentilshore_routing.retries import RetryBudget, RetryPolicy
+from lentilshore_routing.staging import VersionChooser
+
+from .fleet_view import FleetView
+from .forwarding import Translator
+from .gateway_context import GatewayContext, GatewayTimes
+from .http_client import HttpClient
+
+# The balancer spreads callers unevenly, so that a node keeps under its part of the
+# fleet's retries.
+RETRY_RATIO_SHARE = 0.8
+# Nodes among which the fleet's extra retries are divided.
+RETRY_EXTRA_NODES = 12
+# Retries that a node may save up, as a multiple of its part of the extra ones.
+RETRY_SAVING_FACTOR = 3.0
+# Part of the time for leaving in which a replica that vanished is still used.
+VANISHED_SHARE = 0.75
+
+
+def create_gateway(
+    node: str,
+    data_centre: str,
+    times: GatewayTimes,
+    clock: Clock,
+    random_source: random.Random,
+    metrics: MetricsRecorder,
+    http: HttpClient,
+    translator: Translator,
+) -> GatewayContext:
+    """Create a gateway without beliefs.
+
+    :param node: name of this instance.
+    :param data_centre: where it runs.
+    """
+    placement = Placement(node, clock, random_source, data_centre)
+    reserve = times.retry_extra / RETRY_EXTRA_NODES
+    create_budget = partial(
+        RetryBudget,
+        times.retry_ratio * RETRY_RATIO_SHARE,
+        reserve,
+        reserve * RETRY_SAVING_FACTOR,
+    )
+    return GatewayContext(
+        node=node,
+        times=times,
+        clock=clock,
+        random=random_source,
+        metrics=metrics,
+        view=FleetView(clock, placement, times.leaving_s * VANISHED_SHARE),
+        placement=placement,
+        retries=RetryPolicy(create_budget=create_budget),
+        chooser=VersionChooser(times.session_s),
+        translator=translator,
+        http=http,
+    )
--- /dev/null
+++ b/packages/node/src/lentilshore_node/gateway_server.py
@@ -0,0 +1,160 @@
+"""A gateway process from start to stop."""
+
+from __future__ import annotations
+
+import gc
+import signal
+from collections.abc import Callable
+from contextlib import contextmanager
+from functools import partial
+from typing import Any, NamedTuple
+
+import anyio
+import uvicorn
+
+from lentilshore_kernel import log_event
+from lentilshore_kernel.types import Address
+
+from .fleet_source import FleetSource
+from .gateway import GatewayApplication
+from .gateway_context import BALANCER_NOTICE_S, GatewayContext
+from .rollout_duty import RolloutDuty
+from .sockets import bind
+from .view_keeper import ViewKeeper
+
+HEAD_LIMIT_BYTES = 65_536
+# Idle connections stay open for this multiple of what callers are told to keep to.
+IDLE_FACTOR = 1.5
+DRAIN_CHECK_S = 0.1
+# Time kept at the end of a stop for closing what is left, seconds.
+STOP_MARGIN_S = 0.7
+READY_CHECK_S = 0.5
+
+
+class GatewayAddresses(NamedTuple):
+    """Where a gateway listens.
+
+    :param caller: for callers.
+    :param ready: for the balancer's question whether the node is ready.
+    :param metrics: for metrics; None for none.
+    """
+
+    caller: Address
+    ready: Address
+    metrics: Address | None
+
+
+class _Server(uvicorn.Server):
+    """HTTP server that leaves signals to the gateway."""
+
+    @contextmanager
+    def capture_signals(self) -> Any:
+        yield
+
+
+class GatewayServer:
+    """One running gateway.
+
+    :param context: its parts.
+    :param source: the platform's store.
+    :param addresses: where it listens.
+    :param reload: reads the settings anew; called at SIGHUP.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        source: FleetSource,
+        addresses: GatewayAddresses,
+        reload: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._source = source
+        self._reload = reload
+        self._stop = anyio.Event()
+        given = [a for a in addresses if a is not None]
+        self._sockets = [bind(address) for address in given]
+        ports = [s.getsockname()[1] for s in self._sockets]
+        metrics_port = ports[2] if addresses.metrics else 0
+        application = GatewayApplication(context, ports[1], metrics_port)
+        self._config = _server_config(application)
+        self._server = _Server(self._config)
+
+    async def run(self) -> bool:
+        """Run until SIGTERM or SIGINT.
+
+        :returns: whether every request in flight was finished.
+        """
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._receive_signals)
+            ViewKeeper(self._context, self._source).start(group)
+            group.start_soon(RolloutDuty(self._context, self._source).run)
+            group.start_soon(self._follow_limits)
+            group.start_soon(partial(self._server.serve, sockets=self._sockets))
+            gc.collect()
+            gc.freeze()
+            log_event("node_started", node=self._context.node)
+            await self._stop.wait()
+            await self._drain()
+            group.cancel_scope.cancel()
+        whole = self._context.in_flight == 0
+        log_event("node_stopped", node=self._context.node, whole=whole)
+        return whole
+
+    async def _receive_signals(self) -> None:
+        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*numbers) as signals:
+            async for number in signals:
+                log_event("signal_received", signal=number.name)
+                if number is signal.SIGHUP:
+                    self._reload()
+                else:
+                    self._stop.set()
+
+    async def _follow_limits(self) -> None:
+        """Take up the configuration's limit of idle connections; log readiness."""
+        ready = False
+        while True:
+            table = self._context.view.table
+            if table is not None:
+                idle_s = int(table.limits.idle_s * IDLE_FACTOR) + 1
+                self._config.timeout_keep_alive = idle_s
+            if ready != self._context.ready:
+                ready = self._context.ready
+                log_event(
+                    "readiness_changed",
+                    ready=ready,
+                    confirmed_age_s=f"{self._context.view.confirmed_age_s:.2f}",
+                )
+            await self._context.clock.sleep(READY_CHECK_S)
+
+    async def _drain(self) -> None:
+        """Serve on until the balancer knows, then finish what is in flight."""
+        clock = self._context.clock
+        started_at = clock.monotonic()
+        self._context.draining = True
+        log_event("draining", in_flight=self._context.in_flight)
+        await clock.sleep(BALANCER_NOTICE_S)
+        self._server.should_exit = True
+        ends_at = started_at + self._context.times.grace_s - STOP_MARGIN_S
+        while self._context.in_flight and clock.monotonic() < ends_at:
+            await clock.sleep(DRAIN_CHECK_S)
+        await clock.sleep(DRAIN_CHECK_S * 2)
+
+
+def _server_config(application: GatewayApplication) -> uvicorn.Config:
+    return uvicorn.Config(
+        application,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        log_config=None,
+        log_level="critical",
+        access_log=False,
+        lifespan="off",
+        server_header=False,
+        proxy_headers=False,
+        date_header=False,
+        timeout_keep_alive=60,
+        h11_max_incomplete_event_size=HEAD_LIMIT_BYTES,
+    )
--- a/packages/node/src/lentilshore_node/responder.py
+++ b/packages/node/src/lentilshore_node/responder.py
@@ -41,9 +41,16 @@
 
     :param send: the server's function.
     :param clock: measures how long a caller has not read.
+    :param closing: tells whether the connection ends with this answer.
     """
 
-    def __init__(self, send: Callable[[Any], Awaitable[None]], clock: Clock) -> None:
+    def __init__(
+        self,
+        send: Callable[[Any], Awaitable[None]],
+        clock: Clock,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._closing = closing
         self._send = send
         self._clock = clock
         self._writing_since: float | None = None
@@ -65,6 +72,8 @@
         """Send status and headers."""
         self._started = True
         fields = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in headers]
+        if self._closing():
+            fields.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": fields}
         )
--- a/packages/node/src/lentilshore_node/server.py
+++ b/packages/node/src/lentilshore_node/server.py
@@ -37,8 +37,7 @@
 from .links import LinkCopier, LinkManager, PeerLink, connect_peer
 from .operators import OperatorServer
 from .peers import create_peer_bootstrap, serve_rpc_connection
-
-LISTEN_BACKLOG = 1024
+from .sockets import LISTEN_BACKLOG, bind
 
 
 class NodeAddresses(NamedTuple):
@@ -83,7 +82,7 @@
         self._registry = registry
         self._clock = clock
         self._http = HttpClient()
-        self._sockets = [_bind(s.address) for s in _listeners(settings)]
+        self._sockets = [bind(s.address) for s in _listeners(settings)]
         self._stop = anyio.Event()
         self._urgent = anyio.Event()
         self._started = anyio.Event()
@@ -276,13 +275,3 @@
 
 def _listeners(settings: Settings) -> list[Any]:
     return [settings.caller, settings.operator, settings.peer]
-
-
-def _bind(address: Address) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address.host, address.port))
-    listener.listen(LISTEN_BACKLOG)
-    listener.setblocking(False)
-    return listener
--- /dev/null
+++ b/packages/node/src/lentilshore_node/view_keeper.py
@@ -0,0 +1,139 @@
+"""Keeps a gateway's beliefs up to date from the platform's store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from anyio.abc import TaskGroup
+
+from lentilshore_kernel.exceptions import StoreError, StoreHistoryGoneError
+from lentilshore_kernel.logs import log_event
+from lentilshore_routing.staging import Rollout
+
+from .fleet_source import Collection, FleetSource
+from .fleet_view import ReplicaRecord
+from .gateway_context import GatewayContext
+
+# Configuration must be in force within 2 s, and a key's proof may be 5 s old.
+CONFIGURATION_INTERVAL_S = 0.9
+# A watch that went silent is noticed after this time and the call's own timeout.
+WATCH_WAIT_S = 5.0
+RETRY_S = 0.25
+RETRY_LIMIT_S = 1.0
+EXPIRY_INTERVAL_S = 0.25
+
+
+class ViewKeeper:
+    """Reads configuration, replicas and roll-outs for as long as it runs.
+
+    :param context: the gateway.
+    :param source: the platform's store.
+    """
+
+    def __init__(self, context: GatewayContext, source: FleetSource) -> None:
+        self._context = context
+        self._source = source
+        self._reached: dict[str, bool] = {}
+
+    def start(self, group: TaskGroup) -> None:
+        """Start one task for each part."""
+        view = self._context.view
+        group.start_soon(self._keep_table)
+        group.start_soon(
+            self._follow,
+            "rollouts",
+            self._source.rollouts,
+            view.take_rollouts,
+            self._take_rollouts,
+            view.drop_rollout,
+        )
+        group.start_soon(
+            self._follow,
+            "replicas",
+            self._source.replicas,
+            view.take_list,
+            self._take_replicas,
+            view.drop_record,
+        )
+        group.start_soon(self._expire)
+
+    async def _keep_table(self) -> None:
+        clock, view = self._context.clock, self._context.view
+        while True:
+            asked_at = clock.monotonic()
+            try:
+                table = await self._source.read_table()
+            except StoreError as error:
+                self._note("configuration", error)
+                await clock.sleep(RETRY_S * (0.5 + self._context.random.random()))
+                continue
+            self._note("configuration", None)
+            if table is not None:
+                view.take_table(table)
+                view.confirm(asked_at)
+            spent_s = clock.monotonic() - asked_at
+            await clock.sleep(max(RETRY_S, CONFIGURATION_INTERVAL_S - spent_s))
+
+    async def _follow(
+        self,
+        name: str,
+        collection: Collection[Any],
+        take_list: Callable[[Iterable[Any]], None],
+        take: Callable[[list[Any]], Any],
+        drop: Callable[[str], None],
+    ) -> None:
+        revision: int | None = None
+        delay_s = RETRY_S
+        while True:
+            try:
+                if revision is None:
+                    listing = await collection.list()
+                    take_list(listing.items)
+                    revision = listing.revision
+                else:
+                    changes = await collection.watch(revision, WATCH_WAIT_S)
+                    await take(changes.changed)
+                    for removed in changes.removed:
+                        drop(removed)
+                    revision = max(revision, changes.revision)
+                self._note(name, None)
+                delay_s = RETRY_S
+            except StoreHistoryGoneError:
+                log_event("history_gone", part=name, revision=revision)
+                self._context.metrics.count("store.history_gone")
+                revision = None
+            except StoreError as error:
+                self._note(name, error)
+                jitter = 0.5 + self._context.random.random()
+                await self._context.clock.sleep(delay_s * jitter)
+                delay_s = min(RETRY_LIMIT_S, delay_s * 2)
+
+    async def _take_rollouts(self, rollouts: list[Rollout]) -> None:
+        for rollout in rollouts:
+            self._context.view.take_rollout(rollout)
+
+    async def _take_replicas(self, records: list[ReplicaRecord]) -> None:
+        view = self._context.view
+        if any(not view.knows_version(r.service, r.version) for r in records):
+            # An order for this version may not have been seen yet.
+            listing = await self._source.rollouts.list()
+            view.take_rollouts(listing.items)
+        for record in records:
+            view.take_record(record)
+
+    async def _expire(self) -> None:
+        while True:
+            await self._context.clock.sleep(EXPIRY_INTERVAL_S)
+            self._context.view.expire()
+
+    def _note(self, name: str, error: StoreError | None) -> None:
+        """Log and count each loss and return of a part."""
+        reached = error is None
+        if not reached:
+            self._context.metrics.count(f"store.failed.{name}")
+        if self._reached.get(name) == reached:
+            return
+        self._reached[name] = reached
+        event = "store_regained" if reached else "store_lost"
+        log_event(event, part=name, detail=str(error) if error else "-")
--- a/packages/routing/src/lentilshore_routing/__init__.py
+++ b/packages/routing/src/lentilshore_routing/__init__.py
@@ -1,8 +1,9 @@
 """Routing decisions: catalogue, cascade, placement, admission, limits, retries."""
 
+from typing import Any
+
 from .admission import AdmissionQueue
 from .cascade import Candidate, CascadePolicy, Query, Tried, answer_cell
-from .catalog import Catalog, Customer, check_record, hash_key
 from .estimates import (
     Cell,
     Features,
@@ -11,7 +12,6 @@
     length_class,
 )
 from .placement import Lease, Placement, Replica, prefix_hash
-from .quota import QuotaLimiter, Reservation
 from .retries import RetryPolicy
 
 __all__ = [
@@ -38,3 +38,19 @@
     "length_class",
     "prefix_hash",
 ]
+
+_CATALOG_NAMES = ("Catalog", "Customer", "check_record", "hash_key")
+_QUOTA_NAMES = ("QuotaLimiter", "Reservation")
+
+
+def __getattr__(name: str) -> Any:
+    """Import the catalogue, and with it its checker, only when it is used."""
+    if name in _CATALOG_NAMES:
+        from . import catalog
+
+        return getattr(catalog, name)
+    if name in _QUOTA_NAMES:
+        from . import quota
+
+        return getattr(quota, name)
+    raise AttributeError(name)
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -27,6 +27,11 @@
 EJECTION_S = 10.0
 EJECTION_SHARE_LIMIT = 0.3
 BATCH_SLOT_SHARE = 0.7
+# Work that a request to another data centre counts for, besides its own: its bytes
+# cost about a tenth of what processing it does.
+REMOTE_WORK_SHARE = 0.1
+# An unreachable replica is tried again after this time, seconds.
+UNREACHABLE_S = 2.0
 TOKENS_PER_SLOT = 256.0
 
 
@@ -39,6 +44,8 @@
     :param data_centre: where it runs.
     :param groups: versions or services that it serves.
     :param leaving: whether it takes no new work.
+    :param identity: identifier by which the process knows itself, where that is
+        not its name.
     """
 
     name: str
@@ -47,6 +54,7 @@
     data_centre: str
     groups: tuple[str, ...]
     leaving: bool = False
+    identity: str = ""
 
 
 class LoadReport(NamedTuple):
@@ -121,10 +129,19 @@
     :param node: name of this instance, for deterministic subsetting.
     :param clock: tells the age of reports and ejections.
     :param random_source: source of random choices.
+    :param data_centre: where this node runs; replicas elsewhere cost more. Empty
+        where that makes no difference.
     """
 
-    def __init__(self, node: str, clock: Clock, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        node: str,
+        clock: Clock,
+        random_source: random.Random,
+        data_centre: str = "",
+    ) -> None:
         self._node = node
+        self._data_centre = data_centre
         self._clock = clock
         self._random = random_source
         self._states: dict[str, _ReplicaState] = {}
@@ -208,11 +225,13 @@
             self.note_prefix(replica.name, prefix)
         return Lease(replica, work_tokens, batch)
 
-    def release(self, lease: Lease, failed: bool) -> None:
+    def release(self, lease: Lease, failed: bool, unreachable: bool = False) -> None:
         """Give a place back.
 
         :param lease: what :meth:`choose` returned.
         :param failed: whether the attempt failed at the replica.
+        :param unreachable: whether the replica could not be connected to, or was
+            silent; it gets no work for :data:`UNREACHABLE_S`.
         """
         state = self._states.get(lease.replica.name)
         if state is None:
@@ -221,6 +240,9 @@
         state.batch_in_flight = max(0, state.batch_in_flight - lease.batch)
         state.local_work = max(0.0, state.local_work - lease.work_tokens)
         state.changes.append((self._clock.monotonic(), -lease.work_tokens))
+        if unreachable:
+            state.ejected_until = self._clock.monotonic() + UNREACHABLE_S
+            return
         if not failed:
             state.failures = 0
             return
@@ -290,7 +312,8 @@
         sample = min(count, len(group.subset))
         options += self._random.sample(group.subset, sample)
         usable = [item for item in options if self._usable(item, excluded)]
-        return usable or [i for i in group.replicas if self._usable(i, excluded)]
+        usable = usable or [i for i in group.replicas if self._usable(i, excluded)]
+        return usable or [i for i in group.replicas if i.name not in excluded]
 
     def _usable(self, replica: Replica, excluded: Sequence[str]) -> bool:
         if replica.name in excluded:
@@ -306,6 +329,8 @@
             load += work_tokens
         if priority is Priority.BATCH:
             load += state.batch_in_flight * TOKENS_PER_SLOT
+        if self._data_centre not in ("", replica.data_centre):
+            load += work_tokens * REMOTE_WORK_SHARE
         return load / self._ramp(state)
 
     def _load(self, state: _ReplicaState) -> float:
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 from lentilshore_kernel.types import Execution
 
@@ -18,13 +19,18 @@
 
     :param ratio: retries earned by one first attempt.
     :param reserve: retries available at the start.
+    :param limit: most retries that may be saved up.
     """
 
     def __init__(
-        self, ratio: float = BUDGET_RATIO, reserve: float = BUDGET_RESERVE
+        self,
+        ratio: float = BUDGET_RATIO,
+        reserve: float = BUDGET_RESERVE,
+        limit: float = BUDGET_LIMIT,
     ) -> None:
         self._ratio = ratio
         self._balance = reserve
+        self._limit = limit
 
     @property
     def balance(self) -> float:
@@ -33,7 +39,7 @@
 
     def earn(self) -> None:
         """Note a first attempt."""
-        self._balance = min(self._balance + self._ratio, BUDGET_LIMIT)
+        self._balance = min(self._balance + self._ratio, self._limit)
 
     def spend(self) -> bool:
         """Take one retry from the budget.
@@ -50,10 +56,16 @@
     """Decides whether a failed attempt is repeated.
 
     :param tree_retries: retries that one request tree may make.
+    :param create_budget: makes the budget of one group of upstreams.
     """
 
-    def __init__(self, tree_retries: int = TREE_RETRIES) -> None:
+    def __init__(
+        self,
+        tree_retries: int = TREE_RETRIES,
+        create_budget: Callable[[], RetryBudget] = RetryBudget,
+    ) -> None:
         self._tree_retries = tree_retries
+        self._create_budget = create_budget
         self._trees: OrderedDict[str, int] = OrderedDict()
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -86,4 +98,7 @@
         return True
 
     def _budget(self, group: str) -> RetryBudget:
-        return self._budgets.setdefault(group, RetryBudget())
+        budget = self._budgets.get(group)
+        if budget is None:
+            budget = self._budgets[group] = self._create_budget()
+        return budget
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -1,4 +1,5 @@
 import ast
+import re
 from pathlib import Path
 
 import pytest
@@ -12,7 +13,27 @@
     "ctl": {"kernel", "protocol"},
     "standins": {"kernel", "protocol", "routing", "fleet", "node", "ctl"},
 }
-PACKAGES = Path(__file__).parent.parent / "packages"
+ROOT = Path(__file__).parent.parent
+PACKAGES = ROOT / "packages"
+PLATFORM = ROOT / "platform/src/lentilshore_platform"
+# Modules of the product that hold decisions, state or recovery; the adapter only
+# meets the types and protocols of others.
+DECISIONS = {
+    "lentilshore_node.forwarder",
+    "lentilshore_node.view_keeper",
+    "lentilshore_node.rollout_duty",
+    "lentilshore_node.gateway",
+    "lentilshore_routing.model_choice",
+    "lentilshore_routing.retries",
+    "lentilshore_routing.rollouts",
+}
+# Names that mean something on the users' platform alone.
+PLATFORM_NAMES = re.compile(
+    r"x-attempt-id|x-response-signature|x-expect-instance|x-not-executed"
+    r"|x-prompt-prefix|x-token-usage|x-confidence|x-deadline-ms|x-tenant"
+    r"|/lentilshore/|traffic_split|gap_aim_ms|path_prefix|api_keys|as_of|wait_ms",
+    re.IGNORECASE,
+)
 
 
 def imported_packages(path):
@@ -31,3 +52,17 @@
             root = module.partition(".")[0]
             if root.startswith("lentilshore_") and root != own:
                 assert root.removeprefix("lentilshore_") in ALLOWED[package], path
+
+
+def test_platform_makes_no_decision():
+    for path in PLATFORM.glob("*.py"):
+        assert not DECISIONS & set(imported_packages(path)), path
+
+
+def test_only_the_platform_folder_knows_its_names():
+    for path in PACKAGES.rglob("*.py"):
+        assert not PLATFORM_NAMES.search(path.read_text()), path
+
+
+def test_platform_folder_is_no_package_that_hides_a_standard_module():
+    assert not (ROOT / "platform/__init__.py").exists()
