Keep an extra answer in the same segment out of the body

Cause: two answers in one segment were parsed in one go, and the second's body was joined to the first's. Found by the new table of the client's test, which failed first.

--- a/packages/node/src/lentilshore_node/http_client.py
+++ b/packages/node/src/lentilshore_node/http_client.py
@@ -115,6 +115,7 @@
         self._complete = False
         self._framed = False
         self._skipping = False
+        self._beyond = False
 
     def connection_made(self, transport: Any) -> None:
         """Take over the transport."""
@@ -156,12 +157,20 @@
         """Let writers go on."""
         self._writable.set()
 
+    def on_message_begin(self) -> None:
+        """Note an answer that follows the one asked for."""
+        if self._complete:
+            self._beyond, self._reusable = True, False
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take in one header."""
-        self._fields.append((name, value))
+        if not self._beyond:
+            self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Take in the head of an answer."""
+        if self._beyond:
+            return
         self._status = self._parser.get_status_code()
         self._headers = {
             k.decode("latin-1").lower(): v.decode("latin-1") for k, v in self._fields
@@ -185,7 +194,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Take in a part of the body."""
-        if self._skipping:
+        if self._skipping or self._beyond:
             return
         self._parts.append(data)
         self._buffered += len(data)
@@ -194,13 +203,11 @@
 
     def on_message_complete(self) -> None:
         """Note the end of an answer."""
-        if 100 <= self._status < 200:
+        if self._beyond or 100 <= self._status < 200:
             return
         if self._skipping:
             self._clear()
             return
-        if self._complete:
-            self._reusable = False
         self._complete = True
 
     async def send(self, data: bytes, accept: Accept | None) -> None:
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,77 @@
+"""A server whose bytes a test writes out, on a port that the kernel chooses."""
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+from lentilshore_kernel.types import Address
+
+RESET = struct.pack("ii", 1, 0)
+
+
+class ScriptedServer:
+    """Answers the n-th request by the n-th script; the last one repeats.
+
+    A script is a list of bytes to send, numbers of seconds to wait, and one of
+    ``"close"``, ``"reset"`` and ``"hang"`` at its end; without it the connection
+    stays open.
+    """
+
+    def __init__(self, scripts):
+        self._scripts = scripts
+        self.requests = []
+        self.connections = 0
+        self.address = Address("127.0.0.1", 0)
+
+    @asynccontextmanager
+    async def running(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        script = self._scripts[min(len(self.requests), len(self._scripts) - 1)]
+        self.requests.append((lines[0], fields, body))
+        if callable(script):
+            script = script(fields)
+        for step in script:
+            if isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            elif step == "reset":
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                return False
+            elif step == "hang":
+                await reader.read()
+                return False
+            elif step == "close":
+                return False
+            else:
+                await asyncio.sleep(step)
+        return True
+
+
+def answer(body=b"ok", status="200 OK", fields=(), framed=True):
+    lines = [f"HTTP/1.1 {status}", *fields]
+    if framed:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/test_event_splitter.py
@@ -0,0 +1,43 @@
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from lentilshore_node.event_splitter import EVENT_LIMIT_BYTES, EventSplitter
+
+WHOLE = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 9))
+
+
+@seed(20261203)
+@settings(max_examples=200, deadline=None, derandomize=True, database=None)
+@given(st.lists(st.integers(0, len(WHOLE)), max_size=10))
+def test_any_cut_passes_whole_events_only(cuts):
+    places = sorted({0, *cuts, len(WHOLE)})
+    splitter = EventSplitter()
+    out = b""
+    for start, end in zip(places, places[1:], strict=False):
+        out += splitter.feed(WHOLE[start:end])
+        assert out == b"" or out.endswith(b"\n\n")
+        assert out + splitter.rest == WHOLE[:end]
+        assert splitter.last_id == (out.count(b"id:") or None)
+    assert out == WHOLE
+
+
+@pytest.mark.parametrize(
+    ("data", "last_id"),
+    [
+        (b"data: x\n\n", None),
+        (b"id: 7\ndata: x\n\n", 7),
+        (b"id:7\n\nid: 8\ndata: cut", 7),
+        (b"id: 7\n\nevent: note\n\n", 7),
+        (b"id: seven\n\n", None),
+    ],
+)
+def test_the_last_whole_events_number_is_known(data, last_id):
+    splitter = EventSplitter()
+    splitter.feed(data)
+    assert splitter.last_id == last_id
+
+
+def test_an_endless_event_is_refused():
+    with pytest.raises(ValueError, match="event"):
+        EventSplitter().feed(b"x" * (EVENT_LIMIT_BYTES + 1))
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,127 @@
+import anyio
+import pytest
+
+from lentilshore_kernel.types import Address
+from lentilshore_node.http_client import (
+    CallBrokenError,
+    CallGarbledError,
+    CallNotSentError,
+    CallTimedOutError,
+    HttpClient,
+    encode_request,
+)
+from tests.scripted import ScriptedServer, answer
+
+CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+REQUEST = encode_request(b"GET", b"/x", [(b"host", b"h")], None)
+
+
+def run(scripts, calls=1, accept=None, timeout_s=2.0, pause_s=0.0):
+    """Return what each call gave, and how many connections were made."""
+
+    async def main():
+        server = ScriptedServer(scripts)
+        async with server.running():
+            client = HttpClient()
+            results = [
+                await call(client, server.address, accept, timeout_s, pause_s)
+                for _ in range(calls)
+            ]
+            await client.close()
+            return results, server.connections
+
+    return anyio.run(main)
+
+
+async def call(client, address, accept, timeout_s, pause_s=0.0):
+    try:
+        async with client.exchange(address, REQUEST, timeout_s, accept) as reply:
+            return reply.status, await reply.read()
+    except (CallNotSentError, CallBrokenError) as error:
+        return type(error)
+    finally:
+        await anyio.sleep(pause_s)
+
+
+@pytest.mark.parametrize(
+    ("script", "expected"),
+    [
+        ([answer(b"abc")], (200, b"abc")),
+        ([answer(b"ab")[:-1], 0.01, b"b"], (200, b"ab")),
+        ([CHUNKED.encode() + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"], (200, b"abc")),
+        ([b"HTTP/1.1 100 Continue\r\n\r\n", answer(b"abc")], (200, b"abc")),
+        ([answer(b"", "204 No Content", framed=False)], (204, b"")),
+        ([answer(b"abc", framed=False), "close"], (200, b"abc")),
+        ([answer(b"abc", framed=False), 0.02, "reset"], CallBrokenError),
+        ([answer(b"abc")[:-1], "close"], CallBrokenError),
+        ([CHUNKED.encode() + b"2\r\nab\r\n", "close"], CallBrokenError),
+        ([b"no answer at all\r\n\r\n", "hang"], CallGarbledError),
+        (["close"], CallBrokenError),
+        (["reset"], CallBrokenError),
+    ],
+)
+def test_an_answer_is_whole_or_an_error(script, expected):
+    results, _ = run([script])
+    assert results == [expected]
+
+
+def test_silence_is_a_timeout():
+    results, _ = run([["hang"]], timeout_s=0.05)
+    assert results == [CallTimedOutError]
+
+
+def test_nothing_was_sent_where_nobody_listens():
+    async def main():
+        server = ScriptedServer([[answer()]])
+        async with server.running():
+            address = server.address
+        return await call(HttpClient(), Address(*address), None, 1.0)
+
+    assert anyio.run(main) is CallNotSentError
+
+
+@pytest.mark.parametrize(
+    ("script", "connections"),
+    [
+        ([answer()], 1),
+        ([answer(fields=["Connection: close"])], 2),
+        ([answer(fields=["Keep-Alive: timeout=1"])], 2),
+        ([answer(fields=["Keep-Alive: timeout=30"])], 1),
+        ([answer(), answer(b"not asked for")], 2),
+        ([answer(), 0.01, b"stray bytes"], 2),
+        ([answer(framed=False), "close"], 2),
+    ],
+)
+def test_a_connection_serves_again_only_if_it_is_clean(script, connections):
+    results, made = run([script], calls=2, pause_s=0.05)
+    assert results == [(200, b"ok")] * 2
+    assert made == connections
+
+
+def test_a_late_answer_to_another_request_is_skipped():
+    late = answer(b"other", fields=["Request-Id: old"])
+    own = answer(b"own", fields=["Request-Id: new"])
+    results, made = run(
+        [[late, own]], calls=2, accept=lambda h: h["request-id"] == "new"
+    )
+    assert results == [(200, b"own")] * 2
+    assert made == 2
+
+
+def test_leaving_early_closes_the_connection():
+    async def main():
+        server = ScriptedServer([[CHUNKED.encode() + b"1\r\na\r\n", "hang"]])
+        async with server.running():
+            client = HttpClient()
+            async with client.exchange(server.address, REQUEST, 1.0) as reply:
+                first = await anext(reply.aiter_stream())
+            await call(client, server.address, None, 0.05)
+            return first, server.connections
+
+    assert anyio.run(main) == (b"a", 2)
+
+
+@pytest.mark.parametrize("value", [b"a\r\nb: c", b"a\nb", b"a\0"])
+def test_headers_with_line_ends_are_not_sent(value):
+    with pytest.raises(ValueError, match="line end"):
+        encode_request(b"GET", b"/", [(b"x", value)], None)
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,77 @@
+import pytest
+
+from lentilshore_routing.routes import (
+    CallerLimits,
+    KeyHolder,
+    PrefixPart,
+    Repeat,
+    Route,
+    RouteTable,
+    shared_prefix,
+)
+
+
+def route(name, prefix, weights=(("pool", 1.0),)):
+    return Route(
+        name, "h", prefix, Repeat.ONCE, 1, 1, 1, 0, 1, False, (), tuple(weights)
+    )
+
+
+TABLE = RouteTable(
+    7,
+    [route("all", "/"), route("a", "/a/"), route("ab", "/a/b/")],
+    {"k1": KeyHolder("kerlann")},
+    CallerLimits(),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("h", "/a/b/c", "ab"),
+        ("h", "/a/b", "a"),
+        ("h", "/ab/", "all"),
+        ("other", "/a/", None),
+    ],
+)
+def test_the_longest_prefix_wins(host, path, name):
+    found = TABLE.match(host, path)
+    assert (found and found.name) == name
+
+
+def test_keys_name_their_holder():
+    assert TABLE.holder("k1") == KeyHolder("kerlann")
+    assert TABLE.holder("") is None
+
+
+@pytest.mark.parametrize(
+    ("point", "service"), [(0.0, "a"), (0.89, "a"), (0.91, "b"), (0.999, "b")]
+)
+def test_weights_divide_requests(point, service):
+    split = route("r", "/", [("a", 90), ("b", 10)])
+    assert split.pick_service(point) == service
+
+
+@pytest.mark.parametrize(
+    ("parts", "expected"),
+    [
+        ([], ("", 0)),
+        ([("own", 9)], ("", 0)),
+        ([("s", 800), ("t", 410), ("own", 9)], ("m/t", 1210)),
+    ],
+)
+def test_the_last_part_is_not_shared(parts, expected):
+    assert shared_prefix([PrefixPart(*p) for p in parts], "m") == expected
+
+
+@pytest.mark.parametrize(
+    ("repeat", "streaming", "repeatable"),
+    [
+        (Repeat.IDEMPOTENT, False, True),
+        (Repeat.ONCE, False, False),
+        (Repeat.STREAM_ONCE, True, False),
+        (Repeat.STREAM_RESUMABLE, True, True),
+    ],
+)
+def test_what_may_be_repeated(repeat, streaming, repeatable):
+    assert (repeat.streaming, repeat.repeatable) == (streaming, repeatable)
