--- a/packages/node/src/lentilshore_node/http_client.py
+++ b/packages/node/src/lentilshore_node/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
@@ -23,6 +24,14 @@
 ANSWER_LIMIT_BYTES = 16_777_216
 # Reading pauses while this much of an answer waits for its reader.
 READ_BUFFER_BYTES = 262_144
+# Probes begin after 1 s without a byte; two lost ones, or bytes that nobody took for
+# 2 s, end the connection. Replicas that leave must be known to have left in 2 s.
+SILENCE_OPTIONS = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 2,
+    socket.TCP_USER_TIMEOUT: 2000,
+}
 BODILESS_STATUSES = (204, 304)
 NO_TOKEN_BYTES = b"\r\n\0"
 
@@ -120,6 +129,7 @@
     def connection_made(self, transport: Any) -> None:
         """Take over the transport."""
         self._transport = transport
+        _watch_silence(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the answer; bytes nobody asked for end the connection."""
@@ -454,6 +464,13 @@
         return connection
 
 
+def _watch_silence(connection: socket.socket) -> None:
+    """Let the kernel notice that the other side has gone without a word."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in SILENCE_OPTIONS.items():
+        connection.setsockopt(socket.IPPROTO_TCP, name, value)
+
+
 def encode_request(
     method: bytes, target: bytes, fields: Fields, body: bytes | None
 ) -> bytes:
