--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -12,7 +12,7 @@
 from lentilshore_routing.model_choice import first_model, larger_model
 from lentilshore_routing.placement import Lease
 from lentilshore_routing.routes import KeyHolder, Repeat, Route, shared_prefix
-from lentilshore_routing.staging import Rollout, evidence_key
+from lentilshore_routing.staging import Rollout, evidence_key, latency_kind
 
 from .engine import translated_failures
 from .event_splitter import EventSplitter
@@ -478,7 +478,7 @@
     def _note_evidence(self, bad: bool, seconds: float) -> None:
         rollout = self._rollout
         key = evidence_key(rollout, self._service, self._version)
-        kind = f"{self._route.name}/{self._model}"
+        kind = latency_kind(self._route.name, self._model, self._request.prompt_tokens)
         slow = self._context.baseline.slow(kind, seconds)
         self._context.evidence.add(key, "error", "", bad)
         if not bad:
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -44,13 +44,20 @@
 class Failures(NamedTuple):
     """What one node has seen of the candidate.
 
-    :param bad: bad answers.
+    :param errors: answers that were failures.
+    :param slow: answers that took several times as long as the base's.
     :param total: answers.
     """
 
-    bad: int
+    errors: int
+    slow: int
     total: int
 
+    @property
+    def bad(self) -> int:
+        """Answers that speak against the candidate."""
+        return self.errors + self.slow
+
 
 class Rollout(NamedTuple):
     """An order to move a service to another version, and how far it is.
@@ -182,6 +189,15 @@
         return seconds > mean * SLOW_FACTOR + SLOW_FLOOR_S
 
 
+def latency_kind(route: str, model: str, prompt_tokens: int) -> str:
+    """Return the kind of work whose times may be compared.
+
+    Times to the first event grow with the prompt, so that prompts of unlike
+    sizes are kept apart.
+    """
+    return f"{route}/{model}/{prompt_tokens.bit_length()}"
+
+
 def allowed_versions(
     rollout: Rollout | None, versions: Mapping[str, int]
 ) -> Mapping[str, int]:
@@ -235,7 +251,7 @@
     if due > rollout.stage:
         return rollout._replace(stage=rollout.stage + 1)
     own = _own(book, rollout.candidate_key)
-    known = rollout.failures.get(node, Failures(0, 0))
+    known = rollout.failures.get(node, Failures(0, 0, 0))
     if own.bad >= SUSPICIOUS_FAILURES and own.bad > known.bad:
         return rollout._replace(failures={**rollout.failures, node: own})
     return None
@@ -249,7 +265,7 @@
 
 def _own(book: EvidenceBook, candidate: str) -> Failures:
     errors, slow = book.tally(candidate, "error"), book.tally(candidate, "latency")
-    return Failures(errors.bad + slow.bad, errors.total)
+    return Failures(errors.bad, slow.bad, errors.total)
 
 
 def _merge(rollout: Rollout, book: EvidenceBook, node: str) -> EvidenceBook:
@@ -258,7 +274,10 @@
         merged.merge(version, book.export(version))
     for name, seen in rollout.failures.items():
         if name != node:
-            tallies = {"error/": (min(seen.bad, seen.total), seen.total)}
+            tallies = {
+                "error/": (seen.errors, seen.total),
+                "latency/": (seen.slow, seen.total - seen.errors),
+            }
             merged.merge(rollout.candidate_key, {"tallies": tallies})
     return merged
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -257,7 +257,7 @@
 
 def running(name="pool"):
     return decode_rollout(decoded(ORDER, None, name))._replace(
-        state=RolloutState.RUNNING, failures={"n1": Failures(1, 2)}
+        state=RolloutState.RUNNING, failures={"n1": Failures(1, 0, 2)}
     )
 
 
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -14,6 +14,7 @@
     VersionChooser,
     allowed_versions,
     evidence_key,
+    latency_kind,
     next_state,
 )
 
@@ -85,7 +86,7 @@
 def test_a_bad_version_is_rolled_back_from_the_first_stage():
     due = next_state(rollout(), 3.0, book(candidate=(5, 10)), "n1")
     assert due.state is RolloutState.ROLLED_BACK
-    assert due.failures == {"n1": Failures(5, 10)}
+    assert due.failures == {"n1": Failures(5, 0, 10)}
 
 
 def test_a_version_no_worse_than_a_failing_base_is_kept():
@@ -99,10 +100,10 @@
     due = next_state(rollout(), 3.0, seen, "n1")
     assert (due.state, due.failures) == (
         RolloutState.RUNNING,
-        {"n1": Failures(2, 4)},
+        {"n1": Failures(2, 0, 4)},
     )
     assert next_state(due, 3.1, seen, "n1") is None
-    others = {"n2": Failures(2, 4), "n3": Failures(2, 4)}
+    others = {"n2": Failures(2, 0, 4), "n3": Failures(2, 0, 4)}
     due = next_state(rollout(failures=others), 3.0, seen, "n1")
     assert due.state is RolloutState.ROLLED_BACK
 
@@ -174,3 +175,21 @@
     for _ in range(20):
         baseline.add("r", 0.1)
     assert baseline.slow("r", seconds) is slow
+
+
+def test_large_prompts_do_not_make_a_version_look_slow():
+    baseline = LatencyBaseline()
+    small, large = latency_kind("r", "m", 600), latency_kind("r", "m", 40_000)
+    for _ in range(20):
+        baseline.add(small, 0.03)
+        baseline.add(large, 0.4)
+    assert not baseline.slow(large, 0.5)
+    assert baseline.slow(small, 0.5)
+
+
+def test_slow_answers_of_other_nodes_are_no_errors():
+    cold = {f"n{n}": Failures(0, 1, 20) for n in range(2, 7)}
+    base = book()
+    for n in range(400):
+        base.add("pool/", "latency", "", n < 20)
+    assert next_state(rollout(failures=cold), 3.0, base, "n1") is None
