--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -33,6 +33,9 @@
 # Shares of the objective after which another replica is asked.
 FIRST_EVENT_SHARE = 1.0
 PLAIN_ANSWER_SHARE = 2.5
+# Multiple of the usual time to an answer after which another replica is asked, so
+# that replicas that are all loaded are not asked for the same work twice.
+USUAL_ANSWER_FACTOR = 4.0
 # Multiple of the timely pause after which a stream goes on elsewhere.
 PAUSE_FACTOR = 1.25
 # Shortest time given to an attempt, seconds.
@@ -283,6 +286,9 @@
         except UpstreamError as error:
             unreachable = _unreachable(error)
             failed = error.reason is not RefusalReason.UPSTREAM_FULL
+            if error.reason is RefusalReason.UPSTREAM_STALLED:
+                elapsed_s = self._context.clock.monotonic() - started_at
+                self._context.answer_times.add(self._latency_kind, elapsed_s)
             self._log_failure(lease, error, started_at)
             raise
         except BaseException:
@@ -306,6 +312,7 @@
         self._attempt_open = True
         with translated_failures():
             async with self._open(lease, data, head_timeout_s) as reply:
+                self._context.placement.note_answer(lease.replica.name)
                 head = self._context.translator.read_head(reply.status, reply.headers)
                 if head.not_run:
                     raise UpstreamError(
@@ -500,9 +507,18 @@
             return remaining_s
         streaming = self._route.repeat.streaming
         share = FIRST_EVENT_SHARE if streaming else PLAIN_ANSWER_SHARE
-        limit_s = max(ATTEMPT_MINIMUM_S, self._route.objective_s * share)
+        usual_s = self._context.answer_times.expected_s(self._latency_kind)
+        limit_s = max(
+            ATTEMPT_MINIMUM_S,
+            self._route.objective_s * share,
+            usual_s * USUAL_ANSWER_FACTOR,
+        )
         return min(remaining_s, limit_s)
 
+    @property
+    def _latency_kind(self) -> str:
+        return latency_kind(self._route.name, self._model, self._request.prompt_tokens)
+
     def _pause_timeout_s(self) -> float:
         remaining_s = max(0.001, self._remaining_s)
         if self._route.repeat is not Repeat.STREAM_RESUMABLE:
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -69,6 +69,7 @@
     http: HttpClient
     evidence: EvidenceBook = field(default_factory=EvidenceBook)
     baseline: LatencyBaseline = field(default_factory=LatencyBaseline)
+    answer_times: LatencyBaseline = field(default_factory=LatencyBaseline)
     draining: bool = False
     in_flight: int = 0
 
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -80,6 +80,7 @@
         self.changes: deque[tuple[float, float]] = deque(maxlen=CHANGES_KEPT)
         self.failures = 0
         self.ejected_until = 0.0
+        self.answered_at = 0.0
         self.prefixes: OrderedDict[str, None] = OrderedDict()
 
 
@@ -116,11 +117,13 @@
     :param replica: the replica.
     :param work_tokens: tokens of work that were added to its load.
     :param batch: whether the request has batch priority.
+    :param taken_at: when it was taken, on the node's clock.
     """
 
     replica: Replica
     work_tokens: float
     batch: bool
+    taken_at: float
 
 
 class Placement:
@@ -217,13 +220,14 @@
             key=lambda item: self._score(item, work_tokens, prefix, priority),
         )
         state = self._states[replica.name]
+        now = self._clock.monotonic()
         state.in_flight += 1
         state.batch_in_flight += batch
         state.local_work += work_tokens
-        state.changes.append((self._clock.monotonic(), work_tokens))
+        state.changes.append((now, work_tokens))
         if prefix:
             self.note_prefix(replica.name, prefix)
-        return Lease(replica, work_tokens, batch)
+        return Lease(replica, work_tokens, batch, now)
 
     def release(self, lease: Lease, failed: bool, unreachable: bool = False) -> None:
         """Give a place back.
@@ -231,7 +235,8 @@
         :param lease: what :meth:`choose` returned.
         :param failed: whether the attempt failed at the replica.
         :param unreachable: whether the replica could not be connected to, or was
-            silent; it gets no work for :data:`UNREACHABLE_S`.
+            silent; it gets no work for :data:`UNREACHABLE_S` unless it has answered
+            other requests meanwhile.
         """
         state = self._states.get(lease.replica.name)
         if state is None:
@@ -240,6 +245,8 @@
         state.batch_in_flight = max(0, state.batch_in_flight - lease.batch)
         state.local_work = max(0.0, state.local_work - lease.work_tokens)
         state.changes.append((self._clock.monotonic(), -lease.work_tokens))
+        if unreachable and state.answered_at >= lease.taken_at:
+            return
         if unreachable:
             state.ejected_until = self._clock.monotonic() + UNREACHABLE_S
             return
@@ -251,6 +258,12 @@
             state.ejected_until = self._clock.monotonic() + EJECTION_S
             state.failures = 0
 
+    def note_answer(self, name: str) -> None:
+        """Note that a replica has begun to answer a request."""
+        state = self._states.get(name)
+        if state is not None:
+            state.answered_at = self._clock.monotonic()
+
     def report_load(self, name: str, work_tokens: float, lag_s: float) -> None:
         """Take in a replica's load report.
 
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -181,6 +181,10 @@
         mean += (seconds - mean) * max(MEAN_WEIGHT, 1 / (count + 1))
         self._means[kind] = (mean, count + 1)
 
+    def expected_s(self, kind: str) -> float:
+        """Return the mean time to an answer, 0 if none is known."""
+        return self._means.get(kind, (0.0, 0))[0]
+
     def slow(self, kind: str, seconds: float) -> bool:
         """Tell whether an answer took several times the mean."""
         mean, count = self._means.get(kind, (0.0, 0))
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -193,3 +193,10 @@
     for n in range(400):
         base.add("pool/", "latency", "", n < 20)
     assert next_state(rollout(failures=cold), 3.0, base, "n1") is None
+
+
+def test_the_usual_time_is_known_after_one_answer():
+    baseline = LatencyBaseline()
+    assert baseline.expected_s("r") == 0.0
+    baseline.add("r", 0.2)
+    assert baseline.expected_s("r") == pytest.approx(0.2)
