--- a/packages/node/src/lentilshore_node/event_splitter.py
+++ b/packages/node/src/lentilshore_node/event_splitter.py
@@ -6,6 +6,8 @@
 ID_FIELD = b"id:"
 # An event is some tokens of text; one this large is no event.
 EVENT_LIMIT_BYTES = 1_048_576
+# Pauses over which a stream's pace is taken.
+PACE_PAUSES = 4
 
 
 class EventSplitter:
@@ -51,3 +53,32 @@
                 if text.isdigit():
                     self._last_id = int(text)
                 return
+
+
+class EventPace:
+    """Mean pause between the first events of a stream."""
+
+    def __init__(self) -> None:
+        self._first: tuple[int, float] | None = None
+        self._pause_s: float | None = None
+        self._taken = False
+
+    def note(self, number: int, now: float) -> None:
+        """Note that an event has come.
+
+        :param number: its number.
+        :param now: time on the node's clock, seconds.
+        """
+        if self._first is None:
+            self._first = (number, now)
+            return
+        pauses = number - self._first[0]
+        if self._pause_s is None and pauses >= PACE_PAUSES:
+            self._pause_s = (now - self._first[1]) / pauses
+
+    def take_pause_s(self) -> float | None:
+        """Return the mean pause, once, as soon as it is known."""
+        if self._pause_s is None or self._taken:
+            return None
+        self._taken = True
+        return self._pause_s
--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -15,7 +15,7 @@
 from lentilshore_routing.staging import Rollout, evidence_key, latency_kind
 
 from .engine import translated_failures
-from .event_splitter import EventSplitter
+from .event_splitter import EventPace, EventSplitter
 from .forwarding import AnswerHead, Attempt, ForwardRequest
 from .gateway_context import GatewayContext
 from .http_client import Reply
@@ -344,7 +344,10 @@
         body = await reply.read()
         self._check_genuine(reply, head)
         now = self._context.clock.monotonic()
-        self._note_evidence(reply.status >= 500, now - started_at)
+        self._note_error(reply.status >= 500)
+        if reply.status < 500:
+            self._context.answer_times.add(self._latency_kind, now - started_at)
+            self._note_speed(self._route.name, now - started_at)
         fields = self._context.translator.answer_fields(reply.fields)
         answer = Answer(reply.status, fields, body)
         if reply.status >= 500:
@@ -363,10 +366,12 @@
     ) -> int:
         self._check_genuine(reply, head)
         first_s = self._context.clock.monotonic() - started_at
-        self._note_evidence(False, first_s)
+        self._context.answer_times.add(self._latency_kind, first_s)
+        self._note_error(False)
         self._escalate_if_unsure(head)
         reply.timeout_s = self._pause_timeout_s()
         splitter = EventSplitter()
+        pace = EventPace()
         async for data in reply.aiter_stream():
             events = splitter.feed(data)
             if not events:
@@ -374,6 +379,8 @@
             await self._send_events(reply, events)
             if splitter.last_id is not None:
                 self._resume_after = splitter.last_id
+                pace.note(splitter.last_id, self._context.clock.monotonic())
+                self._note_pace(pace)
         if splitter.rest:
             raise UpstreamError(
                 RefusalReason.UPSTREAM_TRUNCATED,
@@ -482,16 +489,24 @@
             error.reason, self._execution, error.detail, FULL_RETRY_S
         ) from error
 
-    def _note_evidence(self, bad: bool, seconds: float) -> None:
-        rollout = self._rollout
-        key = evidence_key(rollout, self._service, self._version)
-        kind = latency_kind(self._route.name, self._model, self._request.prompt_tokens)
-        slow = self._context.baseline.slow(kind, seconds)
+    def _note_error(self, bad: bool) -> None:
+        key = evidence_key(self._rollout, self._service, self._version)
         self._context.evidence.add(key, "error", "", bad)
-        if not bad:
-            self._context.evidence.add(key, "latency", "", slow)
+
+    def _note_speed(self, kind: str, seconds: float) -> None:
+        """Compare a time with the base's, or take it as one of the base's."""
+        rollout, baseline = self._rollout, self._context.baseline
+        key = evidence_key(rollout, self._service, self._version)
+        slow = baseline.slow(kind, seconds)
+        self._context.evidence.add(key, "latency", "", slow)
         if rollout is None or self._version != rollout.candidate:
-            self._context.baseline.add(kind, seconds)
+            baseline.add(kind, seconds)
+
+    def _note_pace(self, pace: EventPace) -> None:
+        """Compare the time between events, which cold caches do not lengthen."""
+        pause_s = pace.take_pause_s()
+        if pause_s is not None:
+            self._note_speed(f"pace/{self._model}", pause_s)
 
     @property
     def _priority(self) -> int:
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -2,7 +2,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from lentilshore_node.event_splitter import EVENT_LIMIT_BYTES, EventSplitter
+from lentilshore_node.event_splitter import EVENT_LIMIT_BYTES, EventPace, EventSplitter
 
 WHOLE = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 9))
 
@@ -41,3 +41,19 @@
 def test_an_endless_event_is_refused():
     with pytest.raises(ValueError, match="event"):
         EventSplitter().feed(b"x" * (EVENT_LIMIT_BYTES + 1))
+
+
+def test_the_pace_is_told_once_and_not_from_the_first_events_delay():
+    pace = EventPace()
+    told = []
+    for number in range(1, 9):
+        pace.note(number, 100.0 + number * 0.5)
+        told.append(pace.take_pause_s())
+    assert told == [None] * 4 + [0.5] + [None] * 3
+
+
+def test_events_that_come_together_count_each():
+    pace = EventPace()
+    pace.note(1, 10.0)
+    pace.note(9, 14.0)
+    assert pace.take_pause_s() == 0.5
