--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -71,6 +71,7 @@
     :param status: status that the caller got.
     :param attempts: replicas that it was sent to.
     :param replica: the last of them.
+    :param version: its version.
     :param model: the last model asked, empty where there is no choice.
     :param first_s: time to the answer or its first event, seconds.
     """
@@ -78,6 +79,7 @@
     status: int
     attempts: int
     replica: str
+    version: str
     model: str
     first_s: float
 
@@ -564,6 +566,7 @@
             status,
             self._attempts,
             self._last_replica,
+            self._version,
             self._model,
             first_at - self._received_at,
         )
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -143,6 +143,8 @@
             status=outcome.status,
             attempts=outcome.attempts,
             replica=outcome.replica,
+            version=outcome.version or "-",
+            session=head.session or "-",
             model=outcome.model or "-",
             first_ms=f"{outcome.first_s * 1000:.1f}",
         )
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -22,13 +22,13 @@
 # in the first half; the last leaves a sixth of the time for runs at the old one.
 STAGE_STARTS = (0.0, 0.52, 0.6)
 COMPLETION_START = 0.84
-# Failures below this number are not told apart from chance.
-SUSPICIOUS_FAILURES = 2
+# Failures that a node has seen of the candidate before it tells the others.
+SUSPICIOUS_FAILURES = 1
 SESSIONS_KEPT = 20_000
 # A run counts as slow at this multiple of the base's mean; slow versions are said to
 # be several times slower.
-SLOW_FACTOR = 4.0
-SLOW_FLOOR_S = 0.05
+SLOW_FACTOR = 3.0
+SLOW_FLOOR_S = 0.015
 MEAN_WEIGHT = 0.1
 BASELINE_MINIMUM = 5
 
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -168,12 +168,22 @@
     assert chooser.choose(done, BOTH, "s", 0.0, 5.1) == "v2"
 
 
-@pytest.mark.parametrize(("seconds", "slow"), [(0.1, False), (0.3, False), (0.8, True)])
-def test_slow_means_several_times_the_mean(seconds, slow):
+@pytest.mark.parametrize(
+    ("mean", "seconds", "slow"),
+    [
+        (0.1, 0.1, False),
+        (0.1, 0.3, False),
+        (0.1, 0.8, True),
+        # Small models make an event in some milliseconds.
+        (0.008, 0.03, False),
+        (0.008, 0.064, True),
+    ],
+)
+def test_slow_means_several_times_the_mean(mean, seconds, slow):
     baseline = LatencyBaseline()
     assert not baseline.slow("r", seconds)
     for _ in range(20):
-        baseline.add("r", 0.1)
+        baseline.add("r", mean)
     assert baseline.slow("r", seconds) is slow
 
 
