Tell a worse version by a binomial test over both versions' failures

All failures are now dealt to both sides by their totals; few are enough if several replicas fail. Times to the first event count where a cold cache cannot explain them.

--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -144,7 +144,7 @@
             state=rollout.state or "ordered",
             stage=rollout.stage,
             revision=rollout.revision,
-            failures=sum(f.bad for f in rollout.failures.values()),
+            bad=sum(seen.bad for seen in rollout.sightings.values()),
         )
         self._apply()
 
--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -12,7 +12,7 @@
 from lentilshore_routing.model_choice import first_model, larger_model
 from lentilshore_routing.placement import Lease
 from lentilshore_routing.routes import KeyHolder, Repeat, Route, shared_prefix
-from lentilshore_routing.staging import Rollout, evidence_key, latency_kind
+from lentilshore_routing.staging import Rollout, latency_kind
 
 from .engine import translated_failures
 from .event_splitter import EventPace, EventSplitter
@@ -40,6 +40,11 @@
 PAUSE_FACTOR = 1.25
 # Shortest time given to an attempt, seconds.
 ATTEMPT_MINIMUM_S = 0.25
+# A replica's own answer at the deadline, which says nothing of its version.
+TIMED_OUT_STATUS = 504
+# Share of a prompt that other prompts share, up to which its first event comes about
+# as soon from a cold cache.
+SHARED_SHARE_LIMIT = 0.4
 # Statuses that promise that the request did not run, which a replica proves otherwise.
 PROMISE_STATUSES = (408, 421, 429, 503)
 # A request that may not be repeated goes out on a connection used this recently,
@@ -346,10 +351,10 @@
         body = await reply.read()
         self._check_genuine(reply, head)
         now = self._context.clock.monotonic()
-        self._note_error(reply.status >= 500)
+        self._note_error(reply.status >= 500 and reply.status != TIMED_OUT_STATUS)
         if reply.status < 500:
             self._context.answer_times.add(self._latency_kind, now - started_at)
-            self._note_speed(self._route.name, now - started_at)
+            self._note_time(self._route.name, now - started_at)
         fields = self._context.translator.answer_fields(reply.fields)
         answer = Answer(reply.status, fields, body)
         if reply.status >= 500:
@@ -368,7 +373,7 @@
     ) -> int:
         self._check_genuine(reply, head)
         first_s = self._context.clock.monotonic() - started_at
-        self._context.answer_times.add(self._latency_kind, first_s)
+        self._note_first_event(first_s)
         self._note_error(False)
         self._escalate_if_unsure(head)
         reply.timeout_s = self._pause_timeout_s()
@@ -491,24 +496,29 @@
             error.reason, self._execution, error.detail, FULL_RETRY_S
         ) from error
 
+    @property
+    def _place_served(self) -> tuple[str, str, str]:
+        return self._service, self._version, self._last_replica
+
     def _note_error(self, bad: bool) -> None:
-        key = evidence_key(self._rollout, self._service, self._version)
-        self._context.evidence.add(key, "error", "", bad)
-
-    def _note_speed(self, kind: str, seconds: float) -> None:
-        """Compare a time with the base's, or take it as one of the base's."""
-        rollout, baseline = self._rollout, self._context.baseline
-        key = evidence_key(rollout, self._service, self._version)
-        slow = baseline.slow(kind, seconds)
-        self._context.evidence.add(key, "latency", "", slow)
-        if rollout is None or self._version != rollout.candidate:
-            baseline.add(kind, seconds)
+        self._context.evidence.note_error(self._rollout, self._place_served, bad)
+
+    def _note_time(self, kind: str, seconds: float) -> None:
+        place = self._place_served
+        self._context.evidence.note_time(self._rollout, place, kind, seconds)
+
+    def _note_first_event(self, first_s: float) -> None:
+        """Compare the time to the first event unless a cold cache may explain it."""
+        self._context.answer_times.add(self._latency_kind, first_s)
+        _, shared_tokens = shared_prefix(self._request.parts, self._model)
+        if shared_tokens <= self._request.prompt_tokens * SHARED_SHARE_LIMIT:
+            self._note_time(self._latency_kind, first_s)
 
     def _note_pace(self, pace: EventPace) -> None:
         """Compare the time between events, which cold caches do not lengthen."""
         pause_s = pace.take_pause_s()
         if pause_s is not None:
-            self._note_speed(f"pace/{self._model}", pause_s)
+            self._note_time(f"pace/{self._model}", pause_s)
 
     @property
     def _priority(self) -> int:
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -10,8 +10,11 @@
 from lentilshore_kernel.metrics import MetricsRecorder
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryPolicy
-from lentilshore_routing.rollouts import EvidenceBook
-from lentilshore_routing.staging import LatencyBaseline, VersionChooser
+from lentilshore_routing.staging import (
+    LatencyBaseline,
+    VersionChooser,
+    VersionEvidence,
+)
 
 from .fleet_view import FleetView
 from .forwarding import Translator
@@ -67,8 +70,7 @@
     chooser: VersionChooser
     translator: Translator
     http: HttpClient
-    evidence: EvidenceBook = field(default_factory=EvidenceBook)
-    baseline: LatencyBaseline = field(default_factory=LatencyBaseline)
+    evidence: VersionEvidence = field(default_factory=VersionEvidence)
     answer_times: LatencyBaseline = field(default_factory=LatencyBaseline)
     draining: bool = False
     in_flight: int = 0
--- a/packages/node/src/lentilshore_node/rollout_duty.py
+++ b/packages/node/src/lentilshore_node/rollout_duty.py
@@ -51,7 +51,8 @@
 
     def _due(self, rollout: Rollout) -> Rollout | None:
         age_s = self._age_s(rollout)
-        due = next_state(rollout, age_s, self._context.evidence, self._context.node)
+        own = self._context.evidence.sightings(rollout)
+        due = next_state(rollout, age_s, own, self._context.node)
         if due is not None and rollout.state is None:
             return due._replace(started_at=self._context.clock.wall())
         return due
@@ -84,7 +85,7 @@
             state=due.state or "-",
             stage=due.stage,
             own=own,
-            failures=sum(f.bad for f in due.failures.values()),
+            bad=sum(seen.bad for seen in due.sightings.values()),
         )
 
     def _age_s(self, rollout: Rollout) -> float:
--- a/packages/routing/src/lentilshore_routing/rollouts.py
+++ b/packages/routing/src/lentilshore_routing/rollouts.py
@@ -168,6 +168,22 @@
     return _raised(rate, tally.total + BASE_PRIOR_TOTAL)
 
 
+def excess_chance(candidate: Tally, base: Tally) -> float:
+    """Return the chance of a candidate's bad outcomes if it is no worse.
+
+    All bad outcomes seen are dealt to either side in the proportion of their
+    totals, so that the base's rate need not be known.
+    """
+    if candidate.total <= 0:
+        return 1.0
+    share = candidate.total / (candidate.total + base.total)
+    count = candidate.bad + base.bad
+    return sum(
+        math.comb(count, n) * share**n * (1 - share) ** (count - n)
+        for n in range(candidate.bad, count + 1)
+    )
+
+
 def _judge_signal(
     book: EvidenceBook, base: str, candidate: str, signal: str, share: float
 ) -> Verdict:
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -9,21 +9,30 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
+from functools import reduce
 from typing import NamedTuple
 
-from .rollouts import EvidenceBook, judge
+from .rollouts import EvidenceBook, Tally, excess_chance
 
 # Shares of new sessions that go to the candidate, by stage. The first is small
 # enough for a version that fails at once to stay under a tenth of the traffic.
-STAGE_SHARES = (0.08, 0.4, 1.0)
+STAGE_SHARES = (0.08, 0.25, 1.0)
 # Parts of the ordered time at which stages begin. Sessions must keep their version
 # in the first half; the last leaves a sixth of the time for runs at the old one.
 STAGE_STARTS = (0.0, 0.52, 0.6)
 COMPLETION_START = 0.84
-# Failures that a node has seen of the candidate before it tells the others.
-SUSPICIOUS_FAILURES = 1
+# A candidate is worse if this many bad answers, from several replicas, or this many
+# from any, are less likely than the chance beside them where it is no worse. A halt
+# without need costs a repeated roll-out, a bad version left running costs answers.
+FEWEST_BAD = 2
+LIKELY_CHANCE = 0.05
+UNLIKELY_SLOW_CHANCE = 0.002
+CERTAIN_BAD = 6
+CERTAIN_CHANCE = 0.0005
+# Names of failing replicas that a node reports.
+FAILING_KEPT = 4
 SESSIONS_KEPT = 20_000
 # A run counts as slow at this multiple of the base's mean; slow versions are said to
 # be several times slower.
@@ -41,22 +50,35 @@
     ROLLED_BACK = "rolled_back"
 
 
-class Failures(NamedTuple):
-    """What one node has seen of the candidate.
+class Sightings(NamedTuple):
+    """What one node has seen of a candidate and of its base.
 
-    :param errors: answers that were failures.
-    :param slow: answers that took several times as long as the base's.
-    :param total: answers.
+    :param errors: failures among the candidate's answers.
+    :param slow: answers of the candidate that took several times the usual.
+    :param base_errors: failures among the base's answers.
+    :param base_slow: answers of the base that took several times the usual.
+    :param replicas: replicas of the candidate that failed.
     """
 
-    errors: int
-    slow: int
-    total: int
+    errors: Tally
+    slow: Tally
+    base_errors: Tally
+    base_slow: Tally
+    replicas: tuple[str, ...]
 
     @property
     def bad(self) -> int:
         """Answers that speak against the candidate."""
-        return self.errors + self.slow
+        return self.errors.bad + self.slow.bad
+
+    def add(self, other: Sightings) -> Sightings:
+        """Return what two nodes have seen together."""
+        tallies = [
+            Tally(own.bad + theirs.bad, own.total + theirs.total)
+            for own, theirs in zip(self[:4], other[:4], strict=True)
+        ]
+        replicas = tuple(sorted({*self.replicas, *other.replicas}))
+        return Sightings(*tallies, replicas)
 
 
 class Rollout(NamedTuple):
@@ -68,7 +90,7 @@
     :param state: None until a node has taken the order up.
     :param stage: index into :data:`STAGE_SHARES`.
     :param started_at: when it was taken up, seconds since the Unix epoch.
-    :param failures: what nodes have reported, by node.
+    :param sightings: what nodes have reported, by node.
     :param revision: revision of the record.
     :param name: name of the record.
     """
@@ -79,7 +101,7 @@
     state: RolloutState | None
     stage: int
     started_at: float
-    failures: Mapping[str, Failures]
+    sightings: Mapping[str, Sightings]
     revision: int
     name: str
 
@@ -169,6 +191,65 @@
             self._sessions.popitem(last=False)
 
 
+class VersionEvidence:
+    """What a node has seen of versions, by roll-out."""
+
+    def __init__(self) -> None:
+        self._book = EvidenceBook()
+        self._baseline = LatencyBaseline()
+        self._failing: dict[str, set[str]] = {}
+
+    def note_error(
+        self, rollout: Rollout | None, place: tuple[str, str, str], bad: bool
+    ) -> None:
+        """Count an answer.
+
+        :param rollout: the service's roll-out, if there is one.
+        :param place: service, version and replica.
+        :param bad: whether the answer is a failure.
+        """
+        key = self._key(rollout, place, bad)
+        self._book.add(key, "error", "", bad)
+
+    def note_time(
+        self,
+        rollout: Rollout | None,
+        place: tuple[str, str, str],
+        kind: str,
+        seconds: float,
+    ) -> None:
+        """Compare a time with the base's, or take it as one of the base's.
+
+        :param kind: times of one kind may be compared.
+        """
+        slow = self._baseline.slow(kind, seconds)
+        key = self._key(rollout, place, slow)
+        self._book.add(key, "latency", "", slow)
+        if rollout is None or place[1] != rollout.candidate:
+            self._baseline.add(kind, seconds)
+
+    def sightings(self, rollout: Rollout) -> Sightings:
+        """Return what was seen of a roll-out's versions."""
+        tally = self._book.tally
+        failing = sorted(self._failing.get(rollout.candidate_key, ()))
+        return Sightings(
+            tally(rollout.candidate_key, "error"),
+            tally(rollout.candidate_key, "latency"),
+            tally(rollout.base_key, "error"),
+            tally(rollout.base_key, "latency"),
+            tuple(failing[:FAILING_KEPT]),
+        )
+
+    def _key(
+        self, rollout: Rollout | None, place: tuple[str, str, str], bad: bool
+    ) -> str:
+        service, version, replica = place
+        key = evidence_key(rollout, service, version)
+        if bad:
+            self._failing.setdefault(key, set()).add(replica)
+        return key
+
+
 class LatencyBaseline:
     """Mean time to an answer by kind of work, for telling slow answers."""
 
@@ -230,62 +311,65 @@
 
 
 def next_state(
-    rollout: Rollout, age_s: float, book: EvidenceBook, node: str
+    rollout: Rollout, age_s: float, own: Sightings, node: str
 ) -> Rollout | None:
     """Return the record after the step that is due.
 
     :param rollout: the record.
     :param age_s: time since the order, seconds.
-    :param book: what this node has seen of both versions.
+    :param own: what this node has seen of both versions.
     :param node: name of this node.
     :returns: None if no step is due.
     """
     if rollout.ended:
         return None
     if rollout.state is None:
-        return rollout._replace(state=RolloutState.RUNNING, stage=0, failures={})
-    merged = _merge(rollout, book, node)
-    if judge(merged, rollout.base_key, rollout.candidate_key).halt:
-        failures = {**rollout.failures, node: _own(book, rollout.candidate_key)}
-        return rollout._replace(state=RolloutState.ROLLED_BACK, failures=failures)
+        return rollout._replace(state=RolloutState.RUNNING, stage=0, sightings={})
+    sightings = {**rollout.sightings, node: own}
+    if is_worse(sightings.values()):
+        return rollout._replace(state=RolloutState.ROLLED_BACK, sightings=sightings)
     part = age_s / rollout.duration_s
     if rollout.stage == len(STAGE_SHARES) - 1 and part >= COMPLETION_START:
         return rollout._replace(state=RolloutState.COMPLETED)
     due = sum(part >= start for start in STAGE_STARTS) - 1
     if due > rollout.stage:
         return rollout._replace(stage=rollout.stage + 1)
-    own = _own(book, rollout.candidate_key)
-    known = rollout.failures.get(node, Failures(0, 0, 0))
-    if own.bad >= SUSPICIOUS_FAILURES and own.bad > known.bad:
-        return rollout._replace(failures={**rollout.failures, node: own})
+    known = rollout.sightings.get(node)
+    if own.bad > (known.bad if known else 0):
+        return rollout._replace(sightings=sightings)
     return None
 
 
+def is_worse(sightings: Iterable[Sightings]) -> bool:
+    """Tell whether a candidate fails, or is slow, more often than its base.
+
+    Few failures are enough where the base has next to none, but not if they all
+    come from one replica, which may be at fault itself.
+    """
+    seen = reduce(Sightings.add, sightings)
+    several = len(seen.replicas) > 1
+    for candidate, base in (
+        (seen.errors, seen.base_errors),
+        (seen.slow, seen.base_slow),
+    ):
+        if candidate.bad < FEWEST_BAD:
+            continue
+        chance = excess_chance(candidate, base)
+        if chance < CERTAIN_CHANCE and candidate.bad >= CERTAIN_BAD:
+            return True
+        if several and chance < LIKELY_CHANCE and candidate is seen.errors:
+            return True
+        if several and chance < UNLIKELY_SLOW_CHANCE:
+            return True
+    return False
+
+
 def hash_point(text: str) -> float:
     """Return a number from 0 to 1 that depends on the text alone."""
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big") / 2**64
 
 
-def _own(book: EvidenceBook, candidate: str) -> Failures:
-    errors, slow = book.tally(candidate, "error"), book.tally(candidate, "latency")
-    return Failures(errors.bad, slow.bad, errors.total)
-
-
-def _merge(rollout: Rollout, book: EvidenceBook, node: str) -> EvidenceBook:
-    merged = EvidenceBook()
-    for version in (rollout.base_key, rollout.candidate_key):
-        merged.merge(version, book.export(version))
-    for name, seen in rollout.failures.items():
-        if name != node:
-            tallies = {
-                "error/": (seen.errors, seen.total),
-                "latency/": (seen.slow, seen.total - seen.errors),
-            }
-            merged.merge(rollout.candidate_key, {"tallies": tallies})
-    return merged
-
-
 def _candidate(rollout: Rollout | None, version: str) -> bool:
     return rollout is not None and version == rollout.candidate
 
