Bound a roll-out's exposure by its schedule and compare times as a whole

Now the first stage has 0.05 and the last begins so late that a version that nobody notices stays within the share allowed; nodes report twice, and times are compared by the mean of their logarithms, since single slow answers hide in the spread.

--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -9,7 +10,7 @@
 from lentilshore_kernel.logs import log_event
 from lentilshore_routing.placement import Placement, Replica
 from lentilshore_routing.routes import RouteTable
-from lentilshore_routing.staging import Rollout, allowed_versions
+from lentilshore_routing.staging import Rollout, allowed_versions, join_sightings
 
 
 class ReplicaRecord(NamedTuple):
@@ -144,7 +145,7 @@
             state=rollout.state or "ordered",
             stage=rollout.stage,
             revision=rollout.revision,
-            bad=sum(seen.bad for seen in rollout.sightings.values()),
+            **_shown(rollout),
         )
         self._apply()
 
@@ -216,3 +217,15 @@
         rollout = self._rollouts.get(record.service)
         versions = self._versions[record.service]
         return record.version in allowed_versions(rollout, versions)
+
+
+def _shown(rollout: Rollout) -> dict[str, str]:
+    """Return the evidence of a roll-out for a log line."""
+    seen = join_sightings(rollout.sightings.values())
+    excess = seen.times.mean - seen.base_times.mean
+    return {
+        "errors": f"{seen.errors.bad}/{seen.errors.total}",
+        "base_errors": f"{seen.base_errors.bad}/{seen.base_errors.total}",
+        "times_as_long": f"{math.exp(excess):.2f}",
+        "timed": f"{seen.times.count}/{seen.base_times.count}",
+    }
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -39,6 +39,8 @@
     :param grace_s: time that a stop may take, seconds.
     :param retry_ratio: retries allowed per request over the whole fleet.
     :param retry_extra: retries allowed besides, over the whole fleet.
+    :param exposure_share: part of the requests in a roll-out's time that a bad
+        version may get.
     """
 
     key_withdrawal_s: float
@@ -48,6 +50,7 @@
     grace_s: float
     retry_ratio: float
     retry_extra: float
+    exposure_share: float
 
     @property
     def key_proof_s(self) -> float:
--- a/packages/node/src/lentilshore_node/rollout_duty.py
+++ b/packages/node/src/lentilshore_node/rollout_duty.py
@@ -9,10 +9,10 @@
 from .fleet_source import FleetSource
 from .gateway_context import GatewayContext
 
-CHECK_INTERVAL_S = 0.3
+CHECK_INTERVAL_S = 0.2
 # Spreads the nodes' tries, so that one write usually makes a step.
-STEP_SPREAD_S = 0.5
-SHARE_INTERVAL_S = 1.0
+STEP_SPREAD_S = 0.3
+SHARE_INTERVAL_S = 0.6
 
 
 class RolloutDuty:
@@ -52,7 +52,8 @@
     def _due(self, rollout: Rollout) -> Rollout | None:
         age_s = self._age_s(rollout)
         own = self._context.evidence.sightings(rollout)
-        due = next_state(rollout, age_s, own, self._context.node)
+        share = self._context.times.exposure_share
+        due = next_state(rollout, age_s, own, self._context.node, share)
         if due is not None and rollout.state is None:
             return due._replace(started_at=self._context.clock.wall())
         return due
@@ -85,7 +86,7 @@
             state=due.state or "-",
             stage=due.stage,
             own=own,
-            bad=sum(seen.bad for seen in due.sightings.values()),
+            errors=sum(seen.errors.bad for seen in due.sightings.values()),
         )
 
     def _age_s(self, rollout: Rollout) -> float:
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -8,38 +8,46 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from functools import reduce
 from typing import NamedTuple
 
-from .rollouts import EvidenceBook, Tally, excess_chance
-
-# Shares of new sessions that go to the candidate, by stage. The first is small
-# enough for a version that fails at once to stay under a tenth of the traffic.
-STAGE_SHARES = (0.08, 0.25, 1.0)
-# Parts of the ordered time at which stages begin. Sessions must keep their version
-# in the first half; the last leaves a sixth of the time for runs at the old one.
-STAGE_STARTS = (0.0, 0.52, 0.6)
-COMPLETION_START = 0.84
-# A candidate is worse if this many bad answers, from several replicas, or this many
+from .rollouts import Tally, excess_chance
+
+# Shares of new sessions that go to the candidate, by stage. The first is small so
+# that the last may begin while there is time for answers at the base to end.
+STAGE_SHARES = (0.05, 1.0)
+LAST_STAGE = len(STAGE_SHARES) - 1
+# Part of the exposure allowed that is used; the rest is for uneven traffic.
+EXPOSURE_USED = 0.95
+# Part of the ordered time at which the roll-out is called completed, which leaves
+# time to write that twice.
+COMPLETION_START = 0.965
+# Parts of the ordered time at which every node reports what it has seen.
+REPORT_PARTS = (0.45, 0.85)
+# A candidate fails more if this many bad answers, from several replicas, or this many
 # from any, are less likely than the chance beside them where it is no worse. A halt
 # without need costs a repeated roll-out, a bad version left running costs answers.
 FEWEST_BAD = 2
 LIKELY_CHANCE = 0.05
-UNLIKELY_SLOW_CHANCE = 0.002
 CERTAIN_BAD = 6
 CERTAIN_CHANCE = 0.0005
+# A candidate is slower if the logarithms of its times exceed the base's by this, by
+# stage (1.16 and 1.6 times as long), and by this many standard errors. In the first
+# stage its replicas have little to do and should be the quicker ones; in the last
+# they have everything to do and some prompts still to read for the first time.
+SLOWER_BY = (0.15, 0.5)
+SLOWER_ERRORS = (3.0, 4.0)
+FEWEST_TIMES = 10
+FEWEST_BASE_TIMES = 30
 # Names of failing replicas that a node reports.
 FAILING_KEPT = 4
 SESSIONS_KEPT = 20_000
-# A run counts as slow at this multiple of the base's mean; slow versions are said to
-# be several times slower.
-SLOW_FACTOR = 3.0
-SLOW_FLOOR_S = 0.015
+# Weight of a new time in a mean.
 MEAN_WEIGHT = 0.1
-BASELINE_MINIMUM = 5
 
 
 class RolloutState(StrEnum):
@@ -50,35 +58,67 @@
     ROLLED_BACK = "rolled_back"
 
 
+class Spread(NamedTuple):
+    """Numbers of which only the mean and the variance matter.
+
+    :param count: how many.
+    :param total: their sum.
+    :param squares: the sum of their squares.
+    """
+
+    count: int = 0
+    total: float = 0.0
+    squares: float = 0.0
+
+    @property
+    def mean(self) -> float:
+        """Mean, 0 for none."""
+        return self.total / self.count if self.count else 0.0
+
+    @property
+    def variance(self) -> float:
+        """Variance, 0 for none."""
+        if not self.count:
+            return 0.0
+        return max(0.0, self.squares / self.count - self.mean**2)
+
+    def add(self, value: float) -> Spread:
+        """Return the numbers with one more."""
+        return self.join(Spread(1, value, value * value))
+
+    def join(self, other: Spread) -> Spread:
+        """Return the numbers with others."""
+        return Spread(*(a + b for a, b in zip(self, other, strict=True)))
+
+
 class Sightings(NamedTuple):
     """What one node has seen of a candidate and of its base.
 
     :param errors: failures among the candidate's answers.
-    :param slow: answers of the candidate that took several times the usual.
     :param base_errors: failures among the base's answers.
-    :param base_slow: answers of the base that took several times the usual.
+    :param times: logarithms of the candidate's times as multiples of the usual.
+    :param base_times: the same of the base.
     :param replicas: replicas of the candidate that failed.
+    :param reports: reports that were due when this one was made.
     """
 
-    errors: Tally
-    slow: Tally
-    base_errors: Tally
-    base_slow: Tally
-    replicas: tuple[str, ...]
+    errors: Tally = Tally()
+    base_errors: Tally = Tally()
+    times: Spread = Spread()
+    base_times: Spread = Spread()
+    replicas: tuple[str, ...] = ()
+    reports: int = 0
 
-    @property
-    def bad(self) -> int:
-        """Answers that speak against the candidate."""
-        return self.errors.bad + self.slow.bad
-
-    def add(self, other: Sightings) -> Sightings:
+    def join(self, other: Sightings) -> Sightings:
         """Return what two nodes have seen together."""
-        tallies = [
-            Tally(own.bad + theirs.bad, own.total + theirs.total)
-            for own, theirs in zip(self[:4], other[:4], strict=True)
-        ]
-        replicas = tuple(sorted({*self.replicas, *other.replicas}))
-        return Sightings(*tallies, replicas)
+        return Sightings(
+            _join(self.errors, other.errors),
+            _join(self.base_errors, other.base_errors),
+            self.times.join(other.times),
+            self.base_times.join(other.base_times),
+            tuple(sorted({*self.replicas, *other.replicas})),
+            max(self.reports, other.reports),
+        )
 
 
 class Rollout(NamedTuple):
@@ -168,7 +208,7 @@
         base = {k: v for k, v in allowed.items() if not _candidate(rollout, k)}
         if rollout is None or rollout.candidate not in allowed or not base:
             return kept if kept in allowed else _weighted(allowed, session, point)
-        last = rollout.stage >= len(STAGE_SHARES) - 1
+        last = rollout.stage >= LAST_STAGE
         if kept == rollout.candidate or last:
             return rollout.candidate
         if kept in base and rollout.stage == 0:
@@ -195,8 +235,9 @@
     """What a node has seen of versions, by roll-out."""
 
     def __init__(self) -> None:
-        self._book = EvidenceBook()
-        self._baseline = LatencyBaseline()
+        self._usual = LatencyBaseline()
+        self._errors: dict[str, Tally] = {}
+        self._times: dict[str, Spread] = {}
         self._failing: dict[str, set[str]] = {}
 
     def note_error(
@@ -208,8 +249,11 @@
         :param place: service, version and replica.
         :param bad: whether the answer is a failure.
         """
-        key = self._key(rollout, place, bad)
-        self._book.add(key, "error", "", bad)
+        service, version, replica = place
+        key = evidence_key(rollout, service, version)
+        self._errors[key] = self._errors.get(key, Tally()).add(bad)
+        if bad:
+            self._failing.setdefault(key, set()).add(replica)
 
     def note_time(
         self,
@@ -222,36 +266,30 @@
 
         :param kind: times of one kind may be compared.
         """
-        slow = self._baseline.slow(kind, seconds)
-        key = self._key(rollout, place, slow)
-        self._book.add(key, "latency", "", slow)
-        if rollout is None or place[1] != rollout.candidate:
-            self._baseline.add(kind, seconds)
+        service, version, _ = place
+        usual_s = self._usual.expected_s(kind)
+        if usual_s > 0 and seconds > 0:
+            key = evidence_key(rollout, service, version)
+            value = math.log(seconds / usual_s)
+            self._times[key] = self._times.get(key, Spread()).add(value)
+        if rollout is None or version != rollout.candidate:
+            self._usual.add(kind, seconds)
 
     def sightings(self, rollout: Rollout) -> Sightings:
         """Return what was seen of a roll-out's versions."""
-        tally = self._book.tally
-        failing = sorted(self._failing.get(rollout.candidate_key, ()))
+        candidate, base = rollout.candidate_key, rollout.base_key
+        failing = sorted(self._failing.get(candidate, ()))
         return Sightings(
-            tally(rollout.candidate_key, "error"),
-            tally(rollout.candidate_key, "latency"),
-            tally(rollout.base_key, "error"),
-            tally(rollout.base_key, "latency"),
+            self._errors.get(candidate, Tally()),
+            self._errors.get(base, Tally()),
+            self._times.get(candidate, Spread()),
+            self._times.get(base, Spread()),
             tuple(failing[:FAILING_KEPT]),
         )
 
-    def _key(
-        self, rollout: Rollout | None, place: tuple[str, str, str], bad: bool
-    ) -> str:
-        service, version, replica = place
-        key = evidence_key(rollout, service, version)
-        if bad:
-            self._failing.setdefault(key, set()).add(replica)
-        return key
-
 
 class LatencyBaseline:
-    """Mean time to an answer by kind of work, for telling slow answers."""
+    """Mean time to an answer by kind of work."""
 
     def __init__(self) -> None:
         self._means: dict[str, tuple[float, int]] = {}
@@ -266,13 +304,6 @@
         """Return the mean time to an answer, 0 if none is known."""
         return self._means.get(kind, (0.0, 0))[0]
 
-    def slow(self, kind: str, seconds: float) -> bool:
-        """Tell whether an answer took several times the mean."""
-        mean, count = self._means.get(kind, (0.0, 0))
-        if count < BASELINE_MINIMUM:
-            return False
-        return seconds > mean * SLOW_FACTOR + SLOW_FLOOR_S
-
 
 def latency_kind(route: str, model: str, prompt_tokens: int) -> str:
     """Return the kind of work whose times may be compared.
@@ -310,8 +341,22 @@
     return f"{service}/"
 
 
+def last_stage_start(exposure_share: float) -> float:
+    """Return the part of the ordered time at which the last stage begins.
+
+    From then on the candidate gets everything. The start is so late that a bad
+    version whose failures nobody notices stays within the exposure allowed.
+
+    :param exposure_share: part of the requests in the ordered time that a bad
+        version may get.
+    """
+    canary = STAGE_SHARES[0]
+    start = (1 - exposure_share * EXPOSURE_USED) / (1 - canary)
+    return min(start, COMPLETION_START)
+
+
 def next_state(
-    rollout: Rollout, age_s: float, own: Sightings, node: str
+    rollout: Rollout, age_s: float, own: Sightings, node: str, exposure_share: float
 ) -> Rollout | None:
     """Return the record after the step that is due.
 
@@ -319,49 +364,71 @@
     :param age_s: time since the order, seconds.
     :param own: what this node has seen of both versions.
     :param node: name of this node.
+    :param exposure_share: part of the requests in the ordered time that a bad
+        version may get.
     :returns: None if no step is due.
     """
     if rollout.ended:
         return None
     if rollout.state is None:
         return rollout._replace(state=RolloutState.RUNNING, stage=0, sightings={})
+    part = age_s / rollout.duration_s
+    own = own._replace(reports=sum(part >= due for due in REPORT_PARTS))
     sightings = {**rollout.sightings, node: own}
-    if is_worse(sightings.values()):
+    if is_worse(sightings.values(), rollout.stage):
         return rollout._replace(state=RolloutState.ROLLED_BACK, sightings=sightings)
-    part = age_s / rollout.duration_s
-    if rollout.stage == len(STAGE_SHARES) - 1 and part >= COMPLETION_START:
+    if rollout.stage == LAST_STAGE and part >= COMPLETION_START:
         return rollout._replace(state=RolloutState.COMPLETED)
-    due = sum(part >= start for start in STAGE_STARTS) - 1
-    if due > rollout.stage:
-        return rollout._replace(stage=rollout.stage + 1)
-    known = rollout.sightings.get(node)
-    if own.bad > (known.bad if known else 0):
+    if rollout.stage < LAST_STAGE and part >= last_stage_start(exposure_share):
+        return rollout._replace(stage=LAST_STAGE)
+    if _has_news(own, rollout.sightings.get(node, Sightings())):
         return rollout._replace(sightings=sightings)
     return None
 
 
-def is_worse(sightings: Iterable[Sightings]) -> bool:
-    """Tell whether a candidate fails, or is slow, more often than its base.
+def is_worse(sightings: Iterable[Sightings], stage: int) -> bool:
+    """Tell whether a candidate fails more often than its base, or is slower."""
+    seen = join_sightings(sightings)
+    return _fails_more(seen) or _is_slower(seen.times, seen.base_times, stage)
+
+
+def join_sightings(sightings: Iterable[Sightings]) -> Sightings:
+    """Return what several nodes have seen together."""
+    return reduce(Sightings.join, sightings, Sightings())
 
-    Few failures are enough where the base has next to none, but not if they all
-    come from one replica, which may be at fault itself.
+
+def _fails_more(seen: Sightings) -> bool:
+    """Tell whether failures are more than chance.
+
+    Few are enough where the base has next to none, but not if they all come from
+    one replica, which may be at fault itself.
     """
-    seen = reduce(Sightings.add, sightings)
-    several = len(seen.replicas) > 1
-    for candidate, base in (
-        (seen.errors, seen.base_errors),
-        (seen.slow, seen.base_slow),
-    ):
-        if candidate.bad < FEWEST_BAD:
-            continue
-        chance = excess_chance(candidate, base)
-        if chance < CERTAIN_CHANCE and candidate.bad >= CERTAIN_BAD:
-            return True
-        if several and chance < LIKELY_CHANCE and candidate is seen.errors:
-            return True
-        if several and chance < UNLIKELY_SLOW_CHANCE:
-            return True
-    return False
+    if seen.errors.bad < FEWEST_BAD:
+        return False
+    chance = excess_chance(seen.errors, seen.base_errors)
+    if len(seen.replicas) > 1 and chance < LIKELY_CHANCE:
+        return True
+    return seen.errors.bad >= CERTAIN_BAD and chance < CERTAIN_CHANCE
+
+
+def _is_slower(times: Spread, base: Spread, stage: int) -> bool:
+    if times.count < FEWEST_TIMES or base.count < FEWEST_BASE_TIMES:
+        return False
+    excess = times.mean - base.mean
+    variance = max(times.variance, base.variance)
+    error = math.sqrt(variance / times.count + base.variance / base.count)
+    return excess > SLOWER_BY[stage] and excess > SLOWER_ERRORS[stage] * error
+
+
+def _has_news(own: Sightings, known: Sightings) -> bool:
+    """Tell whether a node should report: at each failure, else now and then."""
+    if own.errors.bad > known.errors.bad:
+        return True
+    return own.reports > known.reports and own.errors.total > known.errors.total
+
+
+def _join(one: Tally, other: Tally) -> Tally:
+    return Tally(one.bad + other.bad, one.total + other.total)
 
 
 def hash_point(text: str) -> float:
