--- /dev/null
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -0,0 +1,522 @@
+"""Delivery of one request: attempts at replicas, and the answer relayed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from typing import NamedTuple
+
+from lentilshore_kernel.exceptions import RefusalError, UpstreamError
+from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.metrics import retry_counter
+from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
+from lentilshore_routing.model_choice import first_model, larger_model
+from lentilshore_routing.placement import Lease
+from lentilshore_routing.rollout_record import Rollout
+from lentilshore_routing.routes import KeyHolder, Repeat, Route, shared_prefix
+from lentilshore_routing.version_evidence import latency_kind
+
+from .engine import translated_failures
+from .event_splitter import EventPace, EventSplitter
+from .forwarding import AnswerHead, Attempt, ForwardRequest
+from .gateway_context import GatewayContext
+from .http_client import Reply
+from .responder import Responder
+
+# Work of a call of a plain service, in tokens, for comparing loads.
+PLAIN_WORK_TOKENS = 16.0
+# Tokens that are read in the time in which one is generated, roughly.
+READ_TOKENS_PER_OUTPUT = 16.0
+# A caller may come back after this time where replicas are full, seconds: about the
+# time of a few plain calls.
+FULL_RETRY_S = 0.3
+# Time in which a new replica or configuration is usually known, seconds.
+MISSING_RETRY_S = 1.0
+# Shares of the objective after which another replica is asked.
+FIRST_EVENT_SHARE = 1.0
+PLAIN_ANSWER_SHARE = 2.5
+# Multiple of the usual time to an answer after which another replica is asked, so
+# that replicas that are all loaded are not asked for the same work twice.
+USUAL_ANSWER_FACTOR = 4.0
+# Multiple of the timely pause after which a stream goes on elsewhere.
+PAUSE_FACTOR = 1.25
+# Shortest time given to an attempt, seconds.
+ATTEMPT_MINIMUM_S = 0.25
+# A replica's own answer at the deadline, which says nothing of its version.
+TIMED_OUT_STATUS = 504
+# Share of a prompt that other prompts share, up to which its first event comes about
+# as soon from a cold cache.
+SHARED_SHARE_LIMIT = 0.4
+# Statuses that promise that the request did not run, which a replica proves otherwise.
+PROMISE_STATUSES = (408, 421, 429, 503)
+# A request that may not be repeated goes out on a connection used this recently,
+# seconds, so that it does not meet the server's closing.
+ONCE_IDLE_LIMIT_S = 1.0
+REPEAT_IDLE_LIMIT_S = 4.0
+
+RETRY_REASONS: dict[RefusalReason, RetryReason] = {
+    RefusalReason.UPSTREAM_FULL: RetryReason.OVERLOADED,
+    RefusalReason.UPSTREAM_FAILED: RetryReason.FAILED,
+    RefusalReason.UPSTREAM_STALLED: RetryReason.STALLED,
+    RefusalReason.UPSTREAM_TRUNCATED: RetryReason.TRUNCATED,
+    RefusalReason.UPSTREAM_GARBLED: RetryReason.GARBLED,
+    RefusalReason.ANSWER_MISMATCH: RetryReason.MISMATCH,
+}
+
+
+class Answer(NamedTuple):
+    """A whole answer of a replica."""
+
+    status: int
+    fields: list[tuple[str, str]]
+    body: bytes
+
+
+class Outcome(NamedTuple):
+    """How a request ended, for the log.
+
+    :param status: status that the caller got.
+    :param attempts: replicas that it was sent to.
+    :param replica: the last of them.
+    :param version: its version.
+    :param model: the last model asked, empty where there is no choice.
+    :param first_s: time to the answer or its first event, seconds.
+    """
+
+    status: int
+    attempts: int
+    replica: str
+    version: str
+    model: str
+    first_s: float
+
+
+class _Escalation(Exception):  # noqa: N818
+    """The answer is dropped and asked of a larger model."""
+
+
+class Delivery:
+    """One request on its way: its attempts, and what is proved about them.
+
+    :param context: the gateway.
+    :param check_key: refuses if the caller's key may have been withdrawn.
+    :param request: the request.
+    :param route: its route.
+    :param holder: the customer that it comes from.
+    :param received_at: when it came, on the node's clock.
+    :param responder: receives the answer.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        check_key: Callable[[Route], None],
+        request: ForwardRequest,
+        route: Route,
+        holder: KeyHolder | None,
+        received_at: float,
+        responder: Responder,
+    ) -> None:
+        self._context = context
+        self._check_key = check_key
+        self._request = request
+        self._route = route
+        self._holder = holder
+        self._received_at = received_at
+        self._responder = responder
+        limit_s = route.timeout_s
+        if request.deadline_s is not None:
+            limit_s = min(limit_s, request.deadline_s)
+        self._ends_at = received_at + limit_s
+        self._service = route.pick_service(context.random.random())
+        self._model = first_model(route.models) if route.models else ""
+        self._attempts = 0
+        self._excluded: list[str] = []
+        self._ended_runs = Execution.NOT_RUN
+        self._attempt_open = False
+        self._resume_after = request.resume_after
+        self._failure: Answer | None = None
+        self._first_at: float | None = None
+        self._last_replica = "-"
+        self._version = ""
+        self._rollout: Rollout | None = None
+
+    @property
+    def _execution(self) -> Execution:
+        """What is proved about whether the request ran."""
+        if self._attempt_open and self._ended_runs is Execution.NOT_RUN:
+            return Execution.UNKNOWN
+        return self._ended_runs
+
+    @property
+    def _remaining_s(self) -> float:
+        return self._ends_at - self._context.clock.monotonic()
+
+    async def run(self) -> Outcome:
+        """Serve the request within its time."""
+        remaining_s = self._remaining_s
+        if remaining_s <= 0:
+            raise RefusalError(RefusalReason.DEADLINE_EXCEEDED)
+        with self._context.clock.timeout(remaining_s):
+            return await self._run()
+        raise RefusalError(
+            RefusalReason.DEADLINE_EXCEEDED,
+            self._execution,
+            f"no whole answer within {self._ends_at - self._received_at:.3f} s",
+        )
+
+    async def _run(self) -> Outcome:
+        self._context.retries.note_first(self._service)
+        while True:
+            lease = self._place()
+            try:
+                status = await self._attempt(lease)
+                return self._outcome(status)
+            except _Escalation:
+                self._end_attempt(Execution.RAN)
+            except UpstreamError as error:
+                self._end_attempt(error.execution)
+                if not self._may_repeat(error):
+                    return await self._give_up(error)
+
+    def _place(self) -> Lease:
+        self._check_key(self._route)
+        view, clock = self._context.view, self._context.clock
+        self._rollout = view.rollouts.get(self._service)
+        version = self._context.chooser.choose(
+            self._rollout,
+            view.versions(self._service),
+            self._request.session,
+            self._context.random.random(),
+            clock.monotonic(),
+        )
+        lease = None
+        if version is not None:
+            self._version = version
+            lease = self._choose(f"{self._service}@{version}")
+        if lease is None:
+            raise RefusalError(
+                RefusalReason.NO_UPSTREAM,
+                self._execution,
+                f"no replica of {self._service} is available",
+                MISSING_RETRY_S,
+            )
+        return lease
+
+    def _choose(self, group: str) -> Lease | None:
+        request = self._request
+        prefix, shared_tokens = shared_prefix(request.parts, self._model)
+        work = PLAIN_WORK_TOKENS
+        if self._route.repeat.streaming:
+            work += request.prompt_tokens / READ_TOKENS_PER_OUTPUT
+            work += request.output_tokens
+        choose = self._context.placement.choose
+        lease = choose(group, work, prefix, excluded=self._excluded)
+        return lease or choose(group, work, prefix)
+
+    async def _attempt(self, lease: Lease) -> int:
+        self._attempts += 1
+        self._last_replica = lease.replica.name
+        started_at = self._context.clock.monotonic()
+        failed, unreachable = True, False
+        try:
+            status = await self._exchange(lease, started_at)
+            failed = False
+            return status
+        except UpstreamError as error:
+            unreachable = _unreachable(error)
+            failed = error.reason is not RefusalReason.UPSTREAM_FULL
+            if error.reason is RefusalReason.UPSTREAM_STALLED:
+                elapsed_s = self._context.clock.monotonic() - started_at
+                self._context.answer_times.add(self._latency_kind, elapsed_s)
+            self._log_failure(lease, error, started_at)
+            raise
+        except BaseException:
+            failed = False
+            raise
+        finally:
+            self._context.placement.release(lease, failed, unreachable)
+
+    async def _exchange(self, lease: Lease, started_at: float) -> int:
+        self._check_still_allowed(lease)
+        attempt = Attempt(
+            replica=lease.replica,
+            holder=self._holder,
+            remaining_s=self._remaining_s,
+            priority=self._priority,
+            model=self._model,
+            resume_after=self._resume_after,
+        )
+        data = self._context.translator.encode_attempt(self._request, attempt)
+        head_timeout_s = self._head_timeout_s()
+        self._attempt_open = True
+        with translated_failures():
+            async with self._open(lease, data, head_timeout_s) as reply:
+                self._context.placement.note_answer(lease.replica.name)
+                head = self._context.translator.read_head(reply.status, reply.headers)
+                if head.not_run:
+                    raise UpstreamError(
+                        RefusalReason.UPSTREAM_FULL,
+                        Execution.NOT_RUN,
+                        f"the replica did not run it: status {reply.status}",
+                    )
+                if self._route.repeat.streaming and reply.status == 200:
+                    return await self._relay_stream(reply, head, started_at)
+                return await self._relay_whole(reply, head, started_at)
+
+    def _open(
+        self, lease: Lease, data: bytes, timeout_s: float
+    ) -> AbstractAsyncContextManager[Reply]:
+        read_head, own = self._context.translator.read_head, self._request.request
+
+        def belongs(headers: dict[str, str]) -> bool:
+            return read_head(0, headers).request in ("", own)
+
+        once = not self._route.repeat.repeatable
+        idle_s = ONCE_IDLE_LIMIT_S if once else REPEAT_IDLE_LIMIT_S
+        return self._context.http.exchange(
+            lease.replica.address, data, timeout_s, belongs, idle_s
+        )
+
+    async def _relay_whole(
+        self, reply: Reply, head: AnswerHead, started_at: float
+    ) -> int:
+        body = await reply.read()
+        self._check_genuine(reply, head)
+        now = self._context.clock.monotonic()
+        self._note_error(reply.status >= 500 and reply.status != TIMED_OUT_STATUS)
+        if reply.status < 500:
+            self._context.answer_times.add(self._latency_kind, now - started_at)
+            self._note_time(self._route.name, now - started_at)
+        fields = self._context.translator.answer_fields(reply.fields)
+        answer = Answer(reply.status, fields, body)
+        if reply.status >= 500:
+            self._failure = answer
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_FAILED,
+                Execution.RAN,
+                f"the replica failed: status {reply.status}",
+            )
+        self._first_at = now
+        await self._send_whole(answer)
+        return reply.status
+
+    async def _relay_stream(
+        self, reply: Reply, head: AnswerHead, started_at: float
+    ) -> int:
+        self._check_genuine(reply, head)
+        first_s = self._context.clock.monotonic() - started_at
+        self._note_first_event(first_s)
+        self._note_error(False)
+        self._escalate_if_unsure(head)
+        reply.timeout_s = self._pause_timeout_s()
+        splitter = EventSplitter()
+        pace = EventPace()
+        async for data in reply.aiter_stream():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            await self._send_events(reply, events)
+            if splitter.last_id is not None:
+                self._resume_after = splitter.last_id
+                pace.note(splitter.last_id, self._context.clock.monotonic())
+                self._note_pace(pace)
+        if splitter.rest:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_TRUNCATED,
+                Execution.RAN,
+                "the stream ended within an event",
+            )
+        if not self._responder.started:
+            await self._send_events(reply, b"")
+        await self._responder.finish()
+        return reply.status
+
+    async def _send_events(self, reply: Reply, events: bytes) -> None:
+        if not self._responder.started:
+            self._first_at = self._context.clock.monotonic()
+            fields = self._context.translator.answer_fields(reply.fields)
+            await self._responder.start(reply.status, fields)
+        if events:
+            await self._responder.send(events)
+
+    async def _send_whole(self, answer: Answer) -> None:
+        length = ("content-length", str(len(answer.body)))
+        await self._responder.start(answer.status, [*answer.fields, length])
+        await self._responder.finish(answer.body)
+
+    def _escalate_if_unsure(self, head: AnswerHead) -> None:
+        if self._responder.started or not self._route.models:
+            return
+        if not self._route.repeat.repeatable:
+            return
+        if self._attempts >= self._route.max_attempts:
+            return
+        larger = larger_model(self._route.models, self._model, head.confidence)
+        if larger is None or not self._spend_retry(Execution.NOT_RUN):
+            return
+        self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
+        log_event(
+            "model_escalated",
+            request=self._request.request,
+            model=self._model,
+            larger=larger,
+            confidence=head.confidence,
+        )
+        self._model = larger
+        raise _Escalation
+
+    def _check_genuine(self, reply: Reply, head: AnswerHead) -> None:
+        if reply.status in PROMISE_STATUSES:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_FAILED,
+                Execution.UNKNOWN,
+                f"status {reply.status} without proof that it did not run",
+            )
+        if head.genuine or reply.status >= 500:
+            return
+        raise UpstreamError(
+            RefusalReason.UPSTREAM_GARBLED,
+            Execution.UNKNOWN,
+            f"answer with status {reply.status} is not the replica's",
+        )
+
+    def _check_still_allowed(self, lease: Lease) -> None:
+        if not self._context.view.usable(lease.replica.name):
+            raise UpstreamError(
+                RefusalReason.NO_UPSTREAM, Execution.NOT_RUN, "the replica has left"
+            )
+
+    def _may_repeat(self, error: UpstreamError) -> bool:
+        self._excluded.append(self._last_replica)
+        not_run = error.execution is Execution.NOT_RUN
+        if not not_run and not self._route.repeat.repeatable:
+            return False
+        if self._responder.started and self._route.repeat is not (
+            Repeat.STREAM_RESUMABLE
+        ):
+            return False
+        if self._attempts >= self._route.max_attempts:
+            return False
+        if self._remaining_s < ATTEMPT_MINIMUM_S / 5:
+            return False
+        if not self._spend_retry(error.execution):
+            return False
+        reason = RetryReason.CONNECT_FAILED
+        if error.reason in RETRY_REASONS:
+            reason = RETRY_REASONS[error.reason]
+        self._context.metrics.count(retry_counter(reason))
+        return True
+
+    def _end_attempt(self, execution: Execution) -> None:
+        self._attempt_open = False
+        if self._ended_runs is not Execution.RAN and execution is not Execution.NOT_RUN:
+            self._ended_runs = execution
+
+    def _spend_retry(self, execution: Execution) -> bool:
+        return self._context.retries.allow(
+            self._request.request,
+            self._service,
+            self._route.repeat.repeatable,
+            execution,
+        )
+
+    async def _give_up(self, error: UpstreamError) -> Outcome:
+        if self._failure is not None and not self._responder.started:
+            await self._send_whole(self._failure)
+            return self._outcome(self._failure.status)
+        raise RefusalError(
+            error.reason, self._execution, error.detail, FULL_RETRY_S
+        ) from error
+
+    @property
+    def _place_served(self) -> tuple[str, str, str]:
+        return self._service, self._version, self._last_replica
+
+    def _note_error(self, bad: bool) -> None:
+        self._context.evidence.note_error(self._rollout, self._place_served, bad)
+
+    def _note_time(self, kind: str, seconds: float) -> None:
+        place = self._place_served
+        self._context.evidence.note_time(self._rollout, place, kind, seconds)
+
+    def _note_first_event(self, first_s: float) -> None:
+        """Compare the time to the first event unless a cold cache may explain it."""
+        self._context.answer_times.add(self._latency_kind, first_s)
+        _, shared_tokens = shared_prefix(self._request.parts, self._model)
+        if shared_tokens <= self._request.prompt_tokens * SHARED_SHARE_LIMIT:
+            self._note_time(self._latency_kind, first_s)
+
+    def _note_pace(self, pace: EventPace) -> None:
+        """Compare the time between events, which cold caches do not lengthen."""
+        pause_s = pace.take_pause_s()
+        if pause_s is not None:
+            self._note_time(f"pace/{self._model}", pause_s)
+
+    @property
+    def _priority(self) -> int:
+        if self._holder is not None and self._holder.priority is not None:
+            return self._holder.priority
+        return self._route.priority
+
+    def _head_timeout_s(self) -> float:
+        remaining_s = max(0.001, self._remaining_s)
+        if not self._route.repeat.repeatable:
+            return remaining_s
+        if self._attempts >= self._route.max_attempts:
+            return remaining_s
+        streaming = self._route.repeat.streaming
+        share = FIRST_EVENT_SHARE if streaming else PLAIN_ANSWER_SHARE
+        usual_s = self._context.answer_times.expected_s(self._latency_kind)
+        limit_s = max(
+            ATTEMPT_MINIMUM_S,
+            self._route.objective_s * share,
+            usual_s * USUAL_ANSWER_FACTOR,
+        )
+        return min(remaining_s, limit_s)
+
+    @property
+    def _latency_kind(self) -> str:
+        return latency_kind(self._route.name, self._model, self._request.prompt_tokens)
+
+    def _pause_timeout_s(self) -> float:
+        remaining_s = max(0.001, self._remaining_s)
+        if self._route.repeat is not Repeat.STREAM_RESUMABLE:
+            return remaining_s
+        if self._attempts >= self._route.max_attempts:
+            return remaining_s
+        return min(remaining_s, self._route.pause_s * PAUSE_FACTOR)
+
+    def _log_failure(
+        self, lease: Lease, error: UpstreamError, started_at: float
+    ) -> None:
+        elapsed_s = self._context.clock.monotonic() - started_at
+        log_event(
+            "attempt_failed",
+            request=self._request.request,
+            attempt=self._attempts,
+            replica=lease.replica.name,
+            version=self._version,
+            reason=error.reason.value,
+            execution=error.execution.value,
+            detail=error.detail,
+            elapsed_ms=f"{elapsed_s * 1000:.1f}",
+        )
+
+    def _outcome(self, status: int) -> Outcome:
+        first_at = self._first_at or self._context.clock.monotonic()
+        return Outcome(
+            status,
+            self._attempts,
+            self._last_replica,
+            self._version,
+            self._model,
+            first_at - self._received_at,
+        )
+
+
+def _unreachable(error: UpstreamError) -> bool:
+    if error.reason is RefusalReason.UPSTREAM_STALLED:
+        return True
+    failed = error.reason is RefusalReason.UPSTREAM_FAILED
+    return failed and error.execution is Execution.NOT_RUN
--- a/packages/node/src/lentilshore_node/fleet_source.py
+++ b/packages/node/src/lentilshore_node/fleet_source.py
@@ -4,8 +4,8 @@
 
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
+from lentilshore_routing.rollout_record import Rollout
 from lentilshore_routing.routes import RouteTable
-from lentilshore_routing.staging import Rollout
 
 T = TypeVar("T")
 
--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -9,8 +9,9 @@
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.logs import log_event
 from lentilshore_routing.placement import Placement, Replica
+from lentilshore_routing.rollout_record import Rollout, allowed_versions
 from lentilshore_routing.routes import RouteTable
-from lentilshore_routing.staging import Rollout, allowed_versions, join_sightings
+from lentilshore_routing.sightings import join_sightings
 
 
 class ReplicaRecord(NamedTuple):
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -14,8 +14,9 @@
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing.routes import CallerLimits
 
+from .delivery import Outcome
 from .edge import Receive, Send, read_body, serve_until_disconnect
-from .forwarder import Forwarder, Outcome
+from .forwarder import Forwarder
 from .forwarding import ForwardRequest
 from .gateway_context import CALLER_STALL_S, GatewayContext
 from .responder import AsgiResponder, encode_refusal, send_json
--- a/packages/node/src/lentilshore_node/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/gateway_assembly.py
@@ -9,7 +9,7 @@
 from lentilshore_kernel.metrics import MetricsRecorder
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryBudget, RetryPolicy
-from lentilshore_routing.staging import VersionChooser
+from lentilshore_routing.version_choice import VersionChooser
 
 from .fleet_view import FleetView
 from .forwarding import Translator
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -10,11 +10,8 @@
 from lentilshore_kernel.metrics import MetricsRecorder
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryPolicy
-from lentilshore_routing.staging import (
-    LatencyBaseline,
-    VersionChooser,
-    VersionEvidence,
-)
+from lentilshore_routing.version_choice import VersionChooser
+from lentilshore_routing.version_evidence import LatencyBaseline, VersionEvidence
 
 from .fleet_view import FleetView
 from .forwarding import Translator
--- a/packages/node/src/lentilshore_node/rollout_duty.py
+++ b/packages/node/src/lentilshore_node/rollout_duty.py
@@ -4,7 +4,8 @@
 
 from lentilshore_kernel.exceptions import StoreError
 from lentilshore_kernel.logs import log_event
-from lentilshore_routing.staging import Rollout, RolloutState, next_state
+from lentilshore_routing.rollout_record import Rollout, RolloutState
+from lentilshore_routing.staging import next_state
 
 from .fleet_source import FleetSource
 from .gateway_context import GatewayContext
--- a/packages/node/src/lentilshore_node/view_keeper.py
+++ b/packages/node/src/lentilshore_node/view_keeper.py
@@ -9,7 +9,7 @@
 
 from lentilshore_kernel.exceptions import StoreError, StoreHistoryGoneError
 from lentilshore_kernel.logs import log_event
-from lentilshore_routing.staging import Rollout
+from lentilshore_routing.rollout_record import Rollout
 
 from .fleet_source import Collection, FleetSource
 from .fleet_view import ReplicaRecord
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -19,6 +19,7 @@
 # Modules of the product that hold decisions, state or recovery; the adapter only
 # meets the types and protocols of others.
 DECISIONS = {
+    "lentilshore_node.delivery",
     "lentilshore_node.forwarder",
     "lentilshore_node.view_keeper",
     "lentilshore_node.rollout_duty",
@@ -26,6 +27,9 @@
     "lentilshore_routing.model_choice",
     "lentilshore_routing.retries",
     "lentilshore_routing.rollouts",
+    "lentilshore_routing.staging",
+    "lentilshore_routing.version_choice",
+    "lentilshore_routing.version_evidence",
 }
 # Names that mean something on the users' platform alone.
 PLATFORM_NAMES = re.compile(
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -6,8 +6,8 @@
 from lentilshore_kernel.types import Address
 from lentilshore_node.fleet_view import FleetView, ReplicaRecord
 from lentilshore_routing.placement import Placement, Replica
+from lentilshore_routing.rollout_record import Rollout, RolloutState
 from lentilshore_routing.routes import CallerLimits, RouteTable
-from lentilshore_routing.staging import Rollout, RolloutState
 
 VANISHED_S = 1.5
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,9 +24,10 @@
 )
 from lentilshore_platform.settings import load_settings
 from lentilshore_platform.store import ObjectStoreSource, StoreClient
+from lentilshore_routing.rollout_record import RolloutState
 from lentilshore_routing.rollouts import Tally
 from lentilshore_routing.routes import KeyHolder, Repeat
-from lentilshore_routing.staging import RolloutState, Sightings, Spread
+from lentilshore_routing.sightings import Sightings, Spread
 from tests.scripted import ScriptedServer, answer
 
 SETTINGS = """\
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -3,23 +3,26 @@
 
 import pytest
 
+from lentilshore_routing.rollout_record import (
+    Rollout,
+    RolloutState,
+    allowed_versions,
+    evidence_key,
+)
 from lentilshore_routing.rollouts import Tally, excess_chance
+from lentilshore_routing.sightings import Sightings, Spread
 from lentilshore_routing.staging import (
     COMPLETION_START,
     REPORT_PARTS,
     STAGE_SHARES,
+    last_stage_start,
+    next_state,
+)
+from lentilshore_routing.version_choice import VersionChooser
+from lentilshore_routing.version_evidence import (
     LatencyBaseline,
-    Rollout,
-    RolloutState,
-    Sightings,
-    Spread,
-    VersionChooser,
     VersionEvidence,
-    allowed_versions,
-    evidence_key,
-    last_stage_start,
     latency_kind,
-    next_state,
 )
 
 BOTH = {"v1": 3, "v2": 3}
