Log lines that never block, sampled whole requests, and served metrics

A reader that stops costs lines, which are counted; routine lines of requests keep to 100 a second, refusals, failures and changes of belief are always written.

--- a/packages/kernel/src/lentilshore_kernel/__init__.py
+++ b/packages/kernel/src/lentilshore_kernel/__init__.py
@@ -8,6 +8,7 @@
 from .metrics import (
     Metrics,
     MetricsRecorder,
+    note_belief,
     refusal_counter,
     report_failure,
     retry_counter,
@@ -15,6 +16,7 @@
 from .registry import Registry, load_plugins, plugin
 from .types import (
     Address,
+    BeliefChange,
     Execution,
     Incarnation,
     ModelVersion,
@@ -26,6 +28,7 @@
 
 __all__ = [
     "Address",
+    "BeliefChange",
     "Clock",
     "Execution",
     "Incarnation",
@@ -45,6 +48,7 @@
     "load_plugins",
     "load_settings",
     "log_event",
+    "note_belief",
     "parse_model_version",
     "plugin",
     "refusal_counter",
--- a/packages/kernel/src/lentilshore_kernel/metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/metrics.py
@@ -8,7 +8,7 @@
 
 from .clock import Clock
 from .logs import log_event
-from .types import Address, RefusalReason, RetryReason
+from .types import Address, BeliefChange, RefusalReason, RetryReason
 
 FLUSH_INTERVAL_S = 1.0
 TIMINGS_KEPT = 4096
@@ -37,10 +37,6 @@
         """Counter values since the process started."""
         return dict(self._totals)
 
-    def render(self) -> str:
-        """Return the counters as lines of text."""
-        return "".join(f"{name} {value}\n" for name, value in self._totals.items())
-
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
         self._totals[name] += by
@@ -98,6 +94,20 @@
     return f"refusal.{reason.value}"
 
 
+def belief_counter(change: BeliefChange) -> str:
+    """Return the counter name of a change of what a node holds to be so."""
+    return f"belief.{change.value}"
+
+
+def note_belief(metrics: Metrics, change: BeliefChange, **fields: Any) -> None:
+    """Log and count a change of what a node holds to be so.
+
+    :param fields: what was seen, none of it secret.
+    """
+    metrics.count(belief_counter(change))
+    log_event(change.value, **fields)
+
+
 def retry_counter(reason: RetryReason) -> str:
     """Return the counter name of a retry reason."""
     return f"retry.{reason.value}"
--- a/packages/kernel/src/lentilshore_kernel/reference.py
+++ b/packages/kernel/src/lentilshore_kernel/reference.py
@@ -12,6 +12,7 @@
 
 from .exceptions import STATUS_BY_REASON
 from .metrics import refusal_counter, retry_counter
+from .served_metrics import render_metrics
 from .settings import Settings
 from .types import RefusalReason, RetryReason
 
@@ -62,5 +63,9 @@
 
 
 if __name__ == "__main__":
-    pages = {"settings": render_settings, "reasons": render_reasons}
+    pages = {
+        "settings": render_settings,
+        "reasons": render_reasons,
+        "metrics": render_metrics,
+    }
     sys.stdout.write(pages[sys.argv[1]]())
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -70,6 +70,27 @@
     ESCALATED = "escalated"
 
 
+class BeliefChange(StrEnum):
+    """Closed enumeration of the changes of what a node holds to be so."""
+
+    CONFIGURATION_TAKEN_UP = "configuration_taken_up"
+    REPLICA_SEEN = "replica_seen"
+    REPLICA_CHANGED = "replica_changed"
+    REPLICA_REBORN = "replica_reborn"
+    REPLICA_VANISHED = "replica_vanished"
+    REPLICA_GONE = "replica_gone"
+    REPLICA_RESTED = "replica_rested"
+    ROLLOUT_SEEN = "rollout_seen"
+    ROLLOUT_GONE = "rollout_gone"
+    ROLLOUT_STEP = "rollout_step"
+    ROLLOUT_STEP_FAILED = "rollout_step_failed"
+    STORE_LOST = "store_lost"
+    STORE_REGAINED = "store_regained"
+    HISTORY_GONE = "history_gone"
+    READINESS_CHANGED = "readiness_changed"
+    ENTRY_UNREADABLE = "entry_unreadable"
+
+
 class Priority(int, Enum):
     """Order in which waiting requests are served; lower goes first."""
 
--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -8,8 +8,8 @@
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
-from lentilshore_kernel.metrics import retry_counter
-from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
+from lentilshore_kernel.metrics import note_belief, retry_counter
+from lentilshore_kernel.types import BeliefChange, Execution, RefusalReason, RetryReason
 from lentilshore_routing.model_choice import first_model, larger_model
 from lentilshore_routing.placement import Lease
 from lentilshore_routing.rollout_record import Rollout
@@ -77,18 +77,20 @@
 
     :param status: status that the caller got.
     :param attempts: replicas that it was sent to.
-    :param replica: the last of them.
+    :param lease: the last of them, and what was believed of it.
     :param version: its version.
     :param model: the last model asked, empty where there is no choice.
     :param first_s: time to the answer or its first event, seconds.
+    :param whole_s: time to the end of the answer, seconds.
     """
 
     status: int
     attempts: int
-    replica: str
+    lease: Lease | None
     version: str
     model: str
     first_s: float
+    whole_s: float
 
 
 class _Escalation(Exception):  # noqa: N818
@@ -137,7 +139,7 @@
         self._resume_after = request.resume_after
         self._failure: Answer | None = None
         self._first_at: float | None = None
-        self._last_replica = "-"
+        self._lease: Lease | None = None
         self._version = ""
         self._rollout: Rollout | None = None
 
@@ -148,6 +150,10 @@
             return Execution.UNKNOWN
         return self._ended_runs
 
+    @property
+    def _last_replica(self) -> str:
+        return self._lease.replica.name if self._lease else "-"
+
     @property
     def _remaining_s(self) -> float:
         return self._ends_at - self._context.clock.monotonic()
@@ -216,7 +222,7 @@
 
     async def _attempt(self, lease: Lease) -> int:
         self._attempts += 1
-        self._last_replica = lease.replica.name
+        self._lease = lease
         started_at = self._context.clock.monotonic()
         failed, unreachable = True, False
         try:
@@ -235,7 +241,17 @@
             failed = False
             raise
         finally:
-            self._context.placement.release(lease, failed, unreachable)
+            self._release(lease, failed, unreachable)
+
+    def _release(self, lease: Lease, failed: bool, unreachable: bool) -> None:
+        if self._context.placement.release(lease, failed, unreachable):
+            note_belief(
+                self._context.metrics,
+                BeliefChange.REPLICA_RESTED,
+                replica=lease.replica.name,
+                unreachable=unreachable,
+                request=self._request.request,
+            )
 
     async def _exchange(self, lease: Lease, started_at: float) -> int:
         self._check_still_allowed(lease)
@@ -329,6 +345,7 @@
             )
         if not self._responder.started:
             await self._send_events(reply, b"")
+        self._context.metrics.observe("stream.pause_s", pace.longest_s)
         await self._responder.finish()
         return reply.status
 
@@ -338,9 +355,11 @@
             fields = self._context.translator.answer_fields(reply.fields)
             await self._responder.start(reply.status, fields)
         if events:
+            self._context.metrics.count("bytes.answered", len(events))
             await self._responder.send(events)
 
     async def _send_whole(self, answer: Answer) -> None:
+        self._context.metrics.count("bytes.answered", len(answer.body))
         length = ("content-length", str(len(answer.body)))
         await self._responder.start(answer.status, [*answer.fields, length])
         await self._responder.finish(answer.body)
@@ -356,13 +375,14 @@
         if larger is None or not self._spend_retry(Execution.NOT_RUN):
             return
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
-        log_event(
-            "model_escalated",
-            request=self._request.request,
-            model=self._model,
-            larger=larger,
-            confidence=head.confidence,
-        )
+        if self._context.sampler.admits(self._request.request):
+            log_event(
+                "model_escalated",
+                request=self._request.request,
+                model=self._model,
+                larger=larger,
+                confidence=head.confidence,
+            )
         self._model = larger
         raise _Escalation
 
@@ -491,6 +511,7 @@
         self, lease: Lease, error: UpstreamError, started_at: float
     ) -> None:
         elapsed_s = self._context.clock.monotonic() - started_at
+        self._context.metrics.count(f"attempt.{error.reason.value}")
         log_event(
             "attempt_failed",
             request=self._request.request,
@@ -504,14 +525,16 @@
         )
 
     def _outcome(self, status: int) -> Outcome:
-        first_at = self._first_at or self._context.clock.monotonic()
+        now = self._context.clock.monotonic()
+        first_at = self._first_at or now
         return Outcome(
             status,
             self._attempts,
-            self._last_replica,
+            self._lease,
             self._version,
             self._model,
             first_at - self._received_at,
+            now - self._received_at,
         )
 
 
--- a/packages/node/src/lentilshore_node/event_splitter.py
+++ b/packages/node/src/lentilshore_node/event_splitter.py
@@ -56,12 +56,19 @@
 
 
 class EventPace:
-    """Mean pause between the first events of a stream."""
+    """Pauses between the events of a stream."""
 
     def __init__(self) -> None:
         self._first: tuple[int, float] | None = None
         self._pause_s: float | None = None
         self._taken = False
+        self._last_at: float | None = None
+        self._longest_s = 0.0
+
+    @property
+    def longest_s(self) -> float:
+        """Longest pause so far, seconds."""
+        return self._longest_s
 
     def note(self, number: int, now: float) -> None:
         """Note that an event has come.
@@ -69,6 +76,9 @@
         :param number: its number.
         :param now: time on the node's clock, seconds.
         """
+        if self._last_at is not None:
+            self._longest_s = max(self._longest_s, now - self._last_at)
+        self._last_at = now
         if self._first is None:
             self._first = (number, now)
             return
--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -4,10 +4,12 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from functools import partial
 from typing import NamedTuple
 
 from lentilshore_kernel.clock import Clock
-from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.metrics import Metrics, note_belief
+from lentilshore_kernel.types import BeliefChange
 from lentilshore_routing.placement import Placement, Replica
 from lentilshore_routing.rollout_record import Rollout, allowed_versions
 from lentilshore_routing.routes import RouteTable
@@ -39,9 +41,16 @@
     :param placement: gets the replicas.
     :param vanished_s: how long a replica that vanished from the list without
         leaving may still get requests, seconds.
+    :param metrics: counts the changes.
     """
 
-    def __init__(self, clock: Clock, placement: Placement, vanished_s: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        placement: Placement,
+        vanished_s: float,
+        metrics: Metrics,
+    ) -> None:
         self._clock = clock
         self._placement = placement
         self._vanished_s = vanished_s
@@ -53,6 +62,7 @@
         self._listed = False
         self._versions: dict[str, dict[str, int]] = {}
         self._usable: set[str] = set()
+        self._note = partial(note_belief, metrics)
 
     @property
     def table(self) -> RouteTable | None:
@@ -87,8 +97,8 @@
             return False
         previous = self._table.version if self._table else 0
         self._table = table
-        log_event(
-            "configuration_taken_up",
+        self._note(
+            BeliefChange.CONFIGURATION_TAKEN_UP,
             version=table.version,
             previous=previous,
             routes=table.route_count,
@@ -128,7 +138,7 @@
         """Replace the roll-outs, keeping any that is newer."""
         found = {rollout.service: rollout for rollout in rollouts}
         for service in self._rollouts.keys() - found.keys():
-            log_event("rollout_gone", service=service)
+            self._note(BeliefChange.ROLLOUT_GONE, service=service)
             del self._rollouts[service]
         for rollout in found.values():
             self.take_rollout(rollout)
@@ -139,8 +149,8 @@
         if known is not None and known.revision >= rollout.revision:
             return
         self._rollouts[rollout.service] = rollout
-        log_event(
-            "rollout_seen",
+        self._note(
+            BeliefChange.ROLLOUT_SEEN,
             service=rollout.service,
             candidate=rollout.candidate,
             state=rollout.state or "ordered",
@@ -153,7 +163,7 @@
     def drop_rollout(self, service: str) -> None:
         """Note that a roll-out's order was removed."""
         if self._rollouts.pop(service, None) is not None:
-            log_event("rollout_gone", service=service)
+            self._note(BeliefChange.ROLLOUT_GONE, service=service)
             self._apply()
 
     def expire(self) -> None:
@@ -163,7 +173,7 @@
         for name in expired:
             del self._vanished[name]
             record = self._records.pop(name)
-            log_event("replica_gone", replica=name, service=record.service)
+            self._note(BeliefChange.REPLICA_GONE, replica=name, service=record.service)
         if expired:
             self._apply()
 
@@ -177,11 +187,14 @@
         self._records[record.identity] = record
         if known == record:
             return
-        event = "replica_seen"
+        change = BeliefChange.REPLICA_SEEN
         if known is not None:
-            event = "replica_changed" if known.born == record.born else "replica_reborn"
-        log_event(
-            event,
+            same = known.born == record.born
+            change = (
+                BeliefChange.REPLICA_CHANGED if same else BeliefChange.REPLICA_REBORN
+            )
+        self._note(
+            change,
             replica=record.identity,
             service=record.service,
             version=record.version,
@@ -193,7 +206,9 @@
         if identity in self._vanished:
             return
         record = self._records[identity]
-        log_event("replica_vanished", replica=identity, service=record.service)
+        self._note(
+            BeliefChange.REPLICA_VANISHED, replica=identity, service=record.service
+        )
         if record.replica.leaving:
             del self._records[identity]
             return
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -12,6 +12,7 @@
     RefusalError,
 )
 from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing.placement import Lease
 from lentilshore_routing.routes import CallerLimits
 
 from .delivery import Outcome
@@ -135,19 +136,25 @@
             log_event("request_cancelled", request=head.request, route=route)
             return
         self._context.metrics.count("request.served")
-        self._context.metrics.observe("request.first_ms", outcome.first_s * 1000)
+        self._context.metrics.observe("request.first_s", outcome.first_s)
+        self._context.metrics.observe("request.whole_s", outcome.whole_s)
+        if not self._context.sampler.admits(head.request):
+            self._context.metrics.count("log.sampled_out")
+            return
         log_event(
             "request_served",
             request=head.request,
             route=route,
             configuration=version,
+            proof_age_ms=f"{self._context.view.confirmed_age_s * 1000:.0f}",
             status=outcome.status,
             attempts=outcome.attempts,
-            replica=outcome.replica,
+            **_shown(outcome.lease),
             version=outcome.version or "-",
             session=head.session or "-",
             model=outcome.model or "-",
             first_ms=f"{outcome.first_s * 1000:.1f}",
+            whole_ms=f"{outcome.whole_s * 1000:.1f}",
         )
 
     async def _refuse(
@@ -183,3 +190,17 @@
     if refusal.reason is RefusalReason.DEADLINE_EXCEEDED:
         return TIMED_OUT_STATUS
     return FAILED_STATUS if status in NOT_RUN_STATUSES else status
+
+
+def _shown(lease: Lease | None) -> dict[str, Any]:
+    """Return the replica of a request and why it was chosen, for a log line."""
+    if lease is None:
+        return {"replica": "-"}
+    age_s = lease.report_age_s
+    return {
+        "replica": lease.replica.name,
+        "data_centre": lease.replica.data_centre,
+        "load_tokens": f"{lease.load_tokens:.0f}",
+        "load_from": "own_work" if age_s is None else f"report_{age_s:.1f}_s_old",
+        "cached": lease.cached,
+    }
--- a/packages/node/src/lentilshore_node/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/gateway_assembly.py
@@ -6,7 +6,8 @@
 from functools import partial
 
 from lentilshore_kernel.clock import Clock
-from lentilshore_kernel.metrics import MetricsRecorder
+from lentilshore_kernel.logs import RequestSampler
+from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryBudget, RetryPolicy
 from lentilshore_routing.version_choice import VersionChooser
@@ -33,7 +34,7 @@
     times: GatewayTimes,
     clock: Clock,
     random_source: random.Random,
-    metrics: MetricsRecorder,
+    metrics: ServedMetrics,
     http: HttpClient,
     translator: Translator,
 ) -> GatewayContext:
@@ -56,10 +57,11 @@
         clock=clock,
         random=random_source,
         metrics=metrics,
-        view=FleetView(clock, placement, times.leaving_s * VANISHED_SHARE),
+        view=FleetView(clock, placement, times.leaving_s * VANISHED_SHARE, metrics),
         placement=placement,
         retries=RetryPolicy(create_budget=create_budget),
         chooser=VersionChooser(times.session_s),
         translator=translator,
         http=http,
+        sampler=RequestSampler(clock),
     )
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from lentilshore_kernel.clock import Clock
-from lentilshore_kernel.metrics import MetricsRecorder
+from lentilshore_kernel.logs import RequestSampler
+from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryPolicy
 from lentilshore_routing.version_choice import VersionChooser
@@ -63,13 +64,14 @@
     times: GatewayTimes
     clock: Clock
     random: random.Random
-    metrics: MetricsRecorder
+    metrics: ServedMetrics
     view: FleetView
     placement: Placement
     retries: RetryPolicy
     chooser: VersionChooser
     translator: Translator
     http: HttpClient
+    sampler: RequestSampler
     evidence: VersionEvidence = field(default_factory=VersionEvidence)
     answer_times: LatencyBaseline = field(default_factory=LatencyBaseline)
     draining: bool = False
--- a/packages/node/src/lentilshore_node/gateway_server.py
+++ b/packages/node/src/lentilshore_node/gateway_server.py
@@ -12,7 +12,7 @@
 import anyio
 import uvicorn
 
-from lentilshore_kernel import log_event
+from lentilshore_kernel import BeliefChange, log_event, note_belief
 from lentilshore_kernel.types import Address
 
 from .fleet_source import FleetSource
@@ -121,8 +121,9 @@
                 self._config.timeout_keep_alive = idle_s
             if ready != self._context.ready:
                 ready = self._context.ready
-                log_event(
-                    "readiness_changed",
+                note_belief(
+                    self._context.metrics,
+                    BeliefChange.READINESS_CHANGED,
                     ready=ready,
                     confirmed_age_s=f"{self._context.view.confirmed_age_s:.2f}",
                 )
--- a/packages/node/src/lentilshore_node/rollout_duty.py
+++ b/packages/node/src/lentilshore_node/rollout_duty.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from lentilshore_kernel.exceptions import StoreError
-from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.metrics import note_belief
+from lentilshore_kernel.types import BeliefChange
 from lentilshore_routing.rollout_record import Rollout, RolloutState
 from lentilshore_routing.staging import next_state
 
@@ -76,12 +77,18 @@
         try:
             written = await self._source.write_rollout(due)
         except StoreError as error:
-            log_event("rollout_step_failed", service=due.service, detail=str(error))
+            note_belief(
+                self._context.metrics,
+                BeliefChange.ROLLOUT_STEP_FAILED,
+                service=due.service,
+                detail=str(error),
+            )
             return
         self._context.view.take_rollout(written)
         own = (written.state, written.stage) == (due.state, due.stage)
-        log_event(
-            "rollout_step",
+        note_belief(
+            self._context.metrics,
+            BeliefChange.ROLLOUT_STEP,
             service=due.service,
             candidate=due.candidate,
             state=due.state or "-",
--- a/packages/node/src/lentilshore_node/view_keeper.py
+++ b/packages/node/src/lentilshore_node/view_keeper.py
@@ -8,7 +8,8 @@
 from anyio.abc import TaskGroup
 
 from lentilshore_kernel.exceptions import StoreError, StoreHistoryGoneError
-from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.metrics import note_belief
+from lentilshore_kernel.types import BeliefChange
 from lentilshore_routing.rollout_record import Rollout
 
 from .fleet_source import Collection, FleetSource
@@ -100,8 +101,12 @@
                 self._note(name, None)
                 delay_s = RETRY_S
             except StoreHistoryGoneError:
-                log_event("history_gone", part=name, revision=revision)
-                self._context.metrics.count("store.history_gone")
+                note_belief(
+                    self._context.metrics,
+                    BeliefChange.HISTORY_GONE,
+                    part=name,
+                    revision=revision,
+                )
                 revision = None
             except StoreError as error:
                 self._note(name, error)
@@ -135,5 +140,6 @@
         if self._reached.get(name) == reached:
             return
         self._reached[name] = reached
-        event = "store_regained" if reached else "store_lost"
-        log_event(event, part=name, detail=str(error) if error else "-")
+        change = BeliefChange.STORE_REGAINED if reached else BeliefChange.STORE_LOST
+        detail = str(error) if error else "-"
+        note_belief(self._context.metrics, change, part=name, detail=detail)
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -118,12 +118,19 @@
     :param work_tokens: tokens of work that were added to its load.
     :param batch: whether the request has batch priority.
     :param taken_at: when it was taken, on the node's clock.
+    :param load_tokens: work that the replica was believed to have before.
+    :param report_age_s: age of the report that this rests on, seconds; None if it
+        rests on this node's own work.
+    :param cached: whether the replica is believed to hold the prompt's prefix.
     """
 
     replica: Replica
     work_tokens: float
     batch: bool
     taken_at: float
+    load_tokens: float = 0.0
+    report_age_s: float | None = None
+    cached: bool = False
 
 
 class Placement:
@@ -221,15 +228,27 @@
         )
         state = self._states[replica.name]
         now = self._clock.monotonic()
+        load_tokens = self._load(state)
+        report_age_s = now - state.report.at
+        fresh = state.report.at >= 0 and report_age_s <= REPORT_LIMIT_S
+        cached = bool(prefix) and prefix in state.prefixes
         state.in_flight += 1
         state.batch_in_flight += batch
         state.local_work += work_tokens
         state.changes.append((now, work_tokens))
         if prefix:
             self.note_prefix(replica.name, prefix)
-        return Lease(replica, work_tokens, batch, now)
+        return Lease(
+            replica,
+            work_tokens,
+            batch,
+            now,
+            load_tokens,
+            report_age_s if fresh else None,
+            cached,
+        )
 
-    def release(self, lease: Lease, failed: bool, unreachable: bool = False) -> None:
+    def release(self, lease: Lease, failed: bool, unreachable: bool = False) -> bool:
         """Give a place back.
 
         :param lease: what :meth:`choose` returned.
@@ -237,26 +256,33 @@
         :param unreachable: whether the replica could not be connected to, or was
             silent; it gets no work for :data:`UNREACHABLE_S` unless it has answered
             other requests meanwhile.
+        :returns: whether the replica rests from now on.
         """
         state = self._states.get(lease.replica.name)
         if state is None:
-            return
+            return False
+        now = self._clock.monotonic()
         state.in_flight = max(0, state.in_flight - 1)
         state.batch_in_flight = max(0, state.batch_in_flight - lease.batch)
         state.local_work = max(0.0, state.local_work - lease.work_tokens)
-        state.changes.append((self._clock.monotonic(), -lease.work_tokens))
-        if unreachable and state.answered_at >= lease.taken_at:
-            return
+        state.changes.append((now, -lease.work_tokens))
         if unreachable:
-            state.ejected_until = self._clock.monotonic() + UNREACHABLE_S
-            return
+            return self._rest_unreachable(state, lease, now)
         if not failed:
             state.failures = 0
-            return
+            return False
         state.failures += 1
-        if state.failures >= EJECTION_FAILURES and self._may_eject():
-            state.ejected_until = self._clock.monotonic() + EJECTION_S
-            state.failures = 0
+        if state.failures < EJECTION_FAILURES or not self._may_eject():
+            return False
+        state.ejected_until = now + EJECTION_S
+        state.failures = 0
+        return True
+
+    def _rest_unreachable(self, state: _ReplicaState, lease: Lease, now: float) -> bool:
+        if state.answered_at >= lease.taken_at:
+            return False
+        state.ejected_until = now + UNREACHABLE_S
+        return True
 
     def note_answer(self, name: str) -> None:
         """Note that a replica has begun to answer a request."""
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -57,3 +57,4 @@
     pace.note(1, 10.0)
     pace.note(9, 14.0)
     assert pace.take_pause_s() == 0.5
+    assert pace.longest_s == 4.0
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address
 from lentilshore_node.fleet_view import FleetView, ReplicaRecord
@@ -40,7 +41,9 @@
 
 @pytest.fixture
 def view(clock):
-    return FleetView(clock, Placement("n", clock, random.Random(1)), VANISHED_S)
+    return FleetView(
+        clock, Placement("n", clock, random.Random(1)), VANISHED_S, ServedMetrics()
+    )
 
 
 def test_a_configuration_never_goes_back(view):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from lentilshore_kernel import MetricsRecorder
+from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address
 from lentilshore_node.fleet_view import ReplicaRecord
@@ -159,7 +159,7 @@
             TIMES,
             clock,
             random.Random(1),
-            MetricsRecorder(),
+            ServedMetrics(),
             HttpClient(),
             HeaderTranslator(),
         )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from lentilshore_kernel import MetricsRecorder
 from lentilshore_kernel.exceptions import (
     SettingsError,
     StoreAmbiguousError,
     StoreHistoryGoneError,
     StoreUnavailableError,
 )
+from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.types import Address
 from lentilshore_node.http_client import HttpClient
 from lentilshore_platform.documents import (
@@ -205,7 +205,7 @@
     async def main():
         server = ScriptedServer(scripts)
         async with server.running():
-            client = StoreClient(HttpClient(), server.address, MetricsRecorder())
+            client = StoreClient(HttpClient(), server.address, ServedMetrics())
             result = await act(ObjectStoreSource(client))
             return result, [line for line, _, _ in server.requests]
 
--- /dev/null
+++ b/tests/test_served_metrics.py
@@ -0,0 +1,77 @@
+import re
+from pathlib import Path
+
+import pytest
+
+from lentilshore_kernel.metrics import (
+    belief_counter,
+    refusal_counter,
+    retry_counter,
+)
+from lentilshore_kernel.served_metrics import (
+    COUNTERS,
+    HISTOGRAMS,
+    ServedMetrics,
+    UnknownMetricError,
+    render_metrics,
+)
+from lentilshore_kernel.types import BeliefChange, RefusalReason, RetryReason
+
+ROOT = Path(__file__).parent.parent
+GATEWAY = [
+    *(ROOT / "packages/node/src/lentilshore_node").glob("*.py"),
+    *(ROOT / "platform/src/lentilshore_platform").glob("*.py"),
+]
+SOURCE = "\n".join(path.read_text() for path in GATEWAY)
+
+
+def test_counters_and_histograms_are_served():
+    metrics = ServedMetrics()
+    metrics.count("refusal.queue_full", 2)
+    metrics.count("store.call.read.200")
+    metrics.observe("request.first_s", 0.2)
+    text = metrics.render()
+    assert 'lentilshore_refusals_total{reason="queue_full"} 2.0' in text
+    assert 'lentilshore_store_calls_total{call="read.200"} 1.0' in text
+    assert 'lentilshore_first_event_seconds_bucket{le="0.25"} 1.0' in text
+
+
+@pytest.mark.parametrize("name", ["unheard_of", "unheard.of", "refusal"])
+def test_a_name_without_a_family_is_an_error(name):
+    with pytest.raises(UnknownMetricError):
+        ServedMetrics().count(name)
+    with pytest.raises(UnknownMetricError):
+        ServedMetrics().observe(name, 1.0)
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        *map(refusal_counter, RefusalReason),
+        *map(retry_counter, RetryReason),
+        *map(belief_counter, BeliefChange),
+        *(f"attempt.{reason.value}" for reason in RefusalReason),
+    ],
+)
+def test_every_reason_and_change_has_a_family(name):
+    ServedMetrics().count(name)
+
+
+@pytest.mark.parametrize("change", BeliefChange)
+def test_every_change_of_belief_has_its_line(change):
+    assert f"BeliefChange.{change.name}" in SOURCE
+
+
+@pytest.mark.parametrize("family", HISTOGRAMS)
+def test_every_histogram_is_fed(family):
+    assert f'"{family.prefix}"' in SOURCE
+
+
+@pytest.mark.parametrize("family", COUNTERS)
+def test_every_counter_has_help(family):
+    assert re.fullmatch(r"lentilshore_[a-z_]+", family.name)
+    assert family.help_text
+
+
+def test_the_page_of_metrics_is_current():
+    assert (ROOT / "docs/METRICS.md").read_text() == render_metrics()
