--- a/packages/ctl/src/lentilshore_ctl/cli.py
+++ b/packages/ctl/src/lentilshore_ctl/cli.py
@@ -9,6 +9,7 @@
 from lentilshore_kernel.program import run_program
 
 from .fleet import Bills, Explain, Status, Watch
+from .logfiles import Reasons, Story
 from .records import (
     CascadeCommands,
     CustomerCommands,
@@ -49,6 +50,8 @@
         | Watch
         | Explain
         | Bills
+        | Story
+        | Reasons
     ]
 
 
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -112,6 +112,7 @@
         received_at = self._context.clock.monotonic()
         route, holder = self._forwarder.route(head)
         table = self._context.view.table
+        proof_age_s = self._context.view.confirmed_age_s
         limits = table.limits if table else CallerLimits()
         body = await read_body(
             receive,
@@ -125,15 +126,19 @@
             self._forwarder.serve, head, route, holder, received_at, responder
         )
         outcome = await serve_until_disconnect(receive, serve)
-        version = table.version if table else 0
-        self._log(head, route.name, version, outcome)
+        known = {
+            "route": route.name,
+            "configuration": table.version if table else 0,
+            "proof_age_ms": f"{proof_age_s * 1000:.0f}",
+        }
+        self._log(head, known, outcome)
 
     def _log(
-        self, head: ForwardRequest, route: str, version: int, outcome: Outcome | None
+        self, head: ForwardRequest, known: dict[str, Any], outcome: Outcome | None
     ) -> None:
         if outcome is None:
             self._context.metrics.count("request.cancelled")
-            log_event("request_cancelled", request=head.request, route=route)
+            log_event("request_cancelled", request=head.request, **known)
             return
         self._context.metrics.count("request.served")
         self._context.metrics.observe("request.first_s", outcome.first_s)
@@ -144,9 +149,7 @@
         log_event(
             "request_served",
             request=head.request,
-            route=route,
-            configuration=version,
-            proof_age_ms=f"{self._context.view.confirmed_age_s * 1000:.0f}",
+            **known,
             status=outcome.status,
             attempts=outcome.attempts,
             **_shown(outcome.lease),
