Send callers on before keys are refused; count runs apart from refusals

Requests failed with two of three attempts spent on replicas that had been replaced (421, not run). Ruled out: engines' load (6 first events over 1 s in 2 s at the most). Now a node whose proof is 2.5 s old is not ready and ends connections with its answers; its refusals let callers come back at once, at another node. Only runs count as attempts; a replaced replica rests.

--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -42,6 +42,7 @@
     UPSTREAM_STALLED = "upstream_stalled"
     UPSTREAM_TRUNCATED = "upstream_truncated"
     UPSTREAM_FULL = "upstream_full"
+    UPSTREAM_REPLACED = "upstream_replaced"
     ANSWER_MISMATCH = "answer_mismatch"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -62,6 +63,7 @@
 
     CONNECT_FAILED = "connect_failed"
     OVERLOADED = "overloaded"
+    REPLACED = "replaced"
     FAILED = "failed"
     STALLED = "stalled"
     TRUNCATED = "truncated"
--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -56,6 +56,7 @@
 
 RETRY_REASONS: dict[RefusalReason, RetryReason] = {
     RefusalReason.UPSTREAM_FULL: RetryReason.OVERLOADED,
+    RefusalReason.UPSTREAM_REPLACED: RetryReason.REPLACED,
     RefusalReason.UPSTREAM_FAILED: RetryReason.FAILED,
     RefusalReason.UPSTREAM_STALLED: RetryReason.STALLED,
     RefusalReason.UPSTREAM_TRUNCATED: RetryReason.TRUNCATED,
@@ -133,6 +134,7 @@
         self._service = route.pick_service(context.random.random())
         self._model = first_model(route.models) if route.models else ""
         self._attempts = 0
+        self._runs = 0
         self._excluded: list[str] = []
         self._ended_runs = Execution.NOT_RUN
         self._attempt_open = False
@@ -268,14 +270,20 @@
         self._attempt_open = True
         with translated_failures():
             async with self._open(lease, data, head_timeout_s) as reply:
-                self._context.placement.note_answer(lease.replica.name)
                 head = self._context.translator.read_head(reply.status, reply.headers)
+                if head.replaced:
+                    raise UpstreamError(
+                        RefusalReason.UPSTREAM_REPLACED,
+                        Execution.NOT_RUN,
+                        "another replica has the address",
+                    )
                 if head.not_run:
                     raise UpstreamError(
                         RefusalReason.UPSTREAM_FULL,
                         Execution.NOT_RUN,
                         f"the replica did not run it: status {reply.status}",
                     )
+                self._context.placement.note_answer(lease.replica.name)
                 if self._route.repeat.streaming and reply.status == 200:
                     return await self._relay_stream(reply, head, started_at)
                 return await self._relay_whole(reply, head, started_at)
@@ -369,7 +377,7 @@
             return
         if not self._route.repeat.repeatable:
             return
-        if self._attempts >= self._route.max_attempts:
+        if self._last_run:
             return
         larger = larger_model(self._route.models, self._model, head.confidence)
         if larger is None or not self._spend_retry(Execution.NOT_RUN):
@@ -416,7 +424,7 @@
             Repeat.STREAM_RESUMABLE
         ):
             return False
-        if self._attempts >= self._route.max_attempts:
+        if self._runs >= self._route.max_attempts:
             return False
         if self._remaining_s < ATTEMPT_MINIMUM_S / 5:
             return False
@@ -430,6 +438,7 @@
 
     def _end_attempt(self, execution: Execution) -> None:
         self._attempt_open = False
+        self._runs += execution is not Execution.NOT_RUN
         if self._ended_runs is not Execution.RAN and execution is not Execution.NOT_RUN:
             self._ended_runs = execution
 
@@ -473,6 +482,11 @@
         if pause_s is not None:
             self._note_time(f"pace/{self._model}", pause_s)
 
+    @property
+    def _last_run(self) -> bool:
+        """Whether the run under way is the last that the route allows."""
+        return self._runs + 1 >= self._route.max_attempts
+
     @property
     def _priority(self) -> int:
         if self._holder is not None and self._holder.priority is not None:
@@ -483,7 +497,7 @@
         remaining_s = max(0.001, self._remaining_s)
         if not self._route.repeat.repeatable:
             return remaining_s
-        if self._attempts >= self._route.max_attempts:
+        if self._last_run:
             return remaining_s
         streaming = self._route.repeat.streaming
         share = FIRST_EVENT_SHARE if streaming else PLAIN_ANSWER_SHARE
@@ -503,7 +517,7 @@
         remaining_s = max(0.001, self._remaining_s)
         if self._route.repeat is not Repeat.STREAM_RESUMABLE:
             return remaining_s
-        if self._attempts >= self._route.max_attempts:
+        if self._last_run:
             return remaining_s
         return min(remaining_s, self._route.pause_s * PAUSE_FACTOR)
 
@@ -539,7 +553,10 @@
 
 
 def _unreachable(error: UpstreamError) -> bool:
-    if error.reason is RefusalReason.UPSTREAM_STALLED:
+    if error.reason in (
+        RefusalReason.UPSTREAM_STALLED,
+        RefusalReason.UPSTREAM_REPLACED,
+    ):
         return True
     failed = error.reason is RefusalReason.UPSTREAM_FAILED
     return failed and error.execution is Execution.NOT_RUN
--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -6,11 +6,15 @@
 from lentilshore_kernel.types import RefusalReason
 from lentilshore_routing.routes import KeyHolder, Route
 
-from .delivery import MISSING_RETRY_S, Delivery, Outcome
+from .delivery import Delivery, Outcome
 from .forwarding import ForwardRequest
 from .gateway_context import GatewayContext
 from .responder import Responder
 
+# A caller whose node lacks what it must know comes back at another node, which most
+# often has it, seconds.
+OTHER_NODE_RETRY_S = 0.1
+
 
 class Forwarder:
     """Serves requests that are passed on unchanged.
@@ -32,7 +36,7 @@
             raise RefusalError(
                 RefusalReason.CONFIGURATION_MISSING,
                 detail="this node has no configuration yet",
-                retry_after_s=MISSING_RETRY_S,
+                retry_after_s=OTHER_NODE_RETRY_S,
             )
         sure = view.confirmed_age_s < times.apply_s
         route = table.match(request.host, request.path)
@@ -92,5 +96,5 @@
         return RefusalError(
             reason,
             detail=f"configuration was last confirmed {age_s:.1f} s ago",
-            retry_after_s=MISSING_RETRY_S,
+            retry_after_s=OTHER_NODE_RETRY_S,
         )
--- a/packages/node/src/lentilshore_node/forwarding.py
+++ b/packages/node/src/lentilshore_node/forwarding.py
@@ -71,6 +71,7 @@
 
     :param request: identifier of the request that it answers, empty if not told.
     :param not_run: whether the replica states that the request did not run.
+    :param replaced: whether another replica than the one asked for answered.
     :param genuine: whether it bears the replica's signature and no encoding that
         the caller did not ask for.
     :param confidence: the model's confidence from 0 to 100, None if not told.
@@ -78,6 +79,7 @@
 
     request: str
     not_run: bool
+    replaced: bool
     genuine: bool
     confidence: int | None
 
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -65,7 +65,7 @@
             self._context.in_flight -= 1
 
     def _closing(self) -> bool:
-        return self._context.draining
+        return self._context.leaving
 
     async def _send_ready(self, responder: AsgiResponder) -> None:
         status = 200 if self._context.ready else NOT_SERVED_STATUS
--- a/packages/node/src/lentilshore_node/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/gateway_assembly.py
@@ -24,6 +24,9 @@
 RETRY_EXTRA_NODES = 12
 # Retries that a node may save up, as a multiple of its part of the extra ones.
 RETRY_SAVING_FACTOR = 3.0
+# Most repeats of one request, refusals by replicas included; runs are bounded by the
+# route.
+REQUEST_RETRIES = 5
 # Part of the time for leaving in which a replica that vanished is still used.
 VANISHED_SHARE = 0.75
 
@@ -59,7 +62,7 @@
         metrics=metrics,
         view=FleetView(clock, placement, times.leaving_s * VANISHED_SHARE, metrics),
         placement=placement,
-        retries=RetryPolicy(create_budget=create_budget),
+        retries=RetryPolicy(REQUEST_RETRIES, create_budget),
         chooser=VersionChooser(times.session_s),
         translator=translator,
         http=http,
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -23,6 +23,9 @@
 KEY_PROOF_MARGIN_S = 0.4
 # Time in which a caller's body must come, seconds.
 CALLER_STALL_S = 10.0
+# Age of that proof at which callers are sent to other nodes: two reads have failed,
+# and the balancer takes two more seconds to see it, seconds.
+READY_PROOF_S = 2.5
 # The balancer asks every second and takes a node out after two misses, seconds.
 BALANCER_NOTICE_S = 2.6
 
@@ -80,9 +83,14 @@
     @property
     def ready(self) -> bool:
         """Whether a balancer should send requests here."""
-        if self.draining or not self.view.complete:
-            return False
-        return self.view.confirmed_age_s < self.times.key_proof_s
+        return self.view.complete and not self.leaving
+
+    @property
+    def leaving(self) -> bool:
+        """Whether callers should go to other nodes with their next request."""
+        if self.draining:
+            return True
+        return self.view.confirmed_age_s >= min(READY_PROOF_S, self.times.key_proof_s)
 
     def use_times(self, times: GatewayTimes) -> None:
         """Take up changed bounds."""
