Tell a slow version from a quick one by the load of its base

The bound now falls with the spread of the base's times. The other finding, a last stage that met a burst, is answered by leaving room for 1.3 times the traffic.

--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -243,5 +243,6 @@
         "errors": f"{seen.errors.bad}/{seen.errors.total}",
         "base_errors": f"{seen.base_errors.bad}/{seen.base_errors.total}",
         "times_as_long": f"{math.exp(excess):.2f}",
+        "spread": f"{seen.times.variance**0.5:.2f}/{seen.base_times.variance**0.5:.2f}",
         "timed": f"{seen.times.count}/{seen.base_times.count}",
     }
--- a/packages/routing/src/lentilshore_routing/sightings.py
+++ b/packages/routing/src/lentilshore_routing/sightings.py
@@ -16,13 +16,19 @@
 LIKELY_CHANCE = 0.05
 CERTAIN_BAD = 6
 CERTAIN_CHANCE = 0.0005
-# A candidate is slower if the logarithms of its times exceed the base's by this, by
-# stage (1.16 and 1.6 times as long), and by this many standard errors. In the first
-# stage its replicas have little to do and should be the quicker ones; in the last
-# they have everything to do and some prompts still to read for the first time.
-SLOWER_BY = (0.15, 0.5)
-SLOWER_ERRORS = (3.0, 4.0)
-FEWEST_TIMES = 10
+# In the last stage a candidate is slower if the logarithms of its times exceed the
+# base's by this (1.6 times as long) and by this many standard errors: it has
+# everything to do, and some prompts still to read for the first time.
+SLOWER_BY = 0.5
+SLOWER_ERRORS = 4.0
+# In the first stage its replicas have little to do, so that it should be the quicker
+# the more the base's times spread, which they do under load.
+FIRST_SLOWER_BY = 0.2
+FIRST_SPREAD_SHARE = 0.45
+FIRST_SLOWER_ERRORS = 2.25
+# Least spread that so few times are credited with.
+LEAST_VARIANCE = 0.09
+FEWEST_TIMES = 8
 FEWEST_BASE_TIMES = 30
 
 
@@ -118,9 +124,12 @@
     if times.count < FEWEST_TIMES or base.count < FEWEST_BASE_TIMES:
         return False
     excess = times.mean - base.mean
-    variance = max(times.variance, base.variance)
+    variance = max(times.variance, LEAST_VARIANCE)
     error = math.sqrt(variance / times.count + base.variance / base.count)
-    return excess > SLOWER_BY[stage] and excess > SLOWER_ERRORS[stage] * error
+    if stage > 0:
+        return excess > max(SLOWER_BY, SLOWER_ERRORS * error)
+    bound = FIRST_SLOWER_BY - FIRST_SPREAD_SHARE * math.sqrt(base.variance)
+    return excess - bound > FIRST_SLOWER_ERRORS * error
 
 
 def _join(one: Tally, other: Tally) -> Tally:
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -14,8 +14,8 @@
 # that the last may begin while there is time for answers at the base to end.
 STAGE_SHARES = (0.05, 1.0)
 LAST_STAGE = len(STAGE_SHARES) - 1
-# Part of the exposure allowed that is used; the rest is for uneven traffic.
-EXPOSURE_USED = 0.95
+# Traffic that the last stage may meet, as a multiple of that before.
+LAST_STAGE_BURST = 1.3
 # Part of the ordered time at which the roll-out is called completed, which leaves
 # time to write that twice.
 COMPLETION_START = 0.965
@@ -33,8 +33,13 @@
         version may get.
     """
     canary = STAGE_SHARES[0]
-    start = (1 - exposure_share * EXPOSURE_USED) / (1 - canary)
-    return min(start, COMPLETION_START)
+    allowed = LAST_STAGE_BURST * (1 - exposure_share)
+    return allowed / (allowed + max(0.0, exposure_share - canary))
+
+
+def completion_start(exposure_share: float) -> float:
+    """Return the part of the ordered time at which the roll-out is completed."""
+    return max(COMPLETION_START, (1 + last_stage_start(exposure_share)) / 2)
 
 
 def next_state(
@@ -59,7 +64,7 @@
     sightings = {**rollout.sightings, node: own}
     if is_worse(sightings.values(), rollout.stage):
         return rollout._replace(state=RolloutState.ROLLED_BACK, sightings=sightings)
-    if rollout.stage == LAST_STAGE and part >= COMPLETION_START:
+    if rollout.stage == LAST_STAGE and part >= completion_start(exposure_share):
         return rollout._replace(state=RolloutState.COMPLETED)
     if rollout.stage < LAST_STAGE and part >= last_stage_start(exposure_share):
         return rollout._replace(stage=LAST_STAGE)
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -13,8 +13,10 @@
 from lentilshore_routing.sightings import Sightings, Spread
 from lentilshore_routing.staging import (
     COMPLETION_START,
+    LAST_STAGE_BURST,
     REPORT_PARTS,
     STAGE_SHARES,
+    completion_start,
     last_stage_start,
     next_state,
 )
@@ -41,13 +43,16 @@
     return Spread(count, mean * count, (sd * sd + mean * mean) * count)
 
 
-def seen(errors=(0, 0), base=(0, 200), times=(0.0, 0), at=("a", "b")):
-    """Return sightings; times are a mean logarithm and a count."""
+def seen(errors=(0, 0), base=(0, 200), times=(0.0, 0), at=("a", "b"), load=0.3):
+    """Return sightings.
+
+    Times are a mean logarithm and a count; load is how far the base's spread.
+    """
     return Sightings(
         Tally(*errors),
         Tally(*base),
         spread(*times),
-        spread(-0.1, 200),
+        spread(-0.1, 200, load),
         tuple(at),
     )
 
@@ -117,8 +122,12 @@
         (seen(times=(0.9, 20)), True),
         (seen(times=(0.9, 5)), False),
         (seen(times=(0.3, 60)), True),
+        # As long as the base's, where those wait for a loaded engine.
+        (seen(times=(0.05, 30), load=0.8), True),
+        (seen(times=(0.05, 30), load=0.3), False),
         # A good version with little to do, and the noise of few answers.
-        (seen(times=(-0.7, 100)), False),
+        (seen(times=(-0.7, 100), load=0.8), False),
+        (seen(times=(-0.4, 12), load=0.8), False),
         (seen(times=(0.2, 12)), False),
     ],
 )
@@ -255,8 +264,11 @@
 @pytest.mark.parametrize("exposure", [0.0975, 0.15, 0.3])
 def test_a_bad_version_that_nobody_notices_stays_within_its_exposure(exposure):
     start = last_stage_start(exposure)
-    assert 0.5 < start < COMPLETION_START
-    assert STAGE_SHARES[0] * start + (1 - start) <= exposure
+    assert 0.5 < start < completion_start(exposure) < 0.985
+    for burst in (1.0, LAST_STAGE_BURST):
+        requests = start + (1 - start) * burst
+        exposed = STAGE_SHARES[0] * start + (1 - start) * burst
+        assert exposed <= exposure * requests * (1 + 1e-9)
 
 
 @pytest.mark.parametrize(("mean", "worse"), [(0.3, False), (0.6, True)])
