--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -379,9 +379,7 @@
             return
         if self._last_run:
             return
-        larger = larger_model(
-            self._route.models, self._model, head.confidence, self._wait_share()
-        )
+        larger = larger_model(self._route.models, self._model, head.confidence)
         if larger is None or not self._spend_retry(Execution.NOT_RUN):
             return
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
@@ -396,14 +394,6 @@
         self._model = larger
         raise _Escalation
 
-    def _wait_share(self) -> float:
-        """Return the largest model's usual wait as a share of the objective."""
-        kind = latency_kind(
-            self._route.name, self._route.models[-1], self._request.prompt_tokens
-        )
-        usual_s = self._context.answer_times.expected_s(kind)
-        return usual_s / max(ATTEMPT_MINIMUM_S, self._route.objective_s)
-
     def _check_genuine(self, reply: Reply, head: AnswerHead) -> None:
         if reply.status in PROMISE_STATUSES:
             raise UpstreamError(
