--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Iterator, Sequence
 from contextlib import ExitStack, contextmanager
@@ -13,13 +14,31 @@
 
 import yaml
 
+from lentilshore_kernel.exceptions import LentilshoreError
 from lentilshore_kernel.types import Address
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 15.0
+# Lines of a process that ended instead of listening, enough for a trace.
+LINES_SHOWN = 12
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
+class ProcessFailedError(LentilshoreError):
+    """A process of a measurement ended instead of listening.
+
+    :param arguments: program and arguments.
+    :param status: its exit status.
+    :param lines: the last that it wrote to its standard error.
+    """
+
+    def __init__(self, arguments: Sequence[str], status: int, lines: list[str]) -> None:
+        self.lines = lines
+        command = " ".join(map(str, arguments))
+        shown = "".join(f"\n  {line}" for line in lines)
+        super().__init__(f"{command} ended with {status}:{shown}")
+
+
 class Process:
     """A process that was started for a measurement.
 
@@ -30,7 +49,9 @@
     def __init__(
         self, arguments: Sequence[str], cores: Sequence[int] | None = None
     ) -> None:
-        self._log = open(os.environ.get("BENCH_LOG", os.devnull), "ab")  # noqa: SIM115
+        self._arguments = arguments
+        self._log = _open_log()
+        self._log_start = self._log.tell()
         self._process = subprocess.Popen(
             arguments, stdout=subprocess.PIPE, stderr=self._log, text=True
         )
@@ -48,11 +69,21 @@
         return self._process.poll() is None
 
     def read_address(self) -> Address:
-        """Return the address that the process prints once it listens."""
+        """Return the address that the process prints once it listens.
+
+        :raises ProcessFailedError: if it ends before, with its own last lines.
+        """
         line = self._process.stdout.readline()  # type: ignore[union-attr]
+        if not line.strip():
+            raise ProcessFailedError(self._arguments, self.wait(), self._last_lines())
         host, _, port = line.split()[-1].rpartition(":")
         return Address(host, int(port))
 
+    def _last_lines(self) -> list[str]:
+        with open(self._log.name, "rb") as log:
+            log.seek(self._log_start)
+            return log.read().decode(errors="replace").splitlines()[-LINES_SHOWN:]
+
     def processor_s(self) -> float:
         """Return the processor time used so far, seconds."""
         fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
@@ -91,6 +122,16 @@
             return -9
 
 
+def _open_log() -> Any:
+    """Return where standard error goes: the file that is set, else a temporary one."""
+    path = os.environ.get("BENCH_LOG")
+    if path is not None:
+        log = open(path, "ab")  # noqa: SIM115
+        log.seek(0, os.SEEK_END)
+        return log
+    return tempfile.NamedTemporaryFile(prefix="bench-")  # noqa: SIM115
+
+
 @contextmanager
 def started(
     arguments: Sequence[str], cores: Sequence[int] | None = None
--- a/packages/kernel/src/lentilshore_kernel/registry.py
+++ b/packages/kernel/src/lentilshore_kernel/registry.py
@@ -49,8 +49,8 @@
     The mark takes effect when :func:`load_plugins` imports the module through
     its entry point.
 
-    :param group: plug-in group: ``policy``, ``upstream``, ``platform`` or
-        ``operators``.
+    :param group: plug-in group: ``policy``, ``upstream``, ``platform``,
+        ``operators``, ``fleet_source`` or ``translator``.
     :param name: name by which settings refer to it.
     """
 
--- a/packages/node/src/lentilshore_node/gateway_server.py
+++ b/packages/node/src/lentilshore_node/gateway_server.py
@@ -29,6 +29,8 @@
 # Time kept at the end of a stop for closing what is left, seconds.
 STOP_MARGIN_S = 0.7
 READY_CHECK_S = 0.5
+# Well within the time in which a changed setting must be in force, seconds.
+SETTINGS_CHECK_S = 1.0
 
 
 class GatewayAddresses(NamedTuple):
@@ -58,7 +60,8 @@
     :param context: its parts.
     :param source: the platform's store.
     :param addresses: where it listens.
-    :param reload: reads the settings anew; called at SIGHUP.
+    :param reload: takes up changed settings; called at SIGHUP and now and then,
+        since they may change without a signal.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
             ViewKeeper(self._context, self._source).start(group)
             group.start_soon(RolloutDuty(self._context, self._source).run)
             group.start_soon(self._follow_limits)
+            group.start_soon(self._follow_settings)
             group.start_soon(partial(self._server.serve, sockets=self._sockets))
             gc.collect()
             gc.freeze()
@@ -129,6 +133,11 @@
                 )
             await self._context.clock.sleep(READY_CHECK_S)
 
+    async def _follow_settings(self) -> None:
+        while True:
+            await self._context.clock.sleep(SETTINGS_CHECK_S)
+            self._reload()
+
     async def _drain(self) -> None:
         """Serve on until the balancer knows, then finish what is in flight."""
         clock = self._context.clock
--- /dev/null
+++ b/tests/test_platform_program.py
@@ -0,0 +1,46 @@
+import random
+
+from lentilshore_kernel.served_metrics import ServedMetrics
+from lentilshore_kernel.testing import FakeClock
+from lentilshore_node.gateway_assembly import create_gateway
+from lentilshore_node.http_client import HttpClient
+from lentilshore_platform.__main__ import SettingsFile, read_times
+from lentilshore_platform.translator import HeaderTranslator
+from tests.test_platform_adapter import SETTINGS
+
+
+def create(settings):
+    return create_gateway(
+        settings.node,
+        settings.data_centre,
+        read_times(settings),
+        FakeClock(),
+        random.Random(1),
+        ServedMetrics(),
+        HttpClient(),
+        HeaderTranslator(),
+    )
+
+
+def test_a_changed_file_is_taken_up_without_a_signal(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    file = SettingsFile(path)
+    context = create(file.load())
+    file.reload(context)
+    assert context.times.key_withdrawal_s == 5.0
+    path.write_text(SETTINGS.replace("revoke_ms = 5000", "revoke_ms = 3000"))
+    file.reload(context)
+    assert context.times.key_withdrawal_s == 3.0
+
+
+def test_a_broken_or_missing_file_changes_nothing(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    file = SettingsFile(path)
+    context = create(file.load())
+    path.write_text(SETTINGS.replace("revoke_ms = 5000", 'revoke_ms = "soon"'))
+    file.reload(context)
+    path.unlink()
+    file.reload(context)
+    assert context.times.key_withdrawal_s == 5.0
