--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
+from functools import partial
 from typing import NamedTuple
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
@@ -40,6 +41,14 @@
 USUAL_ANSWER_FACTOR = 4.0
 # Multiple of the timely pause after which a stream goes on elsewhere.
 PAUSE_FACTOR = 1.25
+# While a replica answers others of this node, it is loaded and not silent: a stream
+# waits for it up to these multiples, since another replica would read the prompt anew.
+LOADED_FIRST_FACTOR = 3.0
+LOADED_PAUSE_FACTOR = 3.0
+# A replica that has answered nothing for this time may be silent, seconds.
+SILENCE_S = 0.7
+# How long the wait goes on until the replica is looked at again, seconds.
+PATIENCE_STEP_S = 0.25
 # Shortest time given to an attempt, seconds.
 ATTEMPT_MINIMUM_S = 0.25
 # A replica's own answer at the deadline, which says nothing of its version.
@@ -135,6 +144,8 @@
         self._model = first_model(route.models) if route.models else ""
         self._attempts = 0
         self._runs = 0
+        self._streaming = False
+        self._waiting_since = received_at
         self._excluded: list[str] = []
         self._ended_runs = Execution.NOT_RUN
         self._attempt_open = False
@@ -298,10 +309,24 @@
 
         once = not self._route.repeat.repeatable
         idle_s = ONCE_IDLE_LIMIT_S if once else REPEAT_IDLE_LIMIT_S
+        self._waiting_since = self._context.clock.monotonic()
+        extend = None
+        if self._route.repeat is Repeat.STREAM_RESUMABLE:
+            extend = partial(self._more_patience_s, lease.replica.name)
         return self._context.http.exchange(
-            lease.replica.address, data, timeout_s, belongs, idle_s
+            lease.replica.address, data, timeout_s, belongs, idle_s, extend
         )
 
+    def _more_patience_s(self, replica: str) -> float:
+        """Return for how much longer to wait for a replica that answers others."""
+        if not self._context.placement.answers(replica, SILENCE_S):
+            return 0.0
+        limit_s = self._route.objective_s * LOADED_FIRST_FACTOR
+        if self._streaming:
+            limit_s = self._route.pause_s * LOADED_PAUSE_FACTOR
+        waited_s = self._context.clock.monotonic() - self._waiting_since
+        return min(PATIENCE_STEP_S, limit_s - waited_s)
+
     async def _relay_whole(
         self, reply: Reply, head: AnswerHead, started_at: float
     ) -> int:
@@ -334,9 +359,12 @@
         self._note_error(False)
         self._escalate_if_unsure(head)
         reply.timeout_s = self._pause_timeout_s()
+        self._streaming = True
+        self._waiting_since = self._context.clock.monotonic()
         splitter = EventSplitter()
         pace = EventPace()
         async for data in reply.aiter_stream():
+            self._note_sign_of_life()
             events = splitter.feed(data)
             if not events:
                 continue
@@ -436,7 +464,12 @@
         self._context.metrics.count(retry_counter(reason))
         return True
 
+    def _note_sign_of_life(self) -> None:
+        self._waiting_since = self._context.clock.monotonic()
+        self._context.placement.note_answer(self._last_replica)
+
     def _end_attempt(self, execution: Execution) -> None:
+        self._streaming = False
         self._attempt_open = False
         self._runs += execution is not Execution.NOT_RUN
         if self._ended_runs is not Execution.RAN and execution is not Execution.NOT_RUN:
--- a/packages/node/src/lentilshore_node/http_client.py
+++ b/packages/node/src/lentilshore_node/http_client.py
@@ -37,6 +37,8 @@
 
 Fields = Sequence[tuple[bytes, bytes]]
 Accept = Callable[[dict[str, str]], bool]
+# Tells after a timeout for how many more seconds to wait, 0 for none.
+Extend = Callable[[], float]
 
 
 class CallNotSentError(LentilshoreError):
@@ -98,6 +100,7 @@
         self._busy = False
         self._reusable = True
         self._accept: Accept | None = None
+        self._extend: Extend | None = None
         self._idle_since = 0.0
         self._keep_alive_s = KEEP_ALIVE_S
         self._clear()
@@ -220,15 +223,18 @@
             return
         self._complete = True
 
-    async def send(self, data: bytes, accept: Accept | None) -> None:
+    async def send(
+        self, data: bytes, accept: Accept | None, extend: Extend | None
+    ) -> None:
         """Begin a call.
 
         :param data: the whole request.
         :param accept: tells by its headers whether an answer belongs to the call.
+        :param extend: tells how much longer to wait for a late answer.
         """
         self._clear()
         self._parser = httptools.HttpResponseParser(self)
-        self._accept, self._busy = accept, True
+        self._accept, self._extend, self._busy = accept, extend, True
         self._transport.write(data)
 
     async def head(self, timeout_s: float) -> None:
@@ -240,7 +246,7 @@
         while not self._headers_done:
             if self._error is not None:
                 raise self._error
-            await self._wait(deadline)
+            deadline = await self._wait(deadline)
 
     async def part(self, timeout_s: float) -> bytes:
         """Return the next part of the body, empty at the end.
@@ -253,7 +259,7 @@
                 return b""
             if self._error is not None:
                 raise self._error
-            await self._wait(deadline)
+            deadline = await self._wait(deadline)
         data = self._parts.popleft() if len(self._parts) == 1 else b"".join(self._parts)
         self._parts.clear()
         self._buffered = 0
@@ -275,10 +281,15 @@
         if self._transport is not None and not self._closed:
             self._transport.abort()
 
-    async def _wait(self, deadline: float) -> None:
-        if self._loop.time() >= deadline:
-            self._reusable = False
-            raise CallTimedOutError("no answer in time")
+    async def _wait(self, deadline: float) -> float:
+        """Wait until something has come, and return the deadline, moved if need be."""
+        now = self._loop.time()
+        if now >= deadline:
+            more_s = self._extend() if self._extend is not None else 0.0
+            if more_s <= 0:
+                self._reusable = False
+                raise CallTimedOutError("no answer in time")
+            deadline = now + more_s
         self._wakeup = self._loop.create_future()
         timer = self._loop.call_at(deadline, self._wake)
         try:
@@ -286,6 +297,7 @@
         finally:
             timer.cancel()
             self._wakeup = None
+        return deadline
 
     def _wake(self) -> None:
         if self._wakeup is not None and not self._wakeup.done():
@@ -410,6 +422,7 @@
         timeout_s: float,
         accept: Accept | None = None,
         idle_limit_s: float = KEEP_ALIVE_S,
+        extend: Extend | None = None,
     ) -> AsyncIterator[Reply]:
         """Send an encoded request and leave the answer's body to be read.
 
@@ -419,6 +432,7 @@
         :param accept: tells by its headers whether an answer belongs to the call;
             others are skipped.
         :param idle_limit_s: a connection idle for longer is not used, seconds.
+        :param extend: tells how much longer to wait for a late answer.
         :raises CallNotSentError: if nothing was sent.
         :raises CallBrokenError: if the call failed after that.
         """
@@ -426,7 +440,7 @@
         if connection is None:
             connection = await self._connect(address, timeout_s)
         try:
-            await connection.send(data, accept)
+            await connection.send(data, accept, extend)
             await connection.head(timeout_s)
             yield Reply(connection, timeout_s)
         finally:
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -290,6 +290,13 @@
         if state is not None:
             state.answered_at = self._clock.monotonic()
 
+    def answers(self, name: str, within_s: float) -> bool:
+        """Tell whether a replica has answered anything in the last seconds."""
+        state = self._states.get(name)
+        if state is None:
+            return False
+        return self._clock.monotonic() - state.answered_at <= within_s
+
     def report_load(self, name: str, work_tokens: float, lag_s: float) -> None:
         """Take in a replica's load report.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -412,6 +412,33 @@
     assert (caller.status, caller.fields.get("connection")) == (200, connection)
 
 
+@pytest.mark.parametrize(("answers_others", "runs"), [(True, 1), (False, 2)])
+def test_a_loaded_replica_is_waited_for_and_a_silent_one_is_not(answers_others, runs):
+    """Pattern: engines are loaded, and each prompt read twice makes it worse."""
+
+    async def act(bench, application, caller):
+        placement = bench.context.placement
+
+        async def answer_others():
+            while answers_others:
+                for name in ("i-1", "i-2"):
+                    placement.note_answer(name)
+                await anyio.sleep(0.02)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(answer_others)
+            await caller.send_to(application)
+            group.cancel_scope.cancel()
+
+    def late(fields):
+        return [0.7, *stream([1], "whole")(fields)]
+
+    scripts = [late, stream([1], "whole")]
+    bench = Bench(scripts, route(Repeat.STREAM_RESUMABLE, objective_s=0.4))
+    caller = bench.run(Caller(), act)
+    assert (caller.body, len(bench.server.requests)) == (event(1), runs)
+
+
 def test_a_replica_that_left_gets_nothing():
     async def act(bench, application, caller):
         view = bench.context.view
