--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -248,6 +248,8 @@
             if error.reason is RefusalReason.UPSTREAM_STALLED:
                 elapsed_s = self._context.clock.monotonic() - started_at
                 self._context.answer_times.add(self._latency_kind, elapsed_s)
+                if self._route.repeat.streaming and not self._streaming:
+                    self._context.pressure.note(elapsed_s, self._route.objective_s)
             self._log_failure(lease, error, started_at)
             raise
         except BaseException:
@@ -407,7 +409,10 @@
             return
         if self._last_run:
             return
-        larger = larger_model(self._route.models, self._model, head.confidence)
+        pressure = self._context.pressure.value
+        larger = larger_model(
+            self._route.models, self._model, head.confidence, pressure
+        )
         if larger is None or not self._spend_retry(Execution.NOT_RUN):
             return
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
@@ -418,6 +423,7 @@
                 model=self._model,
                 larger=larger,
                 confidence=head.confidence,
+                pressure=f"{pressure:.2f}",
             )
         self._model = larger
         raise _Escalation
@@ -505,6 +511,7 @@
     def _note_first_event(self, first_s: float) -> None:
         """Compare the time to the first event unless a cold cache may explain it."""
         self._context.answer_times.add(self._latency_kind, first_s)
+        self._context.pressure.note(first_s, self._route.objective_s)
         _, shared_tokens = shared_prefix(self._request.parts, self._model)
         if shared_tokens <= self._request.prompt_tokens * SHARED_SHARE_LIMIT:
             self._note_time(self._latency_kind, first_s)
--- a/packages/routing/src/lentilshore_routing/model_choice.py
+++ b/packages/routing/src/lentilshore_routing/model_choice.py
@@ -7,7 +7,36 @@
 # Confidence, of 100, below which an answer is asked of a larger model. Floors of 30,
 # 40, 50, 60 and 70 gave a worth of 0.735, 0.775, 0.790, 0.796 and 0.788 on a calm day,
 # and 60 cost more on loaded days than it gave (docs/PLATFORM.md).
-CONFIDENCE_FLOOR = 50
+CALM_FLOOR = 50.0
+# The floor of engines that cannot keep up. There a run of the largest model makes
+# several others late; a floor of 30 gave 0.331 and 50 gave 0.297 or less where two of
+# five engines were lost.
+LOADED_FLOOR = 20.0
+# Pressures between which the floor falls. On calm days first events take an eighth of
+# the objective.
+CALM_PRESSURE = 0.35
+LOADED_PRESSURE = 0.9
+# Weight of one first event in the pressure: about a second's worth of a node's.
+PRESSURE_WEIGHT = 0.08
+# Longest that one first event counts as, as a share of the objective.
+PRESSURE_LIMIT = 3.0
+
+
+class PressureGauge:
+    """How late engines are: first events' times as shares of their objectives."""
+
+    def __init__(self) -> None:
+        self._value = 0.0
+
+    @property
+    def value(self) -> float:
+        """Moving mean of the shares; 1 where first events just keep the objective."""
+        return self._value
+
+    def note(self, first_s: float, objective_s: float) -> None:
+        """Take in the time to a first event, or to giving up on it."""
+        share = min(PRESSURE_LIMIT, first_s / max(objective_s, 0.001))
+        self._value += (share - self._value) * PRESSURE_WEIGHT
 
 
 def first_model(models: Sequence[str]) -> str:
@@ -18,8 +47,17 @@
     return models[0]
 
 
+def confidence_floor(pressure: float) -> float:
+    """Return the confidence below which a larger model is asked.
+
+    :param pressure: value of a :class:`PressureGauge`.
+    """
+    load = (pressure - CALM_PRESSURE) / (LOADED_PRESSURE - CALM_PRESSURE)
+    return CALM_FLOOR + (LOADED_FLOOR - CALM_FLOOR) * min(1.0, max(0.0, load))
+
+
 def larger_model(
-    models: Sequence[str], model: str, confidence: int | None
+    models: Sequence[str], model: str, confidence: int | None, pressure: float = 0.0
 ) -> str | None:
     """Return the model to ask instead, or None to keep the answer.
 
@@ -29,7 +67,8 @@
     :param models: names, smallest first.
     :param model: the model that answers.
     :param confidence: its confidence from 0 to 100, None if not told.
+    :param pressure: value of a :class:`PressureGauge`.
     """
-    if confidence is None or confidence >= CONFIDENCE_FLOOR or model == models[-1]:
+    if confidence is None or model == models[-1]:
         return None
-    return models[-1]
+    return models[-1] if confidence < confidence_floor(pressure) else None
