--- a/packages/node/src/lentilshore_node/attempts.py
+++ b/packages/node/src/lentilshore_node/attempts.py
@@ -16,19 +16,12 @@
 from .context import NodeContext
 from .jobs import Job
 from .requests import CompletionRequest
+from .retry_reasons import RETRY_REASONS
 from .upstreams import EngineCall, StreamChunk, WholeAnswer
 
 CANCEL_TIMEOUT_S = 1.0
 NO_UPSTREAM_RETRY_S = 1.0
 
-RETRY_REASONS: dict[RefusalReason, RetryReason] = {
-    RefusalReason.UPSTREAM_FAILED: RetryReason.FAILED,
-    RefusalReason.UPSTREAM_STALLED: RetryReason.STALLED,
-    RefusalReason.UPSTREAM_TRUNCATED: RetryReason.TRUNCATED,
-    RefusalReason.UPSTREAM_GARBLED: RetryReason.GARBLED,
-    RefusalReason.ANSWER_MISMATCH: RetryReason.MISMATCH,
-}
-
 
 class Served(NamedTuple):
     """A whole answer and where it came from.
--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -12,6 +12,11 @@
 from lentilshore_kernel.metrics import note_belief, retry_counter
 from lentilshore_kernel.types import BeliefChange, Execution, RefusalReason, RetryReason
 from lentilshore_routing.model_choice import first_model, larger_model
+from lentilshore_routing.patience import (
+    answer_wait_s,
+    longer_wait_s,
+    pause_wait_s,
+)
 from lentilshore_routing.placement import Lease
 from lentilshore_routing.rollout_record import Rollout
 from lentilshore_routing.routes import KeyHolder, Repeat, Route, shared_prefix
@@ -23,6 +28,7 @@
 from .gateway_context import GatewayContext
 from .http_client import Reply
 from .responder import Responder
+from .retry_reasons import RETRY_REASONS
 
 # Work of a call of a plain service, in tokens, for comparing loads.
 PLAIN_WORK_TOKENS = 16.0
@@ -33,24 +39,10 @@
 FULL_RETRY_S = 0.3
 # Time in which a new replica or configuration is usually known, seconds.
 MISSING_RETRY_S = 1.0
-# Shares of the objective after which another replica is asked.
-FIRST_EVENT_SHARE = 1.0
-PLAIN_ANSWER_SHARE = 2.5
-# Multiple of the usual time to an answer after which another replica is asked, so
-# that replicas that are all loaded are not asked for the same work twice.
-USUAL_ANSWER_FACTOR = 4.0
-# Multiple of the timely pause after which a stream goes on elsewhere.
-PAUSE_FACTOR = 1.25
-# While a replica answers others of this node, it is loaded and not silent: a stream
-# waits for it up to these multiples, since another replica would read the prompt anew.
-LOADED_FIRST_FACTOR = 3.0
-LOADED_PAUSE_FACTOR = 3.0
 # A replica that has answered nothing for this time may be silent, seconds.
 SILENCE_S = 0.7
-# How long the wait goes on until the replica is looked at again, seconds.
-PATIENCE_STEP_S = 0.25
-# Shortest time given to an attempt, seconds.
-ATTEMPT_MINIMUM_S = 0.25
+# A request with less time left is not sent again, seconds.
+REPEAT_MINIMUM_S = 0.05
 # A replica's own answer at the deadline, which says nothing of its version.
 TIMED_OUT_STATUS = 504
 # Share of a prompt that other prompts share, up to which its first event comes about
@@ -63,16 +55,6 @@
 ONCE_IDLE_LIMIT_S = 1.0
 REPEAT_IDLE_LIMIT_S = 4.0
 
-RETRY_REASONS: dict[RefusalReason, RetryReason] = {
-    RefusalReason.UPSTREAM_FULL: RetryReason.OVERLOADED,
-    RefusalReason.UPSTREAM_REPLACED: RetryReason.REPLACED,
-    RefusalReason.UPSTREAM_FAILED: RetryReason.FAILED,
-    RefusalReason.UPSTREAM_STALLED: RetryReason.STALLED,
-    RefusalReason.UPSTREAM_TRUNCATED: RetryReason.TRUNCATED,
-    RefusalReason.UPSTREAM_GARBLED: RetryReason.GARBLED,
-    RefusalReason.ANSWER_MISMATCH: RetryReason.MISMATCH,
-}
-
 
 class Answer(NamedTuple):
     """A whole answer of a replica."""
@@ -279,10 +261,11 @@
             resume_after=self._resume_after,
         )
         data = self._context.translator.encode_attempt(self._request, attempt)
-        head_timeout_s = self._head_timeout_s()
+        usual_s = self._context.answer_times.expected_s(self._latency_kind)
+        wait_s = answer_wait_s(self._route, usual_s, self._last_run, self._remaining_s)
         self._attempt_open = True
         with translated_failures():
-            async with self._open(lease, data, head_timeout_s) as reply:
+            async with self._open(lease, data, wait_s) as reply:
                 head = self._context.translator.read_head(reply.status, reply.headers)
                 if head.replaced:
                     raise UpstreamError(
@@ -323,11 +306,8 @@
         """Return for how much longer to wait for a replica that answers others."""
         if not self._context.placement.answers(replica, SILENCE_S):
             return 0.0
-        limit_s = self._route.objective_s * LOADED_FIRST_FACTOR
-        if self._streaming:
-            limit_s = self._route.pause_s * LOADED_PAUSE_FACTOR
         waited_s = self._context.clock.monotonic() - self._waiting_since
-        return min(PATIENCE_STEP_S, limit_s - waited_s)
+        return longer_wait_s(self._route, self._streaming, waited_s)
 
     async def _relay_whole(
         self, reply: Reply, head: AnswerHead, started_at: float
@@ -360,7 +340,7 @@
         self._note_first_event(first_s)
         self._note_error(False)
         self._escalate_if_unsure(head)
-        reply.timeout_s = self._pause_timeout_s()
+        reply.timeout_s = pause_wait_s(self._route, self._last_run, self._remaining_s)
         self._streaming = True
         self._waiting_since = self._context.clock.monotonic()
         splitter = EventSplitter()
@@ -460,7 +440,7 @@
             return False
         if self._runs >= self._route.max_attempts:
             return False
-        if self._remaining_s < ATTEMPT_MINIMUM_S / 5:
+        if self._remaining_s < REPEAT_MINIMUM_S:
             return False
         if not self._spend_retry(error.execution):
             return False
@@ -533,34 +513,10 @@
             return self._holder.priority
         return self._route.priority
 
-    def _head_timeout_s(self) -> float:
-        remaining_s = max(0.001, self._remaining_s)
-        if not self._route.repeat.repeatable:
-            return remaining_s
-        if self._last_run:
-            return remaining_s
-        streaming = self._route.repeat.streaming
-        share = FIRST_EVENT_SHARE if streaming else PLAIN_ANSWER_SHARE
-        usual_s = self._context.answer_times.expected_s(self._latency_kind)
-        limit_s = max(
-            ATTEMPT_MINIMUM_S,
-            self._route.objective_s * share,
-            usual_s * USUAL_ANSWER_FACTOR,
-        )
-        return min(remaining_s, limit_s)
-
     @property
     def _latency_kind(self) -> str:
         return latency_kind(self._route.name, self._model, self._request.prompt_tokens)
 
-    def _pause_timeout_s(self) -> float:
-        remaining_s = max(0.001, self._remaining_s)
-        if self._route.repeat is not Repeat.STREAM_RESUMABLE:
-            return remaining_s
-        if self._last_run:
-            return remaining_s
-        return min(remaining_s, self._route.pause_s * PAUSE_FACTOR)
-
     def _log_failure(
         self, lease: Lease, error: UpstreamError, started_at: float
     ) -> None:
--- a/packages/node/src/lentilshore_node/services.py
+++ b/packages/node/src/lentilshore_node/services.py
@@ -12,11 +12,12 @@
 from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
 from lentilshore_routing import Customer, Lease
 
-from .attempts import NO_UPSTREAM_RETRY_S, RETRY_REASONS
+from .attempts import NO_UPSTREAM_RETRY_S
 from .context import NodeContext
 from .jobs import Job
 from .requests import KEY_HEADER, ServiceRequest
 from .responder import Responder
+from .retry_reasons import RETRY_REASONS
 from .upstreams import ServiceAnswer, ServiceCall
 
 WORK_TOKENS = 16.0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -83,7 +83,7 @@
     assert settings.data_centre == "z1"
     assert settings.caller == Address("10.0.0.1", 80)
     assert settings.metrics == Address("10.0.0.1", 7340)
-    assert settings.key_withdrawal_s == 5.0
+    assert settings.times.key_withdrawal_s == 5.0
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -4,7 +4,7 @@
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_node.gateway_assembly import create_gateway
 from lentilshore_node.http_client import HttpClient
-from lentilshore_platform.__main__ import SettingsFile, read_times
+from lentilshore_platform.__main__ import SettingsFile
 from lentilshore_platform.translator import HeaderTranslator
 from tests.test_platform_adapter import SETTINGS
 
@@ -13,7 +13,7 @@
     return create_gateway(
         settings.node,
         settings.data_centre,
-        read_times(settings),
+        settings.times,
         FakeClock(),
         random.Random(1),
         ServedMetrics(),
