Check keys and replicas when the bytes go out, not before the connection opens

Cause, read in the diff: opening a connection may take a second, in which a key's proof runs out, a replica leaves, and the time left that is told gets old. The two new tests fail on the code before (200 instead of 503).

--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -251,21 +251,10 @@
             )
 
     async def _exchange(self, lease: Lease, started_at: float) -> int:
-        self._check_still_allowed(lease)
-        attempt = Attempt(
-            replica=lease.replica,
-            holder=self._holder,
-            remaining_s=self._remaining_s,
-            priority=self._priority,
-            model=self._model,
-            resume_after=self._resume_after,
-        )
-        data = self._context.translator.encode_attempt(self._request, attempt)
         usual_s = self._context.answer_times.expected_s(self._latency_kind)
         wait_s = answer_wait_s(self._route, usual_s, self._last_run, self._remaining_s)
-        self._attempt_open = True
         with translated_failures():
-            async with self._open(lease, data, wait_s) as reply:
+            async with self._open(lease, wait_s) as reply:
                 head = self._context.translator.read_head(reply.status, reply.headers)
                 if head.replaced:
                     raise UpstreamError(
@@ -284,8 +273,24 @@
                     return await self._relay_stream(reply, head, started_at)
                 return await self._relay_whole(reply, head, started_at)
 
+    def _encode(self, lease: Lease) -> bytes:
+        """Return the request for a replica, if it may go out now."""
+        self._check_key(self._route)
+        self._check_still_allowed(lease)
+        attempt = Attempt(
+            replica=lease.replica,
+            holder=self._holder,
+            remaining_s=self._remaining_s,
+            priority=self._priority,
+            model=self._model,
+            resume_after=self._resume_after,
+        )
+        data = self._context.translator.encode_attempt(self._request, attempt)
+        self._attempt_open = True
+        return data
+
     def _open(
-        self, lease: Lease, data: bytes, timeout_s: float
+        self, lease: Lease, timeout_s: float
     ) -> AbstractAsyncContextManager[Reply]:
         read_head, own = self._context.translator.read_head, self._request.request
 
@@ -299,7 +304,12 @@
         if self._route.repeat is Repeat.STREAM_RESUMABLE:
             extend = partial(self._more_patience_s, lease.replica.name)
         return self._context.http.exchange(
-            lease.replica.address, data, timeout_s, belongs, idle_s, extend
+            lease.replica.address,
+            partial(self._encode, lease),
+            timeout_s,
+            belongs,
+            idle_s,
+            extend,
         )
 
     def _more_patience_s(self, replica: str) -> float:
--- a/packages/node/src/lentilshore_node/http_client.py
+++ b/packages/node/src/lentilshore_node/http_client.py
@@ -37,6 +37,8 @@
 
 Fields = Sequence[tuple[bytes, bytes]]
 Accept = Callable[[dict[str, str]], bool]
+# Returns the whole request, or raises to send nothing.
+Encode = Callable[[], bytes]
 # Tells after a timeout for how many more seconds to wait, 0 for none.
 Extend = Callable[[], float]
 
@@ -223,9 +225,7 @@
             return
         self._complete = True
 
-    async def send(
-        self, data: bytes, accept: Accept | None, extend: Extend | None
-    ) -> None:
+    def send(self, data: bytes, accept: Accept | None, extend: Extend | None) -> None:
         """Begin a call.
 
         :param data: the whole request.
@@ -411,23 +411,25 @@
         names.update(headers or {})
         fields = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in names.items()]
         data = encode_request(method.encode(), path.encode(), fields, body)
-        async with self.exchange(address, data, timeout_s) as reply:
+        async with self.exchange(address, lambda: data, timeout_s) as reply:
             yield reply
 
     @asynccontextmanager
     async def exchange(
         self,
         address: Address,
-        data: bytes,
+        encode: Encode,
         timeout_s: float,
         accept: Accept | None = None,
         idle_limit_s: float = KEEP_ALIVE_S,
         extend: Extend | None = None,
     ) -> AsyncIterator[Reply]:
-        """Send an encoded request and leave the answer's body to be read.
+        """Send a request and leave the answer's body to be read.
 
         Leaving the context before the answer is whole closes the connection.
 
+        :param encode: called once a connection is open, right before the bytes go
+            out, so that what it checks still holds.
         :param timeout_s: longest silence of the server, seconds.
         :param accept: tells by its headers whether an answer belongs to the call;
             others are skipped.
@@ -440,7 +442,7 @@
         if connection is None:
             connection = await self._connect(address, timeout_s)
         try:
-            await connection.send(data, accept, extend)
+            connection.send(encode(), accept, extend)
             await connection.head(timeout_s)
             yield Reply(connection, timeout_s)
         finally:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -355,6 +355,32 @@
     assert (caller.status, bench.server.requests) == (status, [])
 
 
+@pytest.mark.parametrize("withdrawn", ["proof", "replica"])
+def test_what_changes_while_a_connection_opens_is_seen(withdrawn):
+    """A key's proof runs out, or the replica leaves, before the bytes go out."""
+
+    async def act(bench, application, caller):
+        view, http = bench.context.view, bench.context.http
+        connect = http._connect
+
+        async def slow_connect(address, timeout_s):
+            made = await connect(address, timeout_s)
+            if withdrawn == "proof":
+                view._confirmed_at = bench.context.clock.monotonic() - 4.7
+            else:
+                for record in list(view._records.values()):
+                    leaving = record.replica._replace(leaving=True)
+                    view.take_record(record._replace(replica=leaving))
+            return made
+
+        http._connect = slow_connect
+        await caller.send_to(application)
+
+    bench = Bench([signed()], ONCE)
+    caller = bench.run(Caller(), act)
+    assert (caller.status, bench.server.requests) == (503, [])
+
+
 def test_a_body_over_the_limit_is_refused():
     bench = Bench([signed()], AGAIN)
     assert bench.run(Caller(body=b"x" * 1001)).status == 413
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -16,6 +16,10 @@
 REQUEST = encode_request(b"GET", b"/x", [(b"host", b"h")], None)
 
 
+def encode():
+    return REQUEST
+
+
 def run(scripts, calls=1, accept=None, timeout_s=2.0, pause_s=0.0):
     """Return what each call gave, and how many connections were made."""
 
@@ -35,7 +39,7 @@
 
 async def call(client, address, accept, timeout_s, pause_s=0.0):
     try:
-        async with client.exchange(address, REQUEST, timeout_s, accept) as reply:
+        async with client.exchange(address, encode, timeout_s, accept) as reply:
             return reply.status, await reply.read()
     except (CallNotSentError, CallBrokenError) as error:
         return type(error)
@@ -113,7 +117,7 @@
         server = ScriptedServer([[CHUNKED.encode() + b"1\r\na\r\n", "hang"]])
         async with server.running():
             client = HttpClient()
-            async with client.exchange(server.address, REQUEST, 1.0) as reply:
+            async with client.exchange(server.address, encode, 1.0) as reply:
                 first = await anext(reply.aiter_stream())
             await call(client, server.address, None, 0.05)
             return first, server.connections
@@ -125,3 +129,27 @@
 def test_headers_with_line_ends_are_not_sent(value):
     with pytest.raises(ValueError, match="line end"):
         encode_request(b"GET", b"/", [(b"x", value)], None)
+
+
+def test_what_is_checked_before_sending_is_checked_on_an_open_connection():
+    order = []
+
+    class NotAllowedError(Exception):
+        pass
+
+    async def main():
+        server = ScriptedServer([[answer()]])
+
+        def refuse():
+            order.append("checked")
+            raise NotAllowedError
+
+        async with server.running():
+            with pytest.raises(NotAllowedError):
+                async with HttpClient().exchange(server.address, refuse, 1.0):
+                    pass
+            await anyio.sleep(0.02)
+            return server.connections, server.requests
+
+    assert anyio.run(main) == (1, [])
+    assert order == ["checked"]
