--- a/packages/kernel/src/lentilshore_kernel/metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/metrics.py
@@ -4,6 +4,7 @@
 
 import traceback
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from .clock import Clock
@@ -12,6 +13,8 @@
 
 FLUSH_INTERVAL_S = 1.0
 TIMINGS_KEPT = 4096
+# Pause before a failed task starts again, so that it does not fill the log.
+RESTART_DELAY_S = 0.5
 
 
 class Metrics(Protocol):
@@ -89,6 +92,18 @@
     log_event("task_failed", error=type(error).__name__, trace=trace)
 
 
+async def keep_running(
+    task: Callable[[], Awaitable[None]], metrics: Metrics, clock: Clock
+) -> None:
+    """Run an endless task, and start it again after an error that nobody foresaw."""
+    while True:
+        try:
+            await task()
+        except Exception as error:  # noqa: BLE001
+            report_failure(metrics, error)
+        await clock.sleep(RESTART_DELAY_S)
+
+
 def refusal_counter(reason: RefusalReason) -> str:
     """Return the counter name of a refusal reason."""
     return f"refusal.{reason.value}"
--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -38,6 +38,7 @@
     Family(
         "store.failed", "lentilshore_store_failures", "part", "Failed reads, by part"
     ),
+    Family("task", "lentilshore_task_events", "event", "Failures of recurring tasks"),
     Family("bytes", "lentilshore_bytes", "direction", "Bytes of bodies"),
     Family("log", "lentilshore_log_lines", "outcome", "Log lines not written"),
 )
--- a/packages/node/src/lentilshore_node/gateway_server.py
+++ b/packages/node/src/lentilshore_node/gateway_server.py
@@ -13,6 +13,7 @@
 import uvicorn
 
 from lentilshore_kernel import BeliefChange, log_event, note_belief
+from lentilshore_kernel.metrics import keep_running
 from lentilshore_kernel.types import Address
 
 from .fleet_source import FleetSource
@@ -91,9 +92,11 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._receive_signals)
             ViewKeeper(self._context, self._source).start(group)
-            group.start_soon(RolloutDuty(self._context, self._source).run)
-            group.start_soon(self._follow_limits)
-            group.start_soon(self._follow_settings)
+            duty = RolloutDuty(self._context, self._source)
+            for task in (duty.run, self._follow_limits, self._follow_settings):
+                group.start_soon(
+                    keep_running, task, self._context.metrics, self._context.clock
+                )
             group.start_soon(partial(self._server.serve, sockets=self._sockets))
             gc.collect()
             gc.freeze()
@@ -102,7 +105,12 @@
             await self._drain()
             group.cancel_scope.cancel()
         whole = self._context.in_flight == 0
-        log_event("node_stopped", node=self._context.node, whole=whole)
+        log_event(
+            "node_stopped",
+            node=self._context.node,
+            whole=whole,
+            in_flight=self._context.in_flight,
+        )
         return whole
 
     async def _receive_signals(self) -> None:
--- a/packages/node/src/lentilshore_node/view_keeper.py
+++ b/packages/node/src/lentilshore_node/view_keeper.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from typing import Any
 
 from anyio.abc import TaskGroup
 
 from lentilshore_kernel.exceptions import StoreError, StoreHistoryGoneError
-from lentilshore_kernel.metrics import note_belief
+from lentilshore_kernel.metrics import keep_running, note_belief
 from lentilshore_kernel.types import BeliefChange
 from lentilshore_routing.rollout_record import Rollout
 
@@ -43,8 +44,9 @@
     def start(self, group: TaskGroup) -> None:
         """Start one task for each part."""
         view = self._context.view
-        group.start_soon(self._keep_table)
-        group.start_soon(
+        self._start(group, self._keep_table)
+        self._start(
+            group,
             self._follow,
             "rollouts",
             self._source.rollouts,
@@ -52,7 +54,8 @@
             self._take_rollout,
             view.drop_rollout,
         )
-        group.start_soon(
+        self._start(
+            group,
             self._follow,
             "replicas",
             self._source.replicas,
@@ -60,7 +63,11 @@
             self._take_replica,
             view.drop_record,
         )
-        group.start_soon(self._expire)
+        self._start(group, self._expire)
+
+    def _start(self, group: TaskGroup, task: Any, *args: Any) -> None:
+        metrics, clock = self._context.metrics, self._context.clock
+        group.start_soon(keep_running, partial(task, *args), metrics, clock)
 
     async def _keep_table(self) -> None:
         clock, view = self._context.clock, self._context.view
--- a/tests/test_view_keeper.py
+++ b/tests/test_view_keeper.py
@@ -118,6 +118,15 @@
     assert replicas.waits[3] > 1.0
 
 
+def test_an_error_that_nobody_foresaw_does_not_end_the_watching():
+    clock = FakeClock()
+    lists = [Listing([record()], 1), Listing([record(), record("i-2")], 2)]
+    replicas = ScriptedCollection(clock, lists, [KeyError("unforeseen")])
+    view = follow(clock, ScriptedSource(clock, replicas, tables=[table(1)]), 4.0)
+    assert replicas.listed == 2
+    assert view.usable("i-2.0")
+
+
 def test_a_forgotten_history_is_listed_anew():
     clock = FakeClock()
     lists = [Listing([record()], 1), Listing([record("i-2")], 9)]
