--- a/packages/routing/src/lentilshore_routing/model_choice.py
+++ b/packages/routing/src/lentilshore_routing/model_choice.py
@@ -4,13 +4,11 @@
 
 from collections.abc import Sequence
 
-# Confidence, of 100, below which an answer is asked of a larger model. Floors of 30,
-# 40, 50, 60 and 70 gave a worth of 0.735, 0.775, 0.790, 0.796 and 0.788 on a calm day,
-# and 60 cost more on loaded days than it gave (docs/PLATFORM.md).
+# Confidence, of 100, below which an answer is asked of a larger model
+# (docs/PLATFORM.md).
 CALM_FLOOR = 50.0
-# The floor of engines that cannot keep up. There a run of the largest model makes
-# several others late; a floor of 30 gave 0.331 and 50 gave 0.297 or less where two of
-# five engines were lost.
+# The floor of engines that cannot keep up, where a run of the largest model makes
+# several others late.
 LOADED_FLOOR = 20.0
 # Pressures between which the floor falls. On calm days first events take an eighth of
 # the objective.
