One loop of attempts for both edges

Cause: our own interface and the gateway each had a loop that chose the next replica, decided on a repeat, kept the proof of execution and let replicas rest. Ruled out: the bill and the claim as a reason for two loops; they surround one attempt and stay with their callers. The loop is attempts.py; completion_runner.py, services.py and delivery.py say what one attempt is. Streams of our own interface are passed to a receiver instead of being yielded, so that they run under the loop too. Our own interface gains the rest of unreachable replicas.

--- a/packages/node/src/lentilshore_node/attempts.py
+++ b/packages/node/src/lentilshore_node/attempts.py
@@ -1,216 +1,170 @@
-"""Attempts at engines: placement, retries on other replicas, resumption."""
+"""The loop of attempts: one request at one replica after another."""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple, Protocol, TypeVar
 
-import anyio
+from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.metrics import Metrics, note_belief
+from lentilshore_kernel.types import (
+    BeliefChange,
+    Execution,
+    RefusalReason,
+    RetryReason,
+)
+from lentilshore_routing.placement import Lease, Placement
+from lentilshore_routing.retries import RetryPolicy
 
-from lentilshore_fleet import BillLine
-from lentilshore_kernel.exceptions import RefusalError, UpstreamError
-from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
-from lentilshore_routing import Lease, prefix_hash
+from .retry_reasons import retry_reason
 
-from .candidates import Option
-from .context import NodeContext
-from .jobs import Job
-from .requests import CompletionRequest
-from .retry_reasons import RETRY_REASONS
-from .upstreams import EngineCall, StreamChunk, WholeAnswer
+T = TypeVar("T")
 
-CANCEL_TIMEOUT_S = 1.0
-NO_UPSTREAM_RETRY_S = 1.0
+_STRENGTH = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
 
 
-class Served(NamedTuple):
-    """A whole answer and where it came from.
+class ExecutionProof:
+    """What is proved about whether a request ran, over all its attempts."""
 
-    :param answer: the answer.
-    :param upstream: name of the replica.
+    def __init__(self) -> None:
+        self._proved = Execution.NOT_RUN
+        self._sent = False
+
+    @property
+    def execution(self) -> Execution:
+        """What is proved now; an attempt under way may have run."""
+        if self._proved is Execution.NOT_RUN and self._sent:
+            return Execution.UNKNOWN
+        return self._proved
+
+    def begin(self) -> None:
+        """Note that an attempt goes out; from now on the request may run."""
+        self._sent = True
+
+    def end(self, execution: Execution) -> None:
+        """Note what is proved about the attempt that has ended."""
+        self._sent = False
+        if _STRENGTH[execution] > _STRENGTH[self._proved]:
+            self._proved = execution
+
+
+class AttemptContext(Protocol):
+    """Parts of a node that attempts share."""
+
+    placement: Placement
+    retries: RetryPolicy
+
+    @property
+    def metrics(self) -> Metrics:
+        """Receiver of counters."""
+
+
+class RetryScope(NamedTuple):
+    """What a request's retries count towards.
+
+    :param request: identifier of the request, for the log.
+    :param tree: identifier of the request tree, whose retries are bounded.
+    :param group: upstreams that share a retry budget: a version or service name.
+    :param repeatable: whether running the request twice does no harm.
     """
 
-    answer: WholeAnswer
-    upstream: str
+    request: str
+    tree: str
+    group: str
+    repeatable: bool
+
 
+class Work(Protocol):
+    """One request, as the loop of attempts sees it."""
+
+    def place(self, tried: Sequence[str]) -> Lease:
+        """Choose a replica.
+
+        :param tried: names of replicas at which attempts have failed.
+        :raises RefusalError: if no replica can take it.
+        """
 
-class AttemptRunner:
-    """Runs one request at replicas of one version.
+    def note_failure(self, lease: Lease, error: UpstreamError) -> None:
+        """Note that an attempt has failed."""
 
-    :param context: the node.
-    :param job: the request being served.
-    :param request: what the caller asked for.
+    def may_go_on(self) -> bool:
+        """Tell whether there are attempts, time and an answer to go on with."""
+
+    def note_retry(self, reason: RetryReason) -> None:
+        """Note that the request is sent again."""
+
+
+class AttemptLoop:
+    """Sends a request to one replica after another until one has answered.
+
+    :param context: parts of the node.
+    :param work: the request.
+    :param scope: what its retries count towards.
     """
 
-    def __init__(
-        self, context: NodeContext, job: Job, request: CompletionRequest
-    ) -> None:
+    def __init__(self, context: AttemptContext, work: Work, scope: RetryScope) -> None:
         self._context = context
-        self._job = job
-        self._request = request
-        self._excluded: list[str] = []
+        self._work = work
+        self._scope = scope
+        self._tried: list[str] = []
 
-    async def run(self, option: Option) -> Served:
-        """Run the request and return the whole answer.
+    async def run(self, send: Callable[[Lease], Awaitable[T]]) -> T:
+        """Return the first answer.
 
-        :param option: the version to run it on.
-        :raises RefusalError: once no further attempt is allowed.
+        :param send: sends the request to a replica, and may do so again after it
+            raised UpstreamError.
+        :raises UpstreamError: the last failure, once no attempt is allowed any more.
+        :raises RefusalError: if no replica can take the request.
         """
-        self._begin(option)
         while True:
-            lease = self._place(option)
+            lease = self._work.place(self._tried)
             try:
-                answer = await self._run_at(option, lease)
-                return Served(answer, lease.replica.name)
+                return await self._send(lease, send)
             except UpstreamError as error:
-                self._fail(option, lease, error)
+                self._tried.append(lease.replica.name)
+                self._work.note_failure(lease, error)
+                if not self._work.may_go_on() or not self.spend_retry(error.execution):
+                    raise
+                self._work.note_retry(retry_reason(error))
 
-    async def stream(self, option: Option) -> AsyncIterator[tuple[str, StreamChunk]]:
-        """Run the request and yield its events, resuming where it breaks.
+    def spend_retry(self, execution: Execution) -> bool:
+        """Take one retry from the budgets.
 
-        :param option: the version to run it on.
-        :returns: the replica's name with each chunk.
-        :raises RefusalError: once no further attempt is allowed.
+        :param execution: what is proved about the attempt before.
+        :returns: False if the request may not be sent again.
         """
-        self._begin(option)
-        offset = 0
-        while True:
-            lease = self._place(option)
-            failed, settled, sent = True, False, offset
-            try:
-                call = self._call(option, offset)
-                self._announce(option, lease)
-                async with self._context.engine.stream(lease.replica, call) as chunks:
-                    async for chunk in chunks:
-                        offset = chunk.next_offset
-                        if chunk.usage is not None:
-                            tokens = chunk.usage.output_tokens - sent
-                            inputs = chunk.usage.input_tokens
-                            self._settle(option, lease, "served", inputs, tokens)
-                            settled, failed = True, False
-                        yield lease.replica.name, chunk
-                return
-            except UpstreamError as error:
-                if error.execution is not Execution.NOT_RUN:
-                    inputs = self._request.input_tokens if offset > sent else 0
-                    self._settle(option, lease, "failed", inputs, offset - sent)
-                settled = True
-                self._fail(option, lease, error, release=False)
-            finally:
-                if not settled:
-                    inputs = self._request.input_tokens
-                    self._settle(option, lease, "cancelled", inputs, offset - sent)
-                    await self._cancel(lease)
-                    failed = False
-                self._context.placement.release(lease, failed)
-
-    def _begin(self, option: Option) -> None:
-        self._excluded = []
-        self._context.retries.note_first(str(option.candidate.version))
-
-    async def _run_at(self, option: Option, lease: Lease) -> WholeAnswer:
-        settled = False
+        scope = self._scope
+        return self._context.retries.allow(
+            scope.tree, scope.group, scope.repeatable, execution
+        )
+
+    async def _send(self, lease: Lease, send: Callable[[Lease], Awaitable[T]]) -> T:
+        failed, unreachable = False, False
         try:
-            self._announce(option, lease)
-            answer = await self._context.engine.complete(
-                lease.replica, self._call(option, 0)
-            )
-            usage = answer.usage
-            self._settle(
-                option, lease, "served", usage.input_tokens, usage.output_tokens
-            )
-            self._context.placement.release(lease, False)
-            settled = True
-            return answer
+            return await send(lease)
         except UpstreamError as error:
-            settled = True
-            if error.execution is not Execution.NOT_RUN:
-                self._settle(option, lease, "failed", 0, 0)
+            failed = error.reason is not RefusalReason.UPSTREAM_FULL
+            unreachable = _is_unreachable(error)
             raise
         finally:
-            if not settled:
-                inputs = self._request.input_tokens
-                self._settle(option, lease, "cancelled", inputs, 0)
-                self._context.placement.release(lease, False)
-                await self._cancel(lease)
-
-    def _place(self, option: Option) -> Lease:
-        version = str(option.candidate.version)
-        tokens = self._request.input_tokens
-        prefix = prefix_hash(self._request.prefix, tokens)
-        work = tokens + self._request.output_tokens
-        priority = self._job.headers.priority
-        choose = self._context.placement.choose
-        lease = choose(version, work, prefix, priority, self._excluded)
-        lease = lease or choose(version, work, prefix, priority)
-        if lease is None:
-            raise RefusalError(
-                RefusalReason.NO_UPSTREAM,
-                self._job.execution,
-                f"no replica of {version} is available",
-                NO_UPSTREAM_RETRY_S,
+            self._release(lease, failed, unreachable)
+
+    def _release(self, lease: Lease, failed: bool, unreachable: bool) -> None:
+        if self._context.placement.release(lease, failed, unreachable):
+            note_belief(
+                self._context.metrics,
+                BeliefChange.REPLICA_RESTED,
+                replica=lease.replica.name,
+                unreachable=unreachable,
+                request=self._scope.request,
             )
-        self._job.note_attempt(version, lease.replica.name)
-        return lease
-
-    def _announce(self, option: Option, lease: Lease) -> None:
-        tokens = self._request.input_tokens
-        line = self._line(option, lease, "interrupted", tokens, 0)
-        self._context.ledger.announce(self._job.opening_bill(line))
-
-    def _call(self, option: Option, offset: int) -> EngineCall:
-        return EngineCall(
-            request=self._job.request,
-            version=str(option.candidate.version),
-            body=self._request.body,
-            priority=self._job.headers.priority,
-            timeout_s=max(0.001, self._job.remaining_s),
-            offset=offset,
-        )
 
-    def _line(
-        self, option: Option, lease: Lease, outcome: str, inputs: int, outputs: int
-    ) -> BillLine:
-        version = option.candidate.version
-        cost = self._context.catalog.price(version.model, inputs, outputs)
-        return BillLine(
-            str(version), lease.replica.name, inputs, outputs, cost, outcome
-        )
 
-    def _settle(
-        self, option: Option, lease: Lease, outcome: str, inputs: int, outputs: int
-    ) -> None:
-        self._job.add_line(self._line(option, lease, outcome, inputs, outputs))
-        ran = Execution.RAN if outcome == "served" else Execution.UNKNOWN
-        self._job.note_outcome(outcome, ran)
-
-    def _fail(
-        self, option: Option, lease: Lease, error: UpstreamError, release: bool = True
-    ) -> None:
-        version = str(option.candidate.version)
-        if release:
-            self._context.placement.release(lease, True)
-        self._excluded.append(lease.replica.name)
-        self._job.note_outcome(error.reason.value, error.execution, error.detail)
-        if error.execution is not Execution.NOT_RUN:
-            customer = self._job.customer.name
-            self._context.evidence.add(version, "error", customer, True)
-        if not self._context.retries.allow(
-            self._job.tree, version, True, error.execution
-        ):
-            raise RefusalError(
-                error.reason,
-                self._job.execution,
-                error.detail,
-                NO_UPSTREAM_RETRY_S,
-            ) from error
-        not_run = error.execution is Execution.NOT_RUN
-        reason = RetryReason.CONNECT_FAILED if not_run else RETRY_REASONS[error.reason]
-        self._job.note_retry(reason)
-
-    async def _cancel(self, lease: Lease) -> None:
-        with (
-            anyio.CancelScope(shield=True),
-            self._context.clock.timeout(CANCEL_TIMEOUT_S),
-        ):
-            await self._context.engine.cancel(lease.replica, self._job.request)
+def _is_unreachable(error: UpstreamError) -> bool:
+    if error.reason in (
+        RefusalReason.UPSTREAM_STALLED,
+        RefusalReason.UPSTREAM_REPLACED,
+    ):
+        return True
+    failed = error.reason is RefusalReason.UPSTREAM_FAILED
+    return failed and error.execution is Execution.NOT_RUN
--- a/packages/node/src/lentilshore_node/completions.py
+++ b/packages/node/src/lentilshore_node/completions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import aclosing
 from typing import Any
 
 import msgspec
@@ -19,14 +18,14 @@
     length_class,
 )
 
-from .attempts import AttemptRunner, Served
 from .candidates import Option, base_option, list_options
+from .completion_runner import CompletionRunner, Served
 from .context import NodeContext
 from .jobs import Job
 from .ratings import ServedAnswer
 from .requests import SESSION_HEADER, CompletionRequest
 from .responder import EVENT_STREAM, Responder, send_json
-from .upstreams import Usage
+from .upstreams import StreamChunk, Usage
 
 EXPOSURE_RETRY_S = 5.0
 SESSION_BITS = 96
@@ -106,7 +105,6 @@
         self._options = options
         self._candidates = [option.candidate for option in options]
         self._responder = responder
-        self._runner = AttemptRunner(context, job, request)
         self._tried: list[Tried] = []
         self._query = self._build_query()
 
@@ -150,7 +148,7 @@
         reservation = self._reserve()
         used = 0
         try:
-            served = await self._runner.run(option)
+            served = await self._runner(option).run()
             used = served.answer.usage.input_tokens + served.answer.usage.output_tokens
         finally:
             self._context.quota.settle(reservation, used)
@@ -161,18 +159,21 @@
         option = self._expose(index)
         reservation = self._reserve()
         used = 0
+
+        async def receive(upstream: str, chunk: StreamChunk) -> None:
+            nonlocal used
+            if not self._responder.started:
+                await self._start(option, upstream, EVENT_STREAM)
+            if chunk.usage is None:
+                await self._responder.send(chunk.data)
+                used = self._request.input_tokens + chunk.next_offset
+                return
+            used = chunk.usage.input_tokens + chunk.usage.output_tokens
+            await self._accept(index, chunk.usage)
+            await self._responder.finish(chunk.data)
+
         try:
-            async with aclosing(self._runner.stream(option)) as chunks:
-                async for upstream, chunk in chunks:
-                    if not self._responder.started:
-                        await self._start(option, upstream, EVENT_STREAM)
-                    if chunk.usage is None:
-                        await self._responder.send(chunk.data)
-                        used = self._request.input_tokens + chunk.next_offset
-                        continue
-                    used = chunk.usage.input_tokens + chunk.usage.output_tokens
-                    await self._accept(index, chunk.usage)
-                    await self._responder.finish(chunk.data)
+            await self._runner(option).stream(receive)
         finally:
             self._context.quota.settle(reservation, used)
 
@@ -205,6 +206,9 @@
         slow = self._job.remaining_s < 0.5 * self._job.headers.deadline_s
         self._context.evidence.add(version, "latency", customer, slow)
 
+    def _runner(self, option: Option) -> CompletionRunner:
+        return CompletionRunner(self._context, self._job, self._request, option)
+
     def _expose(self, index: int) -> Option:
         option = self._options[index]
         version = str(option.candidate.version)
--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from functools import partial
 from typing import NamedTuple
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
-from lentilshore_kernel.metrics import note_belief, retry_counter
-from lentilshore_kernel.types import BeliefChange, Execution, RefusalReason, RetryReason
+from lentilshore_kernel.metrics import retry_counter
+from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
 from lentilshore_routing.model_choice import first_model, larger_model
 from lentilshore_routing.patience import (
     answer_wait_s,
@@ -22,13 +22,13 @@
 from lentilshore_routing.routes import KeyHolder, Repeat, Route, shared_prefix
 from lentilshore_routing.version_evidence import latency_kind
 
+from .attempts import AttemptLoop, ExecutionProof, RetryScope
 from .engine import translated_failures
 from .event_splitter import EventPace, EventSplitter
 from .forwarding import AnswerHead, Attempt, ForwardRequest
 from .gateway_context import GatewayContext
 from .http_client import Reply
 from .responder import Responder
-from .retry_reasons import RETRY_REASONS
 
 # Work of a call of a plain service, in tokens, for comparing loads.
 PLAIN_WORK_TOKENS = 16.0
@@ -85,10 +85,6 @@
     whole_s: float
 
 
-class _Escalation(Exception):  # noqa: N818
-    """The answer is dropped and asked of a larger model."""
-
-
 class Delivery:
     """One request on its way: its attempts, and what is proved about them.
 
@@ -125,12 +121,14 @@
         self._service = route.pick_service(context.random.random())
         self._model = first_model(route.models) if route.models else ""
         self._attempts = 0
+        self._attempt_at = received_at
         self._runs = 0
         self._streaming = False
         self._waiting_since = received_at
-        self._excluded: list[str] = []
-        self._ended_runs = Execution.NOT_RUN
-        self._attempt_open = False
+        self._proof = ExecutionProof()
+        own = request.request
+        scope = RetryScope(own, own, self._service, route.repeat.repeatable)
+        self._loop = AttemptLoop(context, self, scope)
         self._resume_after = request.resume_after
         self._failure: Answer | None = None
         self._first_at: float | None = None
@@ -138,13 +136,6 @@
         self._version = ""
         self._rollout: Rollout | None = None
 
-    @property
-    def _execution(self) -> Execution:
-        """What is proved about whether the request ran."""
-        if self._attempt_open and self._ended_runs is Execution.NOT_RUN:
-            return Execution.UNKNOWN
-        return self._ended_runs
-
     @property
     def _last_replica(self) -> str:
         return self._lease.replica.name if self._lease else "-"
@@ -162,95 +153,91 @@
             return await self._run()
         raise RefusalError(
             RefusalReason.DEADLINE_EXCEEDED,
-            self._execution,
+            self._proof.execution,
             f"no whole answer within {self._ends_at - self._received_at:.3f} s",
         )
 
     async def _run(self) -> Outcome:
         self._context.retries.note_first(self._service)
-        while True:
-            lease = self._place()
-            try:
-                status = await self._attempt(lease)
-                return self._outcome(status)
-            except _Escalation:
-                self._end_attempt(Execution.RAN)
-            except UpstreamError as error:
-                self._end_attempt(error.execution)
-                if not self._may_repeat(error):
-                    return await self._give_up(error)
-
-    def _place(self) -> Lease:
+        try:
+            status = await self._loop.run(self._attempt)
+            while status is None:
+                status = await self._loop.run(self._attempt)
+        except UpstreamError as error:
+            status = await self._give_up(error)
+        return self._outcome(status)
+
+    def place(self, tried: Sequence[str]) -> Lease:
+        """Choose a version and a replica of it.
+
+        :raises RefusalError: ``no_upstream``, or if the key may be withdrawn.
+        """
         self._check_key(self._route)
-        view, clock = self._context.view, self._context.clock
+        view = self._context.view
         self._rollout = view.rollouts.get(self._service)
         version = self._context.chooser.choose(
             self._rollout,
             view.versions(self._service),
             self._request.session,
             self._context.random.random(),
-            clock.monotonic(),
+            self._context.clock.monotonic(),
         )
         lease = None
         if version is not None:
             self._version = version
-            lease = self._choose(f"{self._service}@{version}")
+            lease = self._choose(f"{self._service}@{version}", tried)
         if lease is None:
             raise RefusalError(
                 RefusalReason.NO_UPSTREAM,
-                self._execution,
+                self._proof.execution,
                 f"no replica of {self._service} is available",
                 MISSING_RETRY_S,
             )
         return lease
 
-    def _choose(self, group: str) -> Lease | None:
+    def _choose(self, group: str, tried: Sequence[str]) -> Lease | None:
         request = self._request
-        prefix, shared_tokens = shared_prefix(request.parts, self._model)
+        prefix, _ = shared_prefix(request.parts, self._model)
         work = PLAIN_WORK_TOKENS
         if self._route.repeat.streaming:
             work += request.prompt_tokens / READ_TOKENS_PER_OUTPUT
             work += request.output_tokens
-        choose = self._context.placement.choose
-        lease = choose(group, work, prefix, excluded=self._excluded)
-        return lease or choose(group, work, prefix)
+        return self._context.placement.place(group, work, prefix, tried=tried)
+
+    def note_failure(self, lease: Lease, error: UpstreamError) -> None:
+        """Note that an attempt has failed, and what its wait tells of the load."""
+        elapsed_s = self._context.clock.monotonic() - self._attempt_at
+        if error.reason is RefusalReason.UPSTREAM_STALLED:
+            self._context.answer_times.add(self._latency_kind, elapsed_s)
+            if self._route.repeat.streaming and not self._streaming:
+                self._context.pressure.note(elapsed_s, self._route.objective_s)
+        self._log_failure(lease, error, elapsed_s)
+        self._end_attempt(error.execution)
+
+    def may_go_on(self) -> bool:
+        """Tell whether the route, the time and what was sent allow another attempt."""
+        resumable = self._route.repeat is Repeat.STREAM_RESUMABLE
+        if self._responder.started and not resumable:
+            return False
+        if self._runs >= self._route.max_attempts:
+            return False
+        return self._remaining_s >= REPEAT_MINIMUM_S
+
+    def note_retry(self, reason: RetryReason) -> None:
+        """Count that the request is sent again."""
+        self._context.metrics.count(retry_counter(reason))
 
-    async def _attempt(self, lease: Lease) -> int:
+    async def _attempt(self, lease: Lease) -> int | None:
+        """Return the status of the answer, None to ask a larger model."""
         self._attempts += 1
         self._lease = lease
-        started_at = self._context.clock.monotonic()
-        failed, unreachable = True, False
-        try:
-            status = await self._exchange(lease, started_at)
-            failed = False
-            return status
-        except UpstreamError as error:
-            unreachable = _unreachable(error)
-            failed = error.reason is not RefusalReason.UPSTREAM_FULL
-            if error.reason is RefusalReason.UPSTREAM_STALLED:
-                elapsed_s = self._context.clock.monotonic() - started_at
-                self._context.answer_times.add(self._latency_kind, elapsed_s)
-                if self._route.repeat.streaming and not self._streaming:
-                    self._context.pressure.note(elapsed_s, self._route.objective_s)
-            self._log_failure(lease, error, started_at)
-            raise
-        except BaseException:
-            failed = False
-            raise
-        finally:
-            self._release(lease, failed, unreachable)
-
-    def _release(self, lease: Lease, failed: bool, unreachable: bool) -> None:
-        if self._context.placement.release(lease, failed, unreachable):
-            note_belief(
-                self._context.metrics,
-                BeliefChange.REPLICA_RESTED,
-                replica=lease.replica.name,
-                unreachable=unreachable,
-                request=self._request.request,
-            )
+        self._attempt_at = self._context.clock.monotonic()
+        status = await self._exchange(lease, self._attempt_at)
+        if status is None:
+            self._end_attempt(Execution.RAN)
+        return status
 
-    async def _exchange(self, lease: Lease, started_at: float) -> int:
+    async def _exchange(self, lease: Lease, started_at: float) -> int | None:
         usual_s = self._context.answer_times.expected_s(self._latency_kind)
         wait_s = answer_wait_s(self._route, usual_s, self._last_run, self._remaining_s)
         with translated_failures():
@@ -286,7 +273,7 @@
             resume_after=self._resume_after,
         )
         data = self._context.translator.encode_attempt(self._request, attempt)
-        self._attempt_open = True
+        self._proof.begin()
         return data
 
     def _open(
@@ -344,12 +331,13 @@
 
     async def _relay_stream(
         self, reply: Reply, head: AnswerHead, started_at: float
-    ) -> int:
+    ) -> int | None:
         self._check_genuine(reply, head)
         first_s = self._context.clock.monotonic() - started_at
         self._note_first_event(first_s)
         self._note_error(False)
-        self._escalate_if_unsure(head)
+        if self._escalates(head):
+            return None
         reply.timeout_s = pause_wait_s(self._route, self._last_run, self._remaining_s)
         self._streaming = True
         self._waiting_since = self._context.clock.monotonic()
@@ -392,19 +380,18 @@
         await self._responder.start(answer.status, [*answer.fields, length])
         await self._responder.finish(answer.body)
 
-    def _escalate_if_unsure(self, head: AnswerHead) -> None:
+    def _escalates(self, head: AnswerHead) -> bool:
+        """Go over to a larger model if the answer is too unsure for its load."""
         if self._responder.started or not self._route.models:
-            return
-        if not self._route.repeat.repeatable:
-            return
-        if self._last_run:
-            return
+            return False
+        if not self._route.repeat.repeatable or self._last_run:
+            return False
         pressure = self._context.pressure.value
         larger = larger_model(
             self._route.models, self._model, head.confidence, pressure
         )
-        if larger is None or not self._spend_retry(Execution.NOT_RUN):
-            return
+        if larger is None or not self._loop.spend_retry(Execution.NOT_RUN):
+            return False
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
         if self._context.sampler.admits(self._request.request):
             log_event(
@@ -416,7 +403,7 @@
                 pressure=f"{pressure:.2f}",
             )
         self._model = larger
-        raise _Escalation
+        return True
 
     def _check_genuine(self, reply: Reply, head: AnswerHead) -> None:
         if reply.status in PROMISE_STATUSES:
@@ -439,52 +426,21 @@
                 RefusalReason.NO_UPSTREAM, Execution.NOT_RUN, "the replica has left"
             )
 
-    def _may_repeat(self, error: UpstreamError) -> bool:
-        self._excluded.append(self._last_replica)
-        not_run = error.execution is Execution.NOT_RUN
-        if not not_run and not self._route.repeat.repeatable:
-            return False
-        if self._responder.started and self._route.repeat is not (
-            Repeat.STREAM_RESUMABLE
-        ):
-            return False
-        if self._runs >= self._route.max_attempts:
-            return False
-        if self._remaining_s < REPEAT_MINIMUM_S:
-            return False
-        if not self._spend_retry(error.execution):
-            return False
-        reason = RetryReason.CONNECT_FAILED
-        if error.reason in RETRY_REASONS:
-            reason = RETRY_REASONS[error.reason]
-        self._context.metrics.count(retry_counter(reason))
-        return True
-
     def _note_sign_of_life(self) -> None:
         self._waiting_since = self._context.clock.monotonic()
         self._context.placement.note_answer(self._last_replica)
 
     def _end_attempt(self, execution: Execution) -> None:
         self._streaming = False
-        self._attempt_open = False
         self._runs += execution is not Execution.NOT_RUN
-        if self._ended_runs is not Execution.RAN and execution is not Execution.NOT_RUN:
-            self._ended_runs = execution
-
-    def _spend_retry(self, execution: Execution) -> bool:
-        return self._context.retries.allow(
-            self._request.request,
-            self._service,
-            self._route.repeat.repeatable,
-            execution,
-        )
+        self._proof.end(execution)
 
-    async def _give_up(self, error: UpstreamError) -> Outcome:
+    async def _give_up(self, error: UpstreamError) -> int:
         if self._failure is not None and not self._responder.started:
             await self._send_whole(self._failure)
-            return self._outcome(self._failure.status)
+            return self._failure.status
         raise RefusalError(
-            error.reason, self._execution, error.detail, FULL_RETRY_S
+            error.reason, self._proof.execution, error.detail, FULL_RETRY_S
         ) from error
 
     @property
@@ -528,9 +484,8 @@
         return latency_kind(self._route.name, self._model, self._request.prompt_tokens)
 
     def _log_failure(
-        self, lease: Lease, error: UpstreamError, started_at: float
+        self, lease: Lease, error: UpstreamError, elapsed_s: float
     ) -> None:
-        elapsed_s = self._context.clock.monotonic() - started_at
         self._context.metrics.count(f"attempt.{error.reason.value}")
         log_event(
             "attempt_failed",
@@ -556,13 +511,3 @@
             first_at - self._received_at,
             now - self._received_at,
         )
-
-
-def _unreachable(error: UpstreamError) -> bool:
-    if error.reason in (
-        RefusalReason.UPSTREAM_STALLED,
-        RefusalReason.UPSTREAM_REPLACED,
-    ):
-        return True
-    failed = error.reason is RefusalReason.UPSTREAM_FAILED
-    return failed and error.execution is Execution.NOT_RUN
--- a/packages/node/src/lentilshore_node/jobs.py
+++ b/packages/node/src/lentilshore_node/jobs.py
@@ -9,16 +9,18 @@
 
 from lentilshore_fleet import Bill, BillLine, Session
 from lentilshore_kernel import RetryReason, retry_counter
-from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing import Customer
 
+from .attempts import ExecutionProof
 from .context import NodeContext
 from .explanations import AttemptRecord
 from .requests import CallerHeaders
 
 COPY_RETRY_S = 2.0
-_STRENGTH = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
+# A caller may come back after this time where no replica could answer, seconds.
+NO_UPSTREAM_RETRY_S = 1.0
 
 
 class Job:
@@ -49,8 +51,7 @@
         self.request = f"{context.incarnation}-{self._sequence}"
         self.bill_reference = self.request
         self.tree = headers.tree or self.request
-        self._proved = Execution.NOT_RUN
-        self._dispatching = False
+        self._proof = ExecutionProof()
         self.attempts = 0
         self.explanation = context.explanations.open(
             self.request, customer.name, asked, context.catalog.revision
@@ -59,9 +60,7 @@
     @property
     def execution(self) -> Execution:
         """What is proved about whether the request ran."""
-        if self._proved is Execution.NOT_RUN and self._dispatching:
-            return Execution.UNKNOWN
-        return self._proved
+        return self._proof.execution
 
     @property
     def remaining_s(self) -> float:
@@ -89,7 +88,7 @@
     def note_attempt(self, version: str, upstream: str) -> None:
         """Note that an attempt begins; from now on the request may run."""
         self.attempts += 1
-        self._dispatching = True
+        self._proof.begin()
         self.explanation["attempts"].append(
             AttemptRecord(
                 version=version, upstream=upstream, outcome="running", detail=""
@@ -100,9 +99,7 @@
         self, outcome: str, execution: Execution, detail: str = ""
     ) -> None:
         """Note how the last attempt ended and what is proved about it."""
-        self._dispatching = False
-        if _STRENGTH[execution] > _STRENGTH[self._proved]:
-            self._proved = execution
+        self._proof.end(execution)
         self.explanation["attempts"][-1]["outcome"] = outcome
         self.explanation["attempts"][-1]["detail"] = detail
 
@@ -111,6 +108,24 @@
         self.explanation["retries"].append(reason.value)
         self._context.metrics.count(retry_counter(reason))
 
+    def no_upstream(self, group: str) -> RefusalError:
+        """Return the refusal of a request that no replica can take.
+
+        :param group: a version or service name.
+        """
+        return RefusalError(
+            RefusalReason.NO_UPSTREAM,
+            self.execution,
+            f"no replica of {group} is available",
+            NO_UPSTREAM_RETRY_S,
+        )
+
+    def given_up(self, error: UpstreamError) -> RefusalError:
+        """Return the refusal of a request whose last attempt has failed."""
+        return RefusalError(
+            error.reason, self.execution, error.detail, NO_UPSTREAM_RETRY_S
+        )
+
     def add_line(self, line: BillLine) -> None:
         """Add an attempt to the bill."""
         self._lines.append(line)
--- a/packages/node/src/lentilshore_node/retry_reasons.py
+++ b/packages/node/src/lentilshore_node/retry_reasons.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from lentilshore_kernel.types import RefusalReason, RetryReason
+from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
 
 RETRY_REASONS: dict[RefusalReason, RetryReason] = {
     RefusalReason.UPSTREAM_FULL: RetryReason.OVERLOADED,
@@ -13,3 +14,11 @@
     RefusalReason.UPSTREAM_GARBLED: RetryReason.GARBLED,
     RefusalReason.ANSWER_MISMATCH: RetryReason.MISMATCH,
 }
+
+
+def retry_reason(error: UpstreamError) -> RetryReason:
+    """Return why a request is sent again after a failed attempt."""
+    connected = error.execution is not Execution.NOT_RUN
+    if error.reason is RefusalReason.UPSTREAM_FAILED and not connected:
+        return RetryReason.CONNECT_FAILED
+    return RETRY_REASONS.get(error.reason, RetryReason.CONNECT_FAILED)
--- a/packages/node/src/lentilshore_node/services.py
+++ b/packages/node/src/lentilshore_node/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -12,12 +13,11 @@
 from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
 from lentilshore_routing import Customer, Lease
 
-from .attempts import NO_UPSTREAM_RETRY_S
+from .attempts import AttemptLoop, RetryScope
 from .context import NodeContext
 from .jobs import Job
 from .requests import KEY_HEADER, ServiceRequest
 from .responder import Responder
-from .retry_reasons import RETRY_REASONS
 from .upstreams import ServiceAnswer, ServiceCall
 
 WORK_TOKENS = 16.0
@@ -107,7 +107,29 @@
         self._request = request
         self._repeatable = operation["repeatable"]
         self._price = operation.get("price", 0.0)
-        self._excluded: list[str] = []
+
+    def place(self, tried: Sequence[str]) -> Lease:
+        """Choose a replica of the service."""
+        group, priority = self._request.service, self._request.headers.priority
+        placement = self._context.placement
+        lease = placement.place(group, WORK_TOKENS, "", priority, tried)
+        if lease is None:
+            raise self._job.no_upstream(group)
+        return lease
+
+    def note_failure(self, lease: Lease, error: UpstreamError) -> None:
+        """Note that an attempt has failed; nothing is charged for it."""
+        self._job.note_outcome(error.reason.value, error.execution, error.detail)
+        if error.execution is not Execution.NOT_RUN:
+            self._job.add_line(self._line(lease, "unknown")._replace(cost=0.0))
+
+    def may_go_on(self) -> bool:
+        """Allow attempts until the retry budget or the deadline ends."""
+        return True
+
+    def note_retry(self, reason: RetryReason) -> None:
+        """Note that the call is sent again."""
+        self._job.note_retry(reason)
 
     async def run(self) -> ServiceAnswer:
         """Return the answer, running the call at most once if need be."""
@@ -163,19 +185,13 @@
         )
 
     async def _dispatch(self) -> ServiceAnswer:
-        group = self._request.service
+        group, job = self._request.service, self._job
         self._context.retries.note_first(group)
-        while True:
-            lease = self._place(group)
-            failed = True
-            try:
-                answer = await self._attempt(lease)
-                failed = False
-                return answer
-            except UpstreamError as error:
-                self._fail(group, lease, error)
-            finally:
-                self._context.placement.release(lease, failed)
+        scope = RetryScope(job.request, job.tree, group, self._repeatable)
+        try:
+            return await AttemptLoop(self._context, self, scope).run(self._attempt)
+        except UpstreamError as error:
+            raise self._job.given_up(error) from error
 
     async def _attempt(self, lease: Lease) -> ServiceAnswer:
         self._job.note_attempt(self._job.explanation["asked"], lease.replica.name)
@@ -195,39 +211,10 @@
         self._job.add_line(self._line(lease, "served"))
         return answer
 
-    def _place(self, group: str) -> Lease:
-        priority = self._request.headers.priority
-        choose = self._context.placement.choose
-        lease = choose(group, WORK_TOKENS, "", priority, self._excluded)
-        lease = lease or choose(group, WORK_TOKENS, "", priority)
-        if lease is None:
-            raise RefusalError(
-                RefusalReason.NO_UPSTREAM,
-                self._job.execution,
-                f"no replica of {group} is available",
-                NO_UPSTREAM_RETRY_S,
-            )
-        return lease
-
     def _line(self, lease: Lease, outcome: str) -> BillLine:
         asked = self._job.explanation["asked"]
         return BillLine(asked, lease.replica.name, 0, 0, self._price, outcome)
 
-    def _fail(self, group: str, lease: Lease, error: UpstreamError) -> None:
-        self._excluded.append(lease.replica.name)
-        self._job.note_outcome(error.reason.value, error.execution, error.detail)
-        if error.execution is not Execution.NOT_RUN:
-            self._job.add_line(self._line(lease, "unknown")._replace(cost=0.0))
-        if not self._context.retries.allow(
-            self._job.tree, group, self._repeatable, error.execution
-        ):
-            raise RefusalError(
-                error.reason, self._job.execution, error.detail, NO_UPSTREAM_RETRY_S
-            ) from error
-        not_run = error.execution is Execution.NOT_RUN
-        reason = RetryReason.CONNECT_FAILED if not_run else RETRY_REASONS[error.reason]
-        self._job.note_retry(reason)
-
 
 def _replayed(replay: Replay) -> ServiceAnswer:
     if replay.answer is None:
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -248,6 +248,24 @@
             cached,
         )
 
+    def place(
+        self,
+        group: str,
+        work_tokens: float,
+        prefix: str = "",
+        priority: Priority = Priority.NORMAL,
+        tried: Sequence[str] = (),
+    ) -> Lease | None:
+        """Choose a replica that was not tried yet, or else one that was.
+
+        :param tried: names of replicas at which the request has failed; the other
+            parameters are those of :meth:`choose`.
+        """
+        lease = self.choose(group, work_tokens, prefix, priority, tried)
+        if lease is None and tried:
+            lease = self.choose(group, work_tokens, prefix, priority)
+        return lease
+
     def release(self, lease: Lease, failed: bool, unreachable: bool = False) -> bool:
         """Give a place back.
 
--- a/tests/faults/mutants.py
+++ b/tests/faults/mutants.py
@@ -11,7 +11,13 @@
 from unittest.mock import patch
 
 from lentilshore_fleet import claims, configuration, leases, ledger, sessions
-from lentilshore_node import attempts, background, jobs, peer_messages, rollout_driver
+from lentilshore_node import (
+    background,
+    completion_runner,
+    jobs,
+    peer_messages,
+    rollout_driver,
+)
 from lentilshore_routing import catalog, placement, retries
 from lentilshore_routing.rollouts import Verdict
 
@@ -50,8 +56,8 @@
 
 
 def _resume_from_start(original: Callable[..., Any]) -> Callable[..., Any]:
-    def call(self: Any, option: Any, offset: int) -> Any:
-        return original(self, option, 0)
+    def call(self: Any, offset: int) -> Any:
+        return original(self, 0)
 
     return call
 
@@ -126,9 +132,9 @@
         "answers",
         (
             (
-                attempts.AttemptRunner,
+                completion_runner.CompletionRunner,
                 "_call",
-                _resume_from_start(attempts.AttemptRunner._call),
+                _resume_from_start(completion_runner.CompletionRunner._call),
             ),
         ),
         (Cell("stream", "engine.token#3", "lost"),),
