A node's first requests wait for its first read of the store

Change: while a node is younger than 0.25 s, a request waits for the first read; after that it is refused at once, as before.

--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -60,6 +60,7 @@
         self._vanished: dict[str, float] = {}
         self._rollouts: dict[str, Rollout] = {}
         self._listed = False
+        self._started_at = clock.monotonic()
         self._versions: dict[str, dict[str, int]] = {}
         self._usable: set[str] = set()
         self._note = partial(note_belief, metrics)
@@ -79,6 +80,11 @@
         """Whether configuration and replicas have been read."""
         return self._table is not None and self._listed
 
+    @property
+    def age_s(self) -> float:
+        """Time since the node's start, seconds."""
+        return self._clock.monotonic() - self._started_at
+
     @property
     def confirmed_age_s(self) -> float:
         """Age of the newest proof that the configuration is current, seconds."""
--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/forwarder.py
@@ -14,6 +14,10 @@
 # A caller whose node lacks what it must know comes back at another node, which most
 # often has it, seconds.
 OTHER_NODE_RETRY_S = 0.1
+# A first read of the store takes some milliseconds; a request that comes before its
+# end waits so long for it at most, counted from the node's start, seconds.
+FIRST_READ_WAIT_S = 0.25
+FIRST_READ_CHECK_S = 0.005
 
 
 class Forwarder:
@@ -25,6 +29,12 @@
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
 
+    async def wait_for_first_read(self) -> None:
+        """Wait for the first read of the store while the node is just starting."""
+        view = self._context.view
+        while not view.complete and view.age_s < FIRST_READ_WAIT_S:
+            await self._context.clock.sleep(FIRST_READ_CHECK_S)
+
     def route(self, request: ForwardRequest) -> tuple[Route, KeyHolder | None]:
         """Return the route of a request and the customer that it comes from.
 
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -110,6 +110,7 @@
         self, head: ForwardRequest, receive: Receive, responder: AsgiResponder
     ) -> None:
         received_at = self._context.clock.monotonic()
+        await self._forwarder.wait_for_first_read()
         route, holder = self._forwarder.route(head)
         table = self._context.view.table
         proof_age_s = self._context.view.confirmed_age_s
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address
 from lentilshore_node.fleet_view import ReplicaRecord
+from lentilshore_node.forwarder import FIRST_READ_WAIT_S
 from lentilshore_node.gateway import GatewayApplication
 from lentilshore_node.gateway_assembly import create_gateway
 from lentilshore_node.gateway_context import GatewayTimes
@@ -394,6 +395,28 @@
     assert Bench([signed()], AGAIN).run(Caller(), act).status == 503
 
 
+def test_the_first_requests_of_a_node_wait_for_its_first_read():
+    async def act(bench, application, caller):
+        view = bench.context.view
+        table, view._table = view._table, None
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            await anyio.sleep(0.02)
+            view._table = table
+
+    assert Bench([signed()], AGAIN).run(Caller(), act).status == 200
+
+
+def test_a_node_without_configuration_refuses_at_once_after_its_start():
+    async def act(bench, application, caller):
+        bench.context.view._table = None
+        bench.context.view._started_at -= 1.0
+        with anyio.fail_after(FIRST_READ_WAIT_S / 2):
+            await caller.send_to(application)
+
+    assert Bench([signed()], AGAIN).run(Caller(), act).status == 503
+
+
 def test_a_caller_that_leaves_frees_the_replica():
     async def act(bench, application, caller):
         async with anyio.create_task_group() as group:
