Replicas that are silent until the deadline fail their attempt and rest

The deadline of the whole request ended 0 to 1 ms before the attempt's own limit, so that the attempt was cancelled like one whose caller had left: not logged, not counted, and the replica did not rest. Change: the attempt's limit ends 10 ms before the deadline, so that it fails as upstream_stalled. A refusal after an unknown run has no Retry-After in the log either.

--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery.py
@@ -43,6 +43,9 @@
 SILENCE_S = 0.7
 # A request with less time left is not sent again, seconds.
 REPEAT_MINIMUM_S = 0.05
+# Time kept between the end of the last wait and the caller's deadline, so that the
+# failure is the replica's and the caller learns of it, seconds.
+DEADLINE_MARGIN_S = 0.01
 # A replica's own answer at the deadline, which says nothing of its version.
 TIMED_OUT_STATUS = 504
 # Share of a prompt that other prompts share, up to which its first event comes about
@@ -144,6 +147,10 @@
     def _remaining_s(self) -> float:
         return self._ends_at - self._context.clock.monotonic()
 
+    @property
+    def _longest_wait_s(self) -> float:
+        return self._remaining_s - DEADLINE_MARGIN_S
+
     async def run(self) -> Outcome:
         """Serve the request within its time."""
         remaining_s = self._remaining_s
@@ -239,7 +246,9 @@
 
     async def _exchange(self, lease: Lease, started_at: float) -> int | None:
         usual_s = self._context.answer_times.expected_s(self._latency_kind)
-        wait_s = answer_wait_s(self._route, usual_s, self._last_run, self._remaining_s)
+        wait_s = answer_wait_s(
+            self._route, usual_s, self._last_run, self._longest_wait_s
+        )
         with translated_failures():
             async with self._open(lease, wait_s) as reply:
                 head = self._context.translator.read_head(reply.status, reply.headers)
@@ -338,7 +347,9 @@
         self._note_error(False)
         if self._escalates(head):
             return None
-        reply.timeout_s = pause_wait_s(self._route, self._last_run, self._remaining_s)
+        reply.timeout_s = pause_wait_s(
+            self._route, self._last_run, self._longest_wait_s
+        )
         self._streaming = True
         self._waiting_since = self._context.clock.monotonic()
         splitter = EventSplitter()
@@ -439,8 +450,10 @@
         if self._failure is not None and not self._responder.started:
             await self._send_whole(self._failure)
             return self._failure.status
+        execution = self._proof.execution
+        retry_after_s = FULL_RETRY_S if execution is Execution.NOT_RUN else None
         raise RefusalError(
-            error.reason, self._proof.execution, error.detail, FULL_RETRY_S
+            error.reason, execution, error.detail, retry_after_s
         ) from error
 
     @property
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -461,6 +461,20 @@
     assert (caller.status, caller.fields.get("connection")) == (200, connection)
 
 
+@pytest.mark.parametrize("repeat", [Repeat.ONCE, Repeat.IDEMPOTENT])
+def test_a_replica_that_is_silent_until_the_deadline_rests(repeat):
+    async def act(bench, application, caller):
+        await caller.send_to(application)
+        assert len(bench.context.placement.ejected()) == 1
+
+    bench = Bench([["hang"]], route(repeat, attempts=1))
+    deadline = (b"x-deadline-ms", b"200")
+    caller = bench.run(Caller(fields=[deadline]), act)
+    failed = 'lentilshore_failed_attempts_total{reason="upstream_stalled"} 1'
+    assert failed in bench.context.metrics.render()
+    assert caller.status == 504
+
+
 @pytest.mark.parametrize(("answers_others", "runs"), [(True, 1), (False, 2)])
 def test_a_loaded_replica_is_waited_for_and_a_silent_one_is_not(answers_others, runs):
     """Pattern: engines are loaded, and each prompt read twice makes it worse."""
--- a/tests/test_logfiles.py
+++ b/tests/test_logfiles.py
@@ -1,6 +1,9 @@
 """The commands that read log files, on lines that a run recorded."""
 
 import json
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -96,3 +99,17 @@
     assert rows["request_refused", "key_unproved not_run 503"] == 1
     code, out = run(capsys, "reasons", file, "--end", "1.0", "--output", "json")
     assert json.loads(out.out) == []
+
+
+def test_a_reader_that_stops_is_no_error():
+    reader, writer = os.pipe()
+    os.close(reader)
+    program = "from lentilshore_ctl.cli import main; main()"
+    ended = subprocess.run(
+        [sys.executable, "-c", program, "reasons", str(RECORDED / "store-lost.log")],
+        stdout=writer,
+        stderr=subprocess.PIPE,
+        check=False,
+    )
+    os.close(writer)
+    assert (ended.returncode, ended.stderr) == (0, b"")
