Sessions move to a new version in the second half of its roll-out only

A node remembers the sessions that it serves; one that another node serves at the base looked new to it and was put by its hash at the candidate. Ruled out: a later start or a rise by steps, since as many sessions are under way then. Change: three stages, 0.02 of requests without a session, from 0.52 of the time 0.09 of all, then everything. The time of the last stage follows from both. The tests of the stages name three now; one shows that sessions of other nodes stay.

--- a/packages/routing/src/lentilshore_routing/rollout_record.py
+++ b/packages/routing/src/lentilshore_routing/rollout_record.py
@@ -24,7 +24,7 @@
     :param candidate: version to move to.
     :param duration_s: time ordered, seconds.
     :param state: None until a node has taken the order up.
-    :param stage: index into :data:`STAGE_SHARES`.
+    :param stage: index into :data:`.staging.STAGE_SHARES`.
     :param started_at: when it was taken up, seconds since the Unix epoch.
     :param sightings: what nodes have reported, by node.
     :param revision: revision of the record.
--- a/packages/routing/src/lentilshore_routing/sightings.py
+++ b/packages/routing/src/lentilshore_routing/sightings.py
@@ -21,7 +21,7 @@
 # everything to do, and some prompts still to read for the first time.
 SLOWER_BY = 0.5
 SLOWER_ERRORS = 4.0
-# In the first stage its replicas have little to do, so that it should be the quicker
+# Before that stage its replicas have little to do, so that it should be the quicker
 # the more the base's times spread, which they do under load.
 FIRST_SLOWER_BY = 0.2
 FIRST_SPREAD_SHARE = 0.45
@@ -95,10 +95,13 @@
         )
 
 
-def is_worse(sightings: Iterable[Sightings], stage: int) -> bool:
-    """Tell whether a candidate fails more often than its base, or is slower."""
+def is_worse(sightings: Iterable[Sightings], last_stage: bool) -> bool:
+    """Tell whether a candidate fails more often than its base, or is slower.
+
+    :param last_stage: whether it gets everything, rather than a small part.
+    """
     seen = join_sightings(sightings)
-    return _fails_more(seen) or _is_slower(seen.times, seen.base_times, stage)
+    return _fails_more(seen) or _is_slower(seen.times, seen.base_times, last_stage)
 
 
 def join_sightings(sightings: Iterable[Sightings]) -> Sightings:
@@ -120,13 +123,13 @@
     return seen.errors.bad >= CERTAIN_BAD and chance < CERTAIN_CHANCE
 
 
-def _is_slower(times: Spread, base: Spread, stage: int) -> bool:
+def _is_slower(times: Spread, base: Spread, last_stage: bool) -> bool:
     if times.count < FEWEST_TIMES or base.count < FEWEST_BASE_TIMES:
         return False
     excess = times.mean - base.mean
     variance = max(times.variance, LEAST_VARIANCE)
     error = math.sqrt(variance / times.count + base.variance / base.count)
-    if stage > 0:
+    if last_stage:
         return excess > max(SLOWER_BY, SLOWER_ERRORS * error)
     bound = FIRST_SLOWER_BY - FIRST_SPREAD_SHARE * math.sqrt(base.variance)
     return excess - bound > FIRST_SLOWER_ERRORS * error
--- a/packages/routing/src/lentilshore_routing/staging.py
+++ b/packages/routing/src/lentilshore_routing/staging.py
@@ -12,17 +12,23 @@
 from .rollout_record import Rollout, RolloutState
 from .sightings import Sightings, is_worse
 
-# Shares of new sessions that go to the candidate, by stage. The first is small so
-# that the last may begin while there is time for answers at the base to end.
-STAGE_SHARES = (0.05, 1.0)
+# Shares of the traffic that go to the candidate, by stage. They are small so that the
+# last may begin while there is time for answers at the base to end.
+STAGE_SHARES = (0.02, 0.09, 1.0)
+# From this stage on sessions move too. A node cannot tell a new session from one that
+# others serve at the base, and in the first half of a roll-out those must stay.
+SESSION_STAGE = 1
 LAST_STAGE = len(STAGE_SHARES) - 1
+# Part of the ordered time at which that stage begins, past the half by the time in
+# which two nodes may hear of the order.
+SESSION_STAGE_START = 0.52
 # Traffic that the last stage may meet, as a multiple of that before.
 LAST_STAGE_BURST = 1.3
 # Part of the ordered time at which the roll-out is called completed, which leaves
 # time to write that twice.
 COMPLETION_START = 0.965
 # Parts of the time before the last stage from which nodes report what they have seen.
-REPORT_PARTS = (0.49, 0.925)
+REPORT_PARTS = (0.77, 0.925)
 # Part of that time over which nodes spread a report, so that one that is due later
 # sees those before it.
 REPORT_SPREAD = 0.05
@@ -40,9 +46,10 @@
     :param exposure_share: part of the requests in the ordered time that a bad
         version may get.
     """
-    canary = STAGE_SHARES[0]
+    first, second, _ = STAGE_SHARES
     allowed = LAST_STAGE_BURST * (1 - exposure_share)
-    return allowed / (allowed + max(0.0, exposure_share - canary))
+    spared = SESSION_STAGE_START * (second - first)
+    return (allowed - spared) / (allowed + exposure_share - second)
 
 
 def completion_start(exposure_share: float) -> float:
@@ -72,12 +79,14 @@
     since = before_last - REPORT_SPREAD * _spot(node, rollout.name)
     own = own._replace(reports=sum(since >= due for due in REPORT_PARTS))
     sightings = {**rollout.sightings, node: own}
-    if is_worse(sightings.values(), rollout.stage):
+    if is_worse(sightings.values(), rollout.stage >= LAST_STAGE):
         return rollout._replace(state=RolloutState.ROLLED_BACK, sightings=sightings)
-    if rollout.stage == LAST_STAGE and part >= completion_start(exposure_share):
+    if rollout.stage >= LAST_STAGE and part >= completion_start(exposure_share):
         return rollout._replace(state=RolloutState.COMPLETED)
     if rollout.stage < LAST_STAGE and part >= last_stage_start(exposure_share):
         return rollout._replace(stage=LAST_STAGE)
+    if rollout.stage < SESSION_STAGE and part >= SESSION_STAGE_START:
+        return rollout._replace(stage=SESSION_STAGE)
     if _has_news(rollout, own, node):
         return rollout._replace(sightings=sightings)
     return None
--- a/packages/routing/src/lentilshore_routing/version_choice.py
+++ b/packages/routing/src/lentilshore_routing/version_choice.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from .rollout_record import Rollout, allowed_versions
-from .staging import LAST_STAGE, STAGE_SHARES
+from .staging import LAST_STAGE, SESSION_STAGE, STAGE_SHARES
 
 # Sessions that a node remembers; each takes some hundred bytes.
 SESSIONS_KEPT = 20_000
@@ -63,8 +63,8 @@
         last = rollout.stage >= LAST_STAGE
         if kept == rollout.candidate or last:
             return rollout.candidate
-        if kept in base and rollout.stage == 0:
-            return kept
+        if session and rollout.stage < SESSION_STAGE:
+            return kept if kept in base else _weighted(base, session, point)
         spot = hash_point(session) if session else point
         if spot < STAGE_SHARES[rollout.stage]:
             return rollout.candidate
