Retries of any window stay within that window's requests

A node saved up to 54 retries while nothing failed, and 88 of them spent 4,752 at once; the extra ones, meant for the whole fleet, were divided among twelve nodes. Ruled out: dividing by more nodes, which leaves small fleets without repeats when a replica crashes. Change: a node counts requests and repeats over the window that the bound names and saves nothing beyond; of the extra ones it takes 4.3 at most. Nodes that each keep to their window keep to it together.

--- a/packages/node/src/lentilshore_node/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/gateway_assembly.py
@@ -9,7 +9,7 @@
 from lentilshore_kernel.logs import RequestSampler
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_routing.placement import Placement
-from lentilshore_routing.retries import RetryBudget, RetryPolicy
+from lentilshore_routing.retries import RetryPolicy, WindowBudget
 from lentilshore_routing.version_choice import VersionChooser
 
 from .fleet_view import FleetView
@@ -22,8 +22,9 @@
 RETRY_RATIO_SHARE = 0.8
 # Nodes among which the fleet's extra retries are divided.
 RETRY_EXTRA_NODES = 12
-# Retries that a node may save up, as a multiple of its part of the extra ones.
-RETRY_SAVING_FACTOR = 3.0
+# Most of them that one node takes, enough for the repeats of one request: no node knows
+# how many there are, and in larger fleets the share held back above covers the rest.
+RETRY_RESERVE_LIMIT = 4.3
 # Most repeats of one request, refusals by replicas included; runs are bounded by the
 # route.
 REQUEST_RETRIES = 5
@@ -31,6 +32,16 @@
 VANISHED_SHARE = 0.75
 
 
+def create_budget(times: GatewayTimes, clock: Clock) -> WindowBudget:
+    """Create a node's part of the fleet's retries at one service."""
+    return WindowBudget(
+        times.retry_ratio * RETRY_RATIO_SHARE,
+        min(RETRY_RESERVE_LIMIT, times.retry_extra / RETRY_EXTRA_NODES),
+        times.retry_window_s,
+        clock,
+    )
+
+
 def create_gateway(
     node: str,
     data_centre: str,
@@ -47,13 +58,6 @@
     :param data_centre: where it runs.
     """
     placement = Placement(node, clock, random_source, data_centre)
-    reserve = times.retry_extra / RETRY_EXTRA_NODES
-    create_budget = partial(
-        RetryBudget,
-        times.retry_ratio * RETRY_RATIO_SHARE,
-        reserve,
-        reserve * RETRY_SAVING_FACTOR,
-    )
     return GatewayContext(
         node=node,
         times=times,
@@ -62,7 +66,7 @@
         metrics=metrics,
         view=FleetView(clock, placement, times.leaving_s * VANISHED_SHARE, metrics),
         placement=placement,
-        retries=RetryPolicy(REQUEST_RETRIES, create_budget),
+        retries=RetryPolicy(REQUEST_RETRIES, partial(create_budget, times, clock)),
         chooser=VersionChooser(times.session_s),
         translator=translator,
         http=http,
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/gateway_context.py
@@ -41,6 +41,7 @@
     :param grace_s: time that a stop may take, seconds.
     :param retry_ratio: retries allowed per request over the whole fleet.
     :param retry_extra: retries allowed besides, over the whole fleet.
+    :param retry_window_s: time over which both are counted, seconds.
     :param exposure_share: part of the requests in a roll-out's time that a bad
         version may get.
     """
@@ -52,6 +53,7 @@
     grace_s: float
     retry_ratio: float
     retry_extra: float
+    retry_window_s: float
     exposure_share: float
 
     @property
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
+from typing import Protocol
 
+from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.types import Execution
 
 TREE_RETRIES = 3
@@ -14,6 +16,59 @@
 BUDGET_LIMIT = 100.0
 
 
+class Budget(Protocol):
+    """What retries at one group of upstreams are taken from."""
+
+    def earn(self) -> None:
+        """Note a first attempt."""
+
+    def spend(self) -> bool:
+        """Take one retry; False if there is none left."""
+
+
+class WindowBudget:
+    """Lets the retries of any window be a bounded share of its first attempts.
+
+    Nothing is saved up beyond the window, so that nodes which keep to it keep to it
+    together, however many they are.
+
+    :param ratio: retries allowed for one first attempt.
+    :param reserve: retries allowed besides, in each window.
+    :param window_s: length of the window, seconds.
+    :param clock: tells the time.
+    """
+
+    def __init__(
+        self, ratio: float, reserve: float, window_s: float, clock: Clock
+    ) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._window_s = window_s
+        self._clock = clock
+        self._firsts: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def earn(self) -> None:
+        """Note a first attempt."""
+        self._firsts.append(self._clock.monotonic())
+        self._forget(self._firsts)
+
+    def spend(self) -> bool:
+        """Take one retry; False if there is none left."""
+        self._forget(self._firsts)
+        self._forget(self._retries)
+        allowed = self._reserve + self._ratio * len(self._firsts)
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(self._clock.monotonic())
+        return True
+
+    def _forget(self, times: deque[float]) -> None:
+        limit = self._clock.monotonic() - self._window_s
+        while times and times[0] <= limit:
+            times.popleft()
+
+
 class RetryBudget:
     """Lets retries be a bounded share of first attempts.
 
@@ -62,12 +117,12 @@
     def __init__(
         self,
         tree_retries: int = TREE_RETRIES,
-        create_budget: Callable[[], RetryBudget] = RetryBudget,
+        create_budget: Callable[[], Budget] = RetryBudget,
     ) -> None:
         self._tree_retries = tree_retries
         self._create_budget = create_budget
         self._trees: OrderedDict[str, int] = OrderedDict()
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[str, Budget] = {}
 
     def note_first(self, group: str) -> None:
         """Note a first attempt at a group of upstreams.
@@ -97,7 +152,7 @@
             self._trees.popitem(last=False)
         return True
 
-    def _budget(self, group: str) -> RetryBudget:
+    def _budget(self, group: str) -> Budget:
         budget = self._budgets.get(group)
         if budget is None:
             budget = self._budgets[group] = self._create_budget()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -25,7 +25,7 @@
 )
 from tests.scripted import ScriptedServer, answer
 
-TIMES = GatewayTimes(5.0, 2.0, 2.0, 5.0, 8.0, 0.9, 52.0, 0.15)
+TIMES = GatewayTimes(5.0, 2.0, 2.0, 5.0, 8.0, 0.9, 52.0, 10.0, 0.15)
 SIGNED = "X-Response-Signature: s1"
 KEY = "secret"
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -45,6 +45,7 @@
 grace_s = 8
 retry_budget_ratio = 0.9
 budget_extra = 52
+budget_window_s = 10
 expose_share = 0.15
 [provider]
 address = "10.0.0.9:90"
--- a/tests/test_view_keeper.py
+++ b/tests/test_view_keeper.py
@@ -21,7 +21,7 @@
 from lentilshore_routing.routes import CallerLimits, RouteTable
 from tests.test_fleet_view import record, rollout
 
-TIMES = GatewayTimes(5.0, 2.0, 2.0, 5.0, 8.0, 0.9, 52.0, 0.15)
+TIMES = GatewayTimes(5.0, 2.0, 2.0, 5.0, 8.0, 0.9, 52.0, 10.0, 0.15)
 DOWN = StoreUnavailableError("down")
 
 
