Order the store's revisions by era, and write lost roll-out progress again

Cause: a store restored from a copy gives out revisions again; the view kept the greater revision and would have ignored the restored store, and a roll-out that was rolled back could be exposed again. Change: a revision is a pair of era and number. Answers of an earlier era are discarded, conditional writes prepared in one are not sent, collections are listed anew. Progress of an order is carried over and written again, a lost order stays in force for 10 s, replicas that left stay unusable, replicas that are missing are kept for 2.5 s.

--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -84,11 +84,13 @@
     REPLICA_EJECTED = "replica_rested"
     ROLLOUT_SEEN = "rollout_seen"
     ROLLOUT_GONE = "rollout_gone"
+    ROLLOUT_KEPT = "rollout_kept"
     ROLLOUT_STEP = "rollout_step"
     ROLLOUT_STEP_FAILED = "rollout_step_failed"
     STORE_LOST = "store_lost"
     STORE_REGAINED = "store_regained"
     HISTORY_GONE = "history_gone"
+    STORE_RESTORED = "store_restored"
     READINESS_CHANGED = "readiness_changed"
     ENTRY_UNREADABLE = "entry_unreadable"
 
@@ -129,6 +131,23 @@
         return f"{self.host}:{self.port}"
 
 
+class StoreRevision(NamedTuple):
+    """Revision of the platform's store, ordered by era first.
+
+    A store that was restored from a copy begins a new era, in which it gives out
+    revisions of the old one again, for other content.
+
+    :param era: number of restores so far, 0 if the store reports none.
+    :param number: revision within the era.
+    """
+
+    era: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.era}/{self.number}"
+
+
 class Incarnation(NamedTuple):
     """One run of one instance, from its start to its stop.
 
--- a/packages/node/src/lentilshore_node/fleet_source.py
+++ b/packages/node/src/lentilshore_node/fleet_source.py
@@ -4,6 +4,7 @@
 
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
+from lentilshore_kernel.types import StoreRevision
 from lentilshore_routing.rollout_record import Rollout
 from lentilshore_routing.routes import RouteTable
 
@@ -18,7 +19,7 @@
     """
 
     items: list[T]
-    revision: int
+    revision: StoreRevision
 
 
 class Change(NamedTuple, Generic[T]):
@@ -40,7 +41,7 @@
     """
 
     changes: list[Change[T]]
-    revision: int
+    revision: StoreRevision
 
 
 class Collection(Protocol[T]):
@@ -52,12 +53,13 @@
     async def list(self) -> Listing[T]:
         """Return all items."""
 
-    async def watch(self, after: int, wait_s: float) -> Changes[T]:
+    async def watch(self, after: StoreRevision, wait_s: float) -> Changes[T]:
         """Return the changes after a revision, waiting for one if there is none.
 
         :param after: revision of the store up to which the changes are known.
         :param wait_s: longest wait, seconds.
-        :raises StoreHistoryGoneError: if the store no longer has these changes.
+        :raises StoreHistoryGoneError: if the store no longer has these changes, or has
+            begun another era.
         """
 
 
@@ -83,5 +85,6 @@
         """Write a roll-out's record if the stored one still has ``rollout.revision``.
 
         :returns: the record now stored: the one written or another writer's.
-        :raises StoreError: if the stored record cannot be determined.
+        :raises StoreError: if the stored record cannot be determined, or if the store
+            has begun another era since the record was read.
         """
--- a/packages/node/src/lentilshore_node/fleet_view.py
+++ b/packages/node/src/lentilshore_node/fleet_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from functools import partial
 from typing import NamedTuple
@@ -15,6 +16,24 @@
 from lentilshore_routing.rollout_record import Rollout, allowed_versions
 from lentilshore_routing.routes import RouteTable
 
+# A replica that a restored store no longer lists registers again within two seconds.
+RESTORED_REPLICA_GRACE_S = 2.5
+# A restored store may lack a roll-out until the operators' system orders it again.
+KEPT_ROLLOUT_S = 10.0
+# Replicas that have left are remembered, since a restored store may list them again.
+DEPARTED_REPLICAS_LIMIT = 1024
+
+
+class KeptRollout(NamedTuple):
+    """A roll-out that a restored store lacks and that stays in force for a while.
+
+    :param until: monotonic time at which the store's record takes its place, seconds.
+    :param stored: the store's record for the same service, None if there is none.
+    """
+
+    until: float
+    stored: Rollout | None
+
 
 class ReplicaRecord(NamedTuple):
     """A replica as registered in the store.
@@ -57,9 +76,19 @@
         self._table: RouteTable | None = None
         self._confirmed_at: float | None = None
         self._records: dict[str, ReplicaRecord] = {}
-        # Monotonic time at which each vanished replica was missed first, by identity.
-        self._vanished_at: dict[str, float] = {}
+        # Monotonic time until which each vanished replica is kept, by identity.
+        self._vanished_until: dict[str, float] = {}
         self._rollouts: dict[str, Rollout] = {}
+        # Era of the store in which the replicas were listed last.
+        self._replica_era = 0
+        # Era in which each replica began to leave, by identity and start time.
+        self._departure_eras: OrderedDict[tuple[str, int], int] = OrderedDict()
+        self._kept_rollouts: dict[str, KeptRollout] = {}
+        # Era into which a roll-out's progress was carried over, by service. In that
+        # era its progress does not go back.
+        self._carried_eras: dict[str, int] = {}
+        # Services whose stored roll-out lacks progress that this view has.
+        self._unwritten: set[str] = set()
         self._replicas_read = False
         self._started_at = clock.monotonic()
         # Number of non-draining replicas by service and version.
@@ -98,11 +127,16 @@
             return float("inf")
         return self._clock.monotonic() - self._confirmed_at
 
-    def confirm_table(self, read_started_at: float) -> None:
+    def confirm_table(self, version: int, read_started_at: float) -> None:
         """Record that a read has confirmed the configuration to be the newest.
 
+        A read of an older version, from a restored store, confirms nothing.
+
+        :param version: version that was read.
         :param read_started_at: monotonic time at which the read began.
         """
+        if self._table is None or version < self._table.version:
+            return
         if self._confirmed_at is None or read_started_at > self._confirmed_at:
             self._confirmed_at = read_started_at
 
@@ -131,21 +165,34 @@
         """Return whether a replica of this version is known that is not draining."""
         return version in self._version_counts.get(service, {})
 
-    def replace_replicas(self, records: Iterable[ReplicaRecord]) -> None:
+    def replace_replicas(self, records: Iterable[ReplicaRecord], era: int = 0) -> None:
         """Replace all replicas; those missing from the new list count as vanished.
 
         A vanished replica is kept until its grace period ends, unless it was draining.
+        A replica that was draining or gone stays unusable if a restored store lists it
+        as usable, until it registers again.
+
+        :param era: era of the store in which the replicas were listed.
         """
-        listed = {record.identity: record for record in records}
+        restored = self._replicas_read and era > self._replica_era
+        self._replica_era = era
+        listed = {r.identity: self._apply_departure(r, era) for r in records}
+        grace_s = self._vanished_grace_s
+        if restored:
+            grace_s = max(grace_s, RESTORED_REPLICA_GRACE_S)
         for identity in self._records.keys() - listed.keys():
-            self._mark_vanished(identity)
+            self._mark_vanished(identity, grace_s)
         for record in listed.values():
             self._store_record(record)
         self._replicas_read = True
         self._update_placement()
 
     def update_replica(self, record: ReplicaRecord) -> None:
-        """Add or replace one replica."""
+        """Add or replace one replica after a change of its record in the store."""
+        if record.replica.draining:
+            self._record_departure(record, self._replica_era)
+        else:
+            self._departure_eras.pop((record.identity, record.started_ms), None)
         self._store_record(record)
         self._update_placement()
 
@@ -155,23 +202,40 @@
         The replica is removed at once if it was draining, else marked as vanished.
         """
         if identity in self._records:
-            self._mark_vanished(identity)
+            self._mark_vanished(identity, self._vanished_grace_s)
             self._update_placement()
 
-    def replace_rollouts(self, rollouts: Iterable[Rollout]) -> None:
-        """Replace all roll-outs; a known one at a newer revision is kept."""
+    def replace_rollouts(self, rollouts: Iterable[Rollout], era: int = 0) -> None:
+        """Replace all roll-outs; a known one at a newer revision is kept.
+
+        A roll-out of an earlier era that the store lacks, or has another order for, is
+        kept for :data:`KEPT_ROLLOUT_S`: without it, its version would be allowed again.
+
+        :param era: era of the store in which the roll-outs were listed.
+        """
         listed = {rollout.service: rollout for rollout in rollouts}
-        for service in self._rollouts.keys() - listed.keys():
-            self._log_change(StateChange.ROLLOUT_GONE, service=service)
-            del self._rollouts[service]
+        for known in list(self._rollouts.values()):
+            stored = listed.get(known.service)
+            if stored is not None and stored.same_order(known):
+                continue
+            if era > known.revision.era:
+                self._keep_rollout(known, stored)
+                listed.pop(known.service, None)
+            elif stored is None:
+                self.remove_rollout(known.service)
         for rollout in listed.values():
             self.update_rollout(rollout)
 
     def update_rollout(self, rollout: Rollout) -> None:
-        """Add or replace one roll-out unless the known one is at least as new."""
+        """Add or replace one roll-out unless the known one is at least as new.
+
+        The progress of an order that was known in an earlier era is carried over.
+        """
         known = self._rollouts.get(rollout.service)
         if known is not None and known.revision >= rollout.revision:
             return
+        self._kept_rollouts.pop(rollout.service, None)
+        rollout = self._carry_over(known, rollout)
         self._rollouts[rollout.service] = rollout
         self._log_change(
             StateChange.ROLLOUT_SEEN,
@@ -186,21 +250,39 @@
 
     def remove_rollout(self, service: str) -> None:
         """Remove the roll-out of a service, if one is known."""
+        self._kept_rollouts.pop(service, None)
+        self._carried_eras.pop(service, None)
+        self._unwritten.discard(service)
         if self._rollouts.pop(service, None) is not None:
             self._log_change(StateChange.ROLLOUT_GONE, service=service)
             self._update_placement()
 
+    def has_unwritten_progress(self, service: str) -> bool:
+        """Return whether the store lacks progress of a service's roll-out."""
+        return service in self._unwritten and service not in self._kept_rollouts
+
+    def expire_kept_rollouts(self) -> None:
+        """Replace kept roll-outs by the store's records once their time has passed."""
+        now = self._clock.monotonic()
+        for service, kept in list(self._kept_rollouts.items()):
+            if kept.until > now:
+                continue
+            self.remove_rollout(service)
+            if kept.stored is not None:
+                self.update_rollout(kept.stored)
+
     def expire_vanished_replicas(self) -> None:
         """Remove replicas whose grace period after vanishing has ended."""
-        vanished_until = self._clock.monotonic() - self._vanished_grace_s
+        now = self._clock.monotonic()
         expired = [
             identity
-            for identity, vanished_at in self._vanished_at.items()
-            if vanished_at <= vanished_until
+            for identity, expires_at in self._vanished_until.items()
+            if expires_at <= now
         ]
         for identity in expired:
-            del self._vanished_at[identity]
+            del self._vanished_until[identity]
             record = self._records.pop(identity)
+            self._record_departure(record, self._replica_era)
             self._log_change(
                 StateChange.REPLICA_GONE, replica=identity, service=record.service
             )
@@ -216,7 +298,7 @@
 
     def _store_record(self, record: ReplicaRecord) -> None:
         known = self._records.get(record.identity)
-        self._vanished_at.pop(record.identity, None)
+        self._vanished_until.pop(record.identity, None)
         self._records[record.identity] = record
         if known == record:
             return
@@ -237,8 +319,8 @@
             leaving=record.replica.draining,
         )
 
-    def _mark_vanished(self, identity: str) -> None:
-        if identity in self._vanished_at:
+    def _mark_vanished(self, identity: str, grace_s: float) -> None:
+        if identity in self._vanished_until:
             return
         record = self._records[identity]
         self._log_change(
@@ -246,8 +328,55 @@
         )
         if record.replica.draining:
             del self._records[identity]
+            self._record_departure(record, self._replica_era)
             return
-        self._vanished_at[identity] = self._clock.monotonic()
+        self._vanished_until[identity] = self._clock.monotonic() + grace_s
+
+    def _record_departure(self, record: ReplicaRecord, era: int) -> None:
+        self._departure_eras[record.identity, record.started_ms] = era
+        if len(self._departure_eras) > DEPARTED_REPLICAS_LIMIT:
+            self._departure_eras.popitem(last=False)
+
+    def _apply_departure(self, record: ReplicaRecord, era: int) -> ReplicaRecord:
+        """Return a listed replica, as draining if it left in an earlier era."""
+        if record.replica.draining:
+            self._record_departure(record, era)
+            return record
+        key = record.identity, record.started_ms
+        if self._departure_eras.get(key, era) >= era:
+            self._departure_eras.pop(key, None)
+            return record
+        return record._replace(replica=record.replica._replace(draining=True))
+
+    def _keep_rollout(self, known: Rollout, stored: Rollout | None) -> None:
+        kept = self._kept_rollouts.get(known.service)
+        until = self._clock.monotonic() + KEPT_ROLLOUT_S
+        if kept is None:
+            self._log_change(
+                StateChange.ROLLOUT_KEPT,
+                service=known.service,
+                candidate=known.candidate,
+                stored=stored.candidate if stored else "-",
+            )
+        self._kept_rollouts[known.service] = KeptRollout(
+            kept.until if kept else until, stored
+        )
+
+    def _carry_over(self, known: Rollout | None, stored: Rollout) -> Rollout:
+        """Return a stored roll-out with the progress made in an earlier era."""
+        service = stored.service
+        self._unwritten.discard(service)
+        if known is None or not stored.same_order(known):
+            self._carried_eras.pop(service, None)
+            return stored
+        if stored.revision.era > known.revision.era:
+            self._carried_eras[service] = stored.revision.era
+        if self._carried_eras.get(service) != stored.revision.era:
+            return stored
+        if stored.progress >= known.progress:
+            return stored
+        self._unwritten.add(service)
+        return known._replace(revision=stored.revision)
 
     def _update_placement(self) -> None:
         self._placement.update(record.replica for record in self._records.values())
--- a/packages/node/src/lentilshore_node/fleet_view_updater.py
+++ b/packages/node/src/lentilshore_node/fleet_view_updater.py
@@ -10,7 +10,7 @@
 
 from lentilshore_kernel.exceptions import StoreError, StoreHistoryGoneError
 from lentilshore_kernel.metrics import keep_running, record_state_change
-from lentilshore_kernel.types import StateChange
+from lentilshore_kernel.types import StateChange, StoreRevision
 from lentilshore_routing.rollout_record import Rollout
 
 from .fleet_source import Collection, FleetSource
@@ -93,7 +93,7 @@
             self._report_store_state("configuration", None)  # the read succeeded
             if table is not None:
                 view.update_table(table)
-                view.confirm_table(read_started_at)
+                view.confirm_table(table.version, read_started_at)
             spent_s = clock.monotonic() - read_started_at
             interval_s = self._context.bounds.config_apply_s * READ_INTERVAL_SHARE
             # A read that took most of the interval is still followed by a pause.
@@ -103,17 +103,17 @@
         self,
         part: str,
         collection: Collection[Any],
-        replace_all: Callable[[Iterable[Any]], None],
+        replace_all: Callable[[Iterable[Any], int], None],
         update: Callable[[Any], Awaitable[None]],
         remove: Callable[[str], None],
     ) -> None:
-        revision: int | None = None
+        revision: StoreRevision | None = None
         delay_s, wait_s = RETRY_MIN_S, WATCH_WAIT_S
         while True:
             try:
                 if revision is None:
                     listing = await collection.list()
-                    replace_all(listing.items)
+                    replace_all(listing.items, listing.revision.era)
                     revision = listing.revision
                 else:
                     batch = await collection.watch(revision, wait_s)
@@ -150,13 +150,14 @@
         if not view.knows_version(record.service, record.version):
             # The record of a roll-out to this version may not have been read yet.
             listing = await self._source.rollouts.list()
-            view.replace_rollouts(listing.items)
+            view.replace_rollouts(listing.items, listing.revision.era)
         view.update_replica(record)
 
     async def _expire_replicas(self) -> None:
         while True:
             await self._context.clock.sleep(EXPIRY_INTERVAL_S)
             self._context.view.expire_vanished_replicas()
+            self._context.view.expire_kept_rollouts()
 
     def _report_store_state(self, part: str, error: StoreError | None) -> None:
         """Count failed reads; log when a part of the store is lost or regained.
--- a/packages/node/src/lentilshore_node/rollout_controller.py
+++ b/packages/node/src/lentilshore_node/rollout_controller.py
@@ -35,10 +35,22 @@
         """Check every roll-out until cancelled."""
         while True:
             await self._context.clock.sleep(CHECK_INTERVAL_S)
-            for rollout in list(self._context.view.rollouts.values()):
-                if not rollout.ended:
+            view = self._context.view
+            for rollout in list(view.rollouts.values()):
+                if view.has_unwritten_progress(rollout.service):
+                    await self._restore(rollout.service)
+                elif not rollout.ended:
                     await self._check(rollout)
 
+    async def _restore(self, service: str) -> None:
+        """Write progress again that the store lost when it was restored."""
+        view = self._context.view
+        await self._context.clock.sleep(STEP_JITTER_S * self._context.random.random())
+        rollout = view.rollouts.get(service)
+        # Another node may have written it meanwhile.
+        if rollout is not None and view.has_unwritten_progress(service):
+            await self._write(rollout)
+
     async def _check(self, rollout: Rollout) -> None:
         """Write the roll-out's next step if one is due."""
         successor = self._find_step(rollout)
--- a/packages/routing/src/lentilshore_routing/rollout_record.py
+++ b/packages/routing/src/lentilshore_routing/rollout_record.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from lentilshore_kernel.types import StoreRevision
+
 from .observations import Observations
 
 
@@ -38,7 +40,7 @@
     stage: int
     started_at: float
     observations: Mapping[str, Observations]
-    revision: int
+    revision: StoreRevision
     name: str
 
     @property
@@ -46,6 +48,22 @@
         """Whether the roll-out was completed or rolled back."""
         return self.state in (RolloutState.COMPLETED, RolloutState.ROLLED_BACK)
 
+    @property
+    def progress(self) -> tuple[int, int]:
+        """How far the roll-out has come; greater is further, an end is the furthest."""
+        if self.ended:
+            return 2, 0
+        return int(self.state is not None), self.stage
+
+    def same_order(self, other: Rollout) -> bool:
+        """Return whether another record belongs to the same order."""
+        return (self.name, self.service, self.candidate, self.duration_s) == (
+            other.name,
+            other.service,
+            other.candidate,
+            other.duration_s,
+        )
+
     @property
     def candidate_key(self) -> str:
         """Key of the candidate's evidence."""
