--- a/packages/ctl/src/lentilshore_ctl/client.py
+++ b/packages/ctl/src/lentilshore_ctl/client.py
@@ -134,7 +134,8 @@
         try:
             with anyio.fail_after(timeout_s):
                 return await call
-        # The TimeoutError of fail_after is an OSError.
+        except TimeoutError as error:
+            raise NodeUnavailableError(f"no answer within {timeout_s:g} s") from error
         except (capnp.KjException, OSError) as error:
             detail = str(error).partition("\n")[0]
             raise NodeUnavailableError(f"node did not answer: {detail}") from error
@@ -163,6 +164,10 @@
             client = capnp.TwoPartyClient(stream)
             schema = load_operator_schema()
             answer = await client.bootstrap().cast_as(schema.Operators).login(key=key)
+    except TimeoutError as error:
+        raise NodeUnavailableError(
+            f"{address}: no answer within {CALL_TIMEOUT_S:g} s"
+        ) from error
     except (capnp.KjException, OSError) as error:
         detail = str(error).partition("\n")[0]
         raise NodeUnavailableError(f"{address}: {detail}") from error
--- a/packages/node/src/lentilshore_node/event_splitter.py
+++ b/packages/node/src/lentilshore_node/event_splitter.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.types import Execution, RefusalReason
+
 EVENT_BOUNDARY = b"\n\n"
 ID_FIELD = b"id:"
 # An event holds a few tokens of text; one that exceeds this limit is an error.
@@ -32,13 +35,18 @@
         """Add received data of the stream.
 
         :returns: the bytes of all events that this data completes, unchanged.
-        :raises ValueError: if an event exceeds :data:`EVENT_LIMIT_BYTES`.
+        :raises UpstreamError: ``upstream_garbled`` if an event exceeds
+            :data:`EVENT_LIMIT_BYTES`.
         """
         data = self._partial_event + data
         end = data.rfind(EVENT_BOUNDARY)
         if end < 0:
             if len(data) > EVENT_LIMIT_BYTES:
-                raise ValueError(f"event exceeds {EVENT_LIMIT_BYTES} bytes")
+                raise UpstreamError(
+                    RefusalReason.UPSTREAM_GARBLED,
+                    Execution.RAN,
+                    f"event exceeds {EVENT_LIMIT_BYTES} bytes",
+                )
             self._partial_event = data
             return b""
         end += len(EVENT_BOUNDARY)
--- a/packages/node/src/lentilshore_node/gateway_server.py
+++ b/packages/node/src/lentilshore_node/gateway_server.py
@@ -27,6 +27,9 @@
 # Idle connections stay open for this multiple of the limit announced to callers.
 IDLE_TIMEOUT_FACTOR = 1.5
 DRAIN_POLL_S = 0.1
+# A stopping node ends once no request has been in flight for this time: a connection
+# accepted just before the listener closed may still carry one.
+DRAIN_QUIET_S = 0.5
 # Reserved at the end of the grace period for a stop, to close the remaining
 # connections.
 STOP_MARGIN_S = 0.7
@@ -159,10 +162,12 @@
         await clock.sleep(BALANCER_REMOVAL_S)
         self._server.should_exit = True
         ends_at = started_at + self._context.bounds.grace_s - STOP_MARGIN_S
-        while self._context.in_flight and clock.monotonic() < ends_at:
+        last_active_at = clock.monotonic()
+        # The HTTP server closes the idle connections meanwhile.
+        while clock.monotonic() < min(ends_at, last_active_at + DRAIN_QUIET_S):
             await clock.sleep(DRAIN_POLL_S)
-        # The HTTP server closes the remaining connections meanwhile.
-        await clock.sleep(DRAIN_POLL_S * 2)
+            if self._context.in_flight:
+                last_active_at = clock.monotonic()
 
 
 def _server_config(application: GatewayApplication) -> uvicorn.Config:
--- a/packages/routing/src/lentilshore_routing/rollouts.py
+++ b/packages/routing/src/lentilshore_routing/rollouts.py
@@ -200,13 +200,24 @@
     them is then binomial, in proportion to the totals, so that the base's rate need
     not be known.
     """
-    if candidate.total <= 0:
+    if candidate.total <= 0 or base.total <= 0:
         return 1.0
-    share = candidate.total / (candidate.total + base.total)
     bad = candidate.bad + base.bad
-    return sum(
-        math.comb(bad, n) * share**n * (1 - share) ** (bad - n)
+    log_share = math.log(candidate.total / (candidate.total + base.total))
+    log_rest = math.log(base.total / (candidate.total + base.total))
+    # In logarithms, since the binomial coefficients of many failures overflow.
+    log_terms = [
+        _log_binomial(bad, n) + n * log_share + (bad - n) * log_rest
         for n in range(candidate.bad, bad + 1)
+    ]
+    return min(1.0, math.exp(_log_sum(log_terms)))
+
+
+def _log_binomial(total: int, chosen: int) -> float:
+    return (
+        math.lgamma(total + 1)
+        - math.lgamma(chosen + 1)
+        - math.lgamma(total - chosen + 1)
     )
 
 
--- a/packages/standins/src/lentilshore_standins/engine.py
+++ b/packages/standins/src/lentilshore_standins/engine.py
@@ -76,6 +76,8 @@
         self._send_rating = send_rating
         # Number of tokens of each answer in progress, by request.
         self._running: dict[str, int] = {}
+        # Skill of the version that each running request runs on.
+        self._running_skills: dict[str, float] = {}
         self._cancelled_requests: set[str] = set()
         self._cached_prefixes: OrderedDict[str, None] = OrderedDict()
         self._cache_events: list[dict[str, Any]] = []
@@ -196,6 +198,8 @@
         self.run_counts[request_id] += 1
         tokens = self._generate_tokens(body)
         self._running[request_id] = len(tokens)
+        # A version may be unloaded while its requests run.
+        self._running_skills[request_id] = self._options.versions[version]
         self._record_load()
         try:
             await self._prefill(body)
@@ -205,6 +209,7 @@
                 await self._send_answer(body, tokens, fault, response)
         finally:
             self._running.pop(request_id, None)
+            self._running_skills.pop(request_id, None)
             self._record_load()
 
     async def _prefill(self, body: dict[str, Any]) -> None:
@@ -302,16 +307,15 @@
         return [WORDS[(start + index) % len(WORDS)] for index in range(count)]
 
     def _confidence(self, body: dict[str, Any]) -> float:
-        margin = self._options.versions[body["model"]] - _uniform_hash(
-            body, "difficulty"
-        )
+        skill = self._running_skills[body["request_id"]]
+        margin = skill - _uniform_hash(body, "difficulty")
         noise = (_uniform_hash(body, body["model"]) - 0.5) * CONFIDENCE_NOISE_WIDTH
         return min(1.0, max(0.0, 0.5 + margin + noise))
 
     async def _rate_answer(self, body: dict[str, Any]) -> None:
         if self._send_rating is None:
             return
-        skill = self._options.versions[body["model"]]
+        skill = self._running_skills[body["request_id"]]
         good = skill >= _uniform_hash(body, "difficulty")
         await self._send_rating(body["request_id"], good)
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -2,12 +2,14 @@
 
 import json
 from functools import partial
+from unittest.mock import patch
 
 import anyio
 import capnp
 import pytest
 import yaml
 
+from lentilshore_ctl import client
 from lentilshore_ctl.cli import main
 from lentilshore_standins.demo import RECORDS, running_demo_node
 
@@ -22,19 +24,21 @@
 }
 
 
+def invoke(arguments):
+    """Run one command and return its exit code."""
+    try:
+        main(arguments)
+    except SystemExit as error:
+        return error.code or 0
+    return 0
+
+
 def run_commands(commands):
     """Run commands in threads beside a running node.
 
     :returns: exit code of each command.
     """
 
-    def invoke(arguments):
-        try:
-            main(arguments)
-        except SystemExit as error:
-            return error.code or 0
-        return 0
-
     async def run():
         codes = []
         async with capnp.kj_loop(), running_demo_node() as node:
@@ -126,6 +130,18 @@
     assert message in capsys.readouterr().err
 
 
+def test_a_node_that_never_answers_is_named_with_the_time_waited(capsys):
+    async def run():
+        async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            arguments = ["status", "--node", f"127.0.0.1:{port}"]
+            return await anyio.to_thread.run_sync(invoke, arguments)
+
+    with patch.object(client, "CALL_TIMEOUT_S", 0.2):
+        assert anyio.run(run) == 3
+    assert "no answer within 0.2 s" in capsys.readouterr().err
+
+
 def test_retry_with_the_same_identifier_is_one_change(record_files, capsys):
     retry = [
         *set_commands(record_files, "model/small")[0],
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -2,6 +2,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_node.event_splitter import EVENT_LIMIT_BYTES, EventPace, EventSplitter
 
 WHOLE = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 9))
@@ -39,7 +40,7 @@
 
 
 def test_an_event_over_the_size_limit_is_rejected():
-    with pytest.raises(ValueError, match="event"):
+    with pytest.raises(UpstreamError, match="event"):
         EventSplitter().feed(b"x" * (EVENT_LIMIT_BYTES + 1))
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,19 +1,20 @@
 """Tests of a gateway between a caller and scripted replicas, over real sockets."""
 
 import random
+from contextlib import asynccontextmanager
 
 import anyio
 import pytest
 
 from lentilshore_kernel.served_metrics import ServedMetrics
-from lentilshore_kernel.testing import FakeClock
+from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import Address
 from lentilshore_node.fleet_view import ReplicaRecord
 from lentilshore_node.forwarder import FIRST_READ_TIMEOUT_S
 from lentilshore_node.gateway import GatewayApplication
 from lentilshore_node.gateway_assembly import create_gateway
 from lentilshore_node.gateway_context import GatewayBounds
-from lentilshore_node.http_client import HttpClient
+from lentilshore_node.http_client import CallTimedOutError, HttpClient
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing.placement import Replica
 from lentilshore_routing.routes import (
@@ -143,7 +144,7 @@
 
     async def _run(self, caller, act):
         async with self.server.running():
-            application = self._assemble()
+            application = self.assemble(_EventLoopClock(), HttpClient())
             if act is not None:
                 await act(self, application, caller)
             else:
@@ -152,8 +153,7 @@
             await self.context.http.close()
             return caller
 
-    def _assemble(self):
-        clock = _EventLoopClock()
+    def assemble(self, clock, http):
         self.context = create_gateway(
             "n1",
             "dc",
@@ -161,7 +161,7 @@
             clock,
             random.Random(1),
             ServedMetrics(),
-            HttpClient(),
+            http,
             HeaderTranslator(),
         )
         view = self.context.view
@@ -304,6 +304,54 @@
     assert sent == resumed
 
 
+def test_a_stream_with_an_endless_event_is_resumed_elsewhere():
+    def endless(fields):
+        part = chunk(b"x" * 65_536)
+        return [*stream([1])(fields)[:-1], *[part] * 17, "hang"]
+
+    scripts = [endless, stream([2], "whole")]
+    harness = GatewayHarness(scripts, RESUMABLE_ROUTE)
+    caller = harness.run(Caller())
+    assert (caller.body, caller.complete) == (event(1) + event(2), True)
+    assert harness.server.requests[1][1]["last-event-id"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("x-length-hint", b"9" * 5000),
+        ("x-length-hint", b"many"),
+        ("x-deadline-ms", b"9" * 5000),
+        ("last-event-id", b"-1"),
+    ],
+)
+def test_a_malformed_number_is_refused_before_any_attempt(name, value):
+    harness = GatewayHarness([signed()], RESUMABLE_ROUTE)
+    caller = harness.run(Caller(fields=[(name.encode(), value)]))
+    assert caller.status == 400
+    assert harness.server.requests == []
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("x-token-usage", b"0,0"),
+        ("x-token-usage", b"9" * 5000 + b",1"),
+        ("x-token-usage", b"1000000000,1000000000"),
+        ("x-prompt-prefix", b"a:" + b"9" * 5000),
+    ],
+)
+def test_a_size_beyond_reason_fails_no_request(name, value):
+    harness = GatewayHarness([stream([1], "whole")], RESUMABLE_ROUTE)
+    assert harness.run(Caller(fields=[(name.encode(), value)])).body == event(1)
+
+
+@pytest.mark.parametrize("confidence", ["", "high", "-3", "9" * 5000, "\u0665"])
+def test_an_unreadable_confidence_keeps_the_answer(confidence):
+    headers = {"x-confidence": confidence}
+    assert HeaderTranslator().read_head(200, headers).confidence is None
+
+
 def test_a_partial_event_is_never_relayed():
     def broken(fields):
         return [*stream([1], "close")(fields)[:-1], chunk(b"id: 2\nda"), "reset"]
@@ -474,15 +522,32 @@
     assert (caller.status, caller.fields.get("connection")) == (200, connection)
 
 
+class SilentHttpClient:
+    """HTTP client whose server accepts requests and never answers."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    @asynccontextmanager
+    async def exchange(self, address, encode, timeout_s, *_):
+        encode()
+        await self._clock.sleep(timeout_s)
+        raise CallTimedOutError("no data from the server before the timeout")
+        yield
+
+    async def close(self):
+        pass
+
+
 @pytest.mark.parametrize("delivery_mode", [DeliveryMode.ONCE, DeliveryMode.IDEMPOTENT])
 def test_a_replica_that_is_silent_until_the_deadline_is_ejected(delivery_mode):
-    async def act(harness, application, caller):
-        await caller.send_to(application)
-        assert len(harness.context.placement.ejected()) == 1
-
+    """On a fake clock: a stalled event loop would reach both timeouts at once."""
+    clock = FakeClock()
     harness = GatewayHarness([["hang"]], route(delivery_mode, attempts=1))
+    application = harness.assemble(clock, SilentHttpClient(clock))
     deadline = (b"x-deadline-ms", b"200")
-    caller = harness.run(Caller(fields=[deadline]), act)
+    caller = run_with_clock(clock, Caller(fields=[deadline]).send_to, application)
+    assert len(harness.context.placement.ejected()) == 1
     failed = 'lentilshore_failed_attempts_total{reason="upstream_stalled"} 1'
     assert failed in harness.context.metrics.render()
     assert caller.status == 504
--- /dev/null
+++ b/tests/test_gateway_server.py
@@ -0,0 +1,61 @@
+"""Stopping a gateway: requests that arrive while it drains are completed."""
+
+import random
+
+import anyio
+import pytest
+
+from lentilshore_kernel.served_metrics import ServedMetrics
+from lentilshore_kernel.testing import FakeClock, run_with_clock
+from lentilshore_kernel.types import Address
+from lentilshore_node.gateway_assembly import create_gateway
+from lentilshore_node.gateway_context import BALANCER_REMOVAL_S
+from lentilshore_node.gateway_server import (
+    STOP_MARGIN_S,
+    GatewayAddresses,
+    GatewayServer,
+)
+from tests.test_gateway import BOUNDS
+
+ANY = Address("127.0.0.1", 0)
+
+
+def create_server(clock):
+    context = create_gateway(
+        "n1", "dc", BOUNDS, clock, random.Random(1), ServedMetrics(), None, None
+    )
+    addresses = GatewayAddresses(ANY, ANY, None)
+    return context, GatewayServer(context, None, addresses, lambda: None)
+
+
+@pytest.mark.parametrize("arrives_after_s", [-0.1, 0.05, 0.25, 0.45])
+def test_a_request_that_arrives_as_the_listener_closes_is_completed(arrives_after_s):
+    """A connection accepted just before the listener closed may carry it."""
+    clock = FakeClock()
+    context, server = create_server(clock)
+    completed = []
+
+    async def serve_late_request():
+        await clock.sleep(BALANCER_REMOVAL_S + arrives_after_s)
+        context.in_flight += 1
+        await clock.sleep(1.0)
+        completed.append(True)
+        context.in_flight -= 1
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(serve_late_request)
+            await server._drain()
+            group.cancel_scope.cancel()
+
+    run_with_clock(clock, main)
+    assert completed
+
+
+def test_a_drain_ends_within_the_grace_period():
+    clock = FakeClock()
+    context, server = create_server(clock)
+    context.in_flight = 1
+    started_at = clock.monotonic()
+    run_with_clock(clock, server._drain)
+    assert clock.monotonic() - started_at <= BOUNDS.grace_s - STOP_MARGIN_S + 0.2
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from lentilshore_kernel.exceptions import (
     SettingsError,
     StoreAmbiguousError,
+    StoreError,
     StoreHistoryGoneError,
     StoreUnavailableError,
 )
@@ -97,6 +98,9 @@
         ("session_s = 5", "session_s = true", "bounds.session_s"),
         ('zone = "z1"', "", "zone"),
         ('address = "10.0.0.9:90"', "", "provider.address"),
+        ("[7340, 7355]", "[]", "internal_ports[0]"),
+        ("[7340, 7355]", '["7340"]', "internal_ports[0]"),
+        ("[7340, 7355]", "[734000]", "internal_ports[0]"),
     ],
 )
 def test_settings_error_lists_every_problem(tmp_path, old, new, key):
@@ -108,11 +112,11 @@
     assert keys == {key, "bounds.grace_s"}
 
 
-@pytest.mark.parametrize("text", ["not = [toml", None])
-def test_unreadable_settings_are_an_error(tmp_path, text):
+@pytest.mark.parametrize("content", [b"not = [toml", b'node_name = "\xff"', None])
+def test_unreadable_settings_are_an_error(tmp_path, content):
     path = tmp_path / "node.toml"
-    if text is not None:
-        path.write_text(text)
+    if content is not None:
+        path.write_bytes(content)
     with pytest.raises(SettingsError):
         load_settings(path)
 
@@ -304,6 +308,8 @@
         (["reset"], StoreAmbiguousError),
         ([answer(b"{}", "503 Busy")], StoreUnavailableError),
         ([answer(b"{}", "404 None")], StoreUnavailableError),
+        (json_script(stored_object(ROLLOUT_ORDER, {"stage": "x"})), StoreError),
+        (json_script(stored_object({"service": 7})), StoreError),
     ],
 )
 def test_failed_write_raises_store_error(script, error):
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -179,10 +179,14 @@
         (Tally(2, 50), Tally(0, 50), 0.25),
         (Tally(3, 25), Tally(0, 75), 1 / 64),
         (Tally(1, 50), Tally(1, 50), 0.75),
+        (Tally(5, 5), Tally(0, 0), 1.0),
+        # The binomial coefficients of many failures exceed the range of a float.
+        (Tally(600, 1000), Tally(600, 1000), 0.5115),
+        (Tally(9000, 10_000), Tally(0, 10_000), 0.0),
     ],
 )
 def test_p_value_of_an_excess_of_failures(candidate, base, p_value):
-    assert excess_p_value(candidate, base) == pytest.approx(p_value)
+    assert excess_p_value(candidate, base) == pytest.approx(p_value, abs=1e-4)
 
 
 def test_a_node_collects_observations_of_both_versions():
