Refuse bad input at the callers' edges with typed answers, at once

Cause: nested JSON was answered with an untyped 500, headers of a megabyte were accepted, a declared length over the limit kept the connection waiting, and what the parser refuses got plain text without a counter. Change: CallerProtocol bounds heads (431, limits.head_bytes) and answers what the parser refuses with the typed error, a counter and a log line; it keeps reading for a second, so that the answer is not lost to a reset. A declared length over the limit is refused before the body, and the connection closes. decode_json turns nesting that is too deep into a decode error wherever JSON of another process is read.

--- a/packages/kernel/src/lentilshore_kernel/exceptions.py
+++ b/packages/kernel/src/lentilshore_kernel/exceptions.py
@@ -7,6 +7,7 @@
 STATUS_BY_REASON: dict[RefusalReason, int] = {
     RefusalReason.MALFORMED_REQUEST: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.HEAD_TOO_LARGE: 431,
     RefusalReason.UNAUTHENTICATED: 401,
     RefusalReason.UNKNOWN_PATH: 404,
     RefusalReason.UNKNOWN_MODEL: 404,
--- a/packages/kernel/src/lentilshore_kernel/settings.py
+++ b/packages/kernel/src/lentilshore_kernel/settings.py
@@ -85,6 +85,9 @@
     body_bytes: Count = Field(
         4_194_304, gt=0, description="largest request body, bytes"
     )
+    head_bytes: Count = Field(
+        65_536, gt=0, description="largest request line and headers together, bytes"
+    )
     caller_stall_s: Seconds = Field(
         30.0, description="timeout for a caller that reads nothing, seconds"
     )
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -19,6 +19,7 @@
 
     MALFORMED_REQUEST = "malformed_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_MODEL = "unknown_model"
--- a/packages/node/src/lentilshore_node/app.py
+++ b/packages/node/src/lentilshore_node/app.py
@@ -24,6 +24,7 @@
     parse_headers,
 )
 from .responder import (
+    CLOSE_CONNECTION,
     AsgiResponder,
     Responder,
     encode_error_event,
@@ -80,7 +81,7 @@
         if (method, path) == ("GET", "/v1/models"):
             await self._list_models(headers, responder)
         elif (method, path) == ("POST", "/v1/chat/completions"):
-            await self._serve_completion(headers, receive, responder)
+            await self._serve_completion(scope, headers, receive, responder)
         elif method == "POST" and path.startswith(SERVICE_PREFIX):
             await self._serve_service_call(scope, headers, receive, responder)
         else:
@@ -107,10 +108,10 @@
         await send_json(responder, 200, body)
 
     async def _serve_completion(
-        self, headers: CallerHeaders, receive: Receive, responder: Responder
+        self, scope: Any, headers: CallerHeaders, receive: Receive, responder: Responder
     ) -> None:
         customer = self._authenticate(headers)
-        request = parse_completion(headers, await self._read_body(receive))
+        request = parse_completion(headers, await self._read_body(scope, receive))
         job = await self._run_until_disconnect(
             receive, responder, self._completions.serve, customer, request
         )
@@ -130,7 +131,7 @@
         content_type = raw_headers.get(b"content-type", b"application/json").decode(
             "latin-1"
         )
-        body = await self._read_body(receive)
+        body = await self._read_body(scope, receive)
         request = ServiceRequest(
             headers, path_parts[0], path_parts[1], body, content_type
         )
@@ -150,10 +151,14 @@
         self._context.require_ready()
         return self._context.catalog.authenticate(headers.api_key)
 
-    async def _read_body(self, receive: Receive) -> bytes:
+    async def _read_body(self, scope: Any, receive: Receive) -> bytes:
         limits = self._context.settings.limits
         return await read_body(
-            receive, self._context.clock, limits.body_bytes, limits.caller_stall_s
+            receive,
+            self._context.clock,
+            limits.body_bytes,
+            limits.caller_stall_s,
+            scope["headers"],
         )
 
     async def _run_until_disconnect(
@@ -208,6 +213,8 @@
             headers.append(("lentilshore-request", refusal.request_id))
         if refusal.retry_after_s is not None:
             headers.append(("retry-after", str(max(1, round(refusal.retry_after_s)))))
+        if refusal.reason is RefusalReason.BODY_TOO_LARGE:
+            headers.append(CLOSE_CONNECTION)
         body = encode_refusal(refusal, refusal.request_id)
         await send_json(responder, refusal.status, body, headers)
 
--- a/packages/node/src/lentilshore_node/edge.py
+++ b/packages/node/src/lentilshore_node/edge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, TypeVar
 
 import anyio
@@ -17,7 +17,11 @@
 
 
 async def read_body(
-    receive: Receive, clock: Clock, limit_bytes: int, timeout_s: float
+    receive: Receive,
+    clock: Clock,
+    limit_bytes: int,
+    timeout_s: float,
+    headers: Iterable[tuple[bytes, bytes]] = (),
 ) -> bytes:
     """Return the whole body of a caller's request.
 
@@ -25,9 +29,13 @@
     :param clock: measures the timeout.
     :param limit_bytes: size of the largest body that is accepted.
     :param timeout_s: time in which the whole body must be received, seconds.
+    :param headers: headers of the request; a declared length over the limit is refused
+        before any byte of the body is read.
     :raises RefusalError: ``malformed_request``, ``body_too_large`` or
         ``caller_too_slow``.
     """
+    if _declared_bytes(headers) > limit_bytes:
+        raise _too_large(limit_bytes)
     chunks = []
     size = 0
     with clock.timeout(timeout_s) as scope:
@@ -40,10 +48,7 @@
                 )
             size += len(message.get("body", b""))
             if size > limit_bytes:
-                raise RefusalError(
-                    RefusalReason.BODY_TOO_LARGE,
-                    detail=f"body exceeds {limit_bytes} bytes",
-                )
+                raise _too_large(limit_bytes)
             chunks.append(message.get("body", b""))
             if not message.get("more_body"):
                 break
@@ -55,6 +60,17 @@
     return b"".join(chunks)
 
 
+def _declared_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the declared length of a body, 0 if it is sent in chunks."""
+    # The HTTP server has refused a length that is not a number.
+    return max((int(v) for k, v in headers if k == b"content-length"), default=0)
+
+
+def _too_large(limit_bytes: int) -> RefusalError:
+    detail = f"body exceeds {limit_bytes} bytes"
+    return RefusalError(RefusalReason.BODY_TOO_LARGE, detail=detail)
+
+
 async def serve_until_disconnect(
     receive: Receive,
     serve: Callable[[], Awaitable[T]],
--- a/packages/node/src/lentilshore_node/events.py
+++ b/packages/node/src/lentilshore_node/events.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Execution, RefusalReason
 
 from .upstreams import StreamChunk, Usage
@@ -141,7 +142,7 @@
     def _parse_usage(self, event: bytes) -> Usage:
         payload = event.removeprefix(b"data: ")
         try:
-            body = msgspec.json.decode(payload)
+            body = decode_json(payload)
             return read_usage(body, self._request_id, self._next_token_offset)
         except msgspec.MsgspecError as error:
             raise _garbled_error(str(error)) from error
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/gateway.py
@@ -20,7 +20,8 @@
 from .forwarder import Forwarder
 from .forwarding import ForwardRequest
 from .gateway_context import CALLER_BODY_TIMEOUT_S, GatewayContext
-from .responder import AsgiResponder, encode_refusal, send_json
+from .http_client import HeaderFields
+from .responder import CLOSE_CONNECTION, AsgiResponder, encode_refusal, send_json
 
 # Statuses that tell the caller that the request did not run and will not run.
 NOT_RUN_STATUSES = (400, 401, 403, 404, 408, 413, 421, 429, 431, 503)
@@ -87,7 +88,7 @@
         try:
             head = self._read_head(scope)
             request_id = head.request_id
-            await self._serve(head, receive, responder)
+            await self._serve(head, scope["headers"], receive, responder)
         except RefusalError as refusal:
             await self._refuse(refusal, request_id, responder)
         except (LentilshoreError, OSError, ValueError, KeyError, TypeError) as error:
@@ -109,7 +110,11 @@
         )
 
     async def _serve(
-        self, head: ForwardRequest, receive: Receive, responder: AsgiResponder
+        self,
+        head: ForwardRequest,
+        headers: HeaderFields,
+        receive: Receive,
+        responder: AsgiResponder,
     ) -> None:
         received_at = self._context.clock.monotonic()
         await self._forwarder.wait_for_first_read()
@@ -122,6 +127,7 @@
             self._context.clock,
             limits.body_bytes,
             CALLER_BODY_TIMEOUT_S,
+            headers,
         )
         if body:
             head = head._replace(body=body)
@@ -185,6 +191,8 @@
         fields = self._context.translator.refusal_fields(refusal, request_id)
         if refusal.retry_after_s is not None and status == UNAVAILABLE_STATUS:
             fields = [*fields, ("retry-after", f"{refusal.retry_after_s:g}")]
+        if refusal.reason is RefusalReason.BODY_TOO_LARGE:
+            fields = [*fields, CLOSE_CONNECTION]
         await send_json(responder, status, encode_refusal(refusal, request_id), fields)
 
 
--- a/packages/node/src/lentilshore_node/gateway_server.py
+++ b/packages/node/src/lentilshore_node/gateway_server.py
@@ -16,6 +16,7 @@
 from lentilshore_kernel.metrics import keep_running
 from lentilshore_kernel.types import Address
 
+from .caller_protocol import bind_caller_protocol
 from .fleet_source import FleetSource
 from .fleet_view_updater import FleetViewUpdater
 from .gateway import GatewayApplication
@@ -23,7 +24,7 @@
 from .rollout_controller import RolloutController
 from .sockets import create_listener
 
-HEAD_LIMIT_BYTES = 65_536
+HEAD_LIMIT_BYTES = 65_536  # request line and headers together
 # Idle connections stay open for this multiple of the limit announced to callers.
 IDLE_TIMEOUT_FACTOR = 1.5
 DRAIN_POLL_S = 0.1
@@ -86,7 +87,7 @@
         ports = [s.getsockname()[1] for s in self._sockets]
         metrics_port = ports[2] if addresses.metrics else 0
         application = GatewayApplication(context, ports[1], metrics_port)
-        self._uvicorn_config = _server_config(application)
+        self._uvicorn_config = _server_config(application, context)
         self._server = _Server(self._uvicorn_config)
 
     async def run(self) -> bool:
@@ -170,11 +171,13 @@
                 last_active_at = clock.monotonic()
 
 
-def _server_config(application: GatewayApplication) -> uvicorn.Config:
+def _server_config(
+    application: GatewayApplication, context: GatewayContext
+) -> uvicorn.Config:
     return uvicorn.Config(
         application,
         loop="asyncio",
-        http="httptools",
+        http=bind_caller_protocol(context.metrics, HEAD_LIMIT_BYTES),
         ws="none",
         log_config=None,
         log_level="critical",
@@ -184,5 +187,4 @@
         proxy_headers=False,
         date_header=False,
         timeout_keep_alive=60,
-        h11_max_incomplete_event_size=HEAD_LIMIT_BYTES,
     )
--- a/packages/node/src/lentilshore_node/http_client.py
+++ b/packages/node/src/lentilshore_node/http_client.py
@@ -13,9 +13,9 @@
 from typing import Any, NamedTuple
 
 import httptools
-import msgspec
 
 from lentilshore_kernel.exceptions import LentilshoreError
+from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -91,7 +91,7 @@
 
         :raises msgspec.DecodeError: if it is not JSON.
         """
-        return msgspec.json.decode(self.body)
+        return decode_json(self.body)
 
 
 class _Connection(asyncio.Protocol):
--- a/packages/node/src/lentilshore_node/operators.py
+++ b/packages/node/src/lentilshore_node/operators.py
@@ -18,6 +18,7 @@
     StoreAmbiguousError,
     StoreError,
 )
+from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.registry import Registry, plugin
 from lentilshore_protocol import load_operator_schema
 from lentilshore_routing.catalog import check_record, check_references
@@ -267,7 +268,7 @@
     updated = {}
     for item in message.updated:
         try:
-            updated[item.key] = msgspec.json.decode(item.value)
+            updated[item.key] = decode_json(item.value)
         except msgspec.MsgspecError as error:
             raise ChangeInvalidError([f"{item.key}: {error}"]) from error
         check_record(item.key, updated[item.key])
--- a/packages/node/src/lentilshore_node/peer_messages.py
+++ b/packages/node/src/lentilshore_node/peer_messages.py
@@ -9,6 +9,7 @@
 
 from lentilshore_fleet import Member, MemberState, Snapshot
 from lentilshore_fleet.documents import Document
+from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Address, Incarnation
 
 from .context import NodeContext
@@ -95,7 +96,7 @@
     for item in message.documents:
         # The record is empty if the sender only states its version.
         if item.record:
-            value = msgspec.json.decode(item.record)
+            value = decode_json(item.record)
             context.documents.update(Document(item.name, item.version, value))
 
 
@@ -107,10 +108,10 @@
 def _apply_configuration(context: NodeContext, message: Any) -> None:
     view = context.configuration
     if message.snapshot:
-        entries = msgspec.json.decode(message.snapshot)
+        entries = decode_json(message.snapshot)
         view.adopt(Snapshot(message.revision, entries))
     for item in message.deltas:
-        view.apply(msgspec.json.decode(item.record))
+        view.apply(decode_json(item.record))
     if message.ageMs != UNKNOWN_AGE_MS and message.revision == view.revision:
         view.confirm(message.ageMs / 1000)
 
--- a/packages/node/src/lentilshore_node/requests.py
+++ b/packages/node/src/lentilshore_node/requests.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Priority, RefusalReason
 
 MAX_HEADER_CHARACTERS = 512
@@ -140,7 +141,7 @@
     :raises RefusalError: ``malformed_request``.
     """
     try:
-        body = msgspec.json.decode(data)
+        body = decode_json(data)
         fields = msgspec.convert(body, _CompletionBody)
     except msgspec.MsgspecError as error:
         raise _malformed_request(str(error)) from error
--- a/packages/node/src/lentilshore_node/responder.py
+++ b/packages/node/src/lentilshore_node/responder.py
@@ -11,6 +11,7 @@
 from lentilshore_kernel.exceptions import RefusalError
 
 Headers = Sequence[tuple[str, str]]
+CLOSE_CONNECTION = ("connection", "close")
 
 EVENT_STREAM = "text/event-stream"
 
@@ -73,7 +74,7 @@
         """Send status and headers."""
         self._started = True
         fields = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in headers]
-        if self._closes_connection():
+        if self._closes_connection() and CLOSE_CONNECTION not in headers:
             fields.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": fields}
--- a/packages/node/src/lentilshore_node/server.py
+++ b/packages/node/src/lentilshore_node/server.py
@@ -32,6 +32,7 @@
 from .app import CallerApplication
 from .assembly import create_context, create_external_clients
 from .background import BackgroundTasks
+from .caller_protocol import bind_caller_protocol
 from .context import NodeContext
 from .http_client import HttpClient
 from .links import LinkBillCopier, LinkManager, PeerLink, connect_peer
@@ -210,7 +211,9 @@
             server_header=False,
             proxy_headers=False,
             date_header=False,
-            h11_max_incomplete_event_size=16_384,
+            http=bind_caller_protocol(
+                context.metrics, self._settings.limits.head_bytes
+            ),
             timeout_graceful_shutdown=max(1, int(self._settings.drain_limit_s)),
         )
         config.load()
