Move the node's modules into a folder for each way that data takes

Cause: 50 flat modules did not show where an answer's bytes pass and where a decision is taken. Change: renames only, into clients, state, delivery, callers, peers and programs; tests/test_architecture.py states which may import which.

--- a/bench/control.py
+++ b/bench/control.py
@@ -19,14 +19,17 @@
 from lentilshore_kernel import Incarnation, Settings, SystemClock, load_plugins
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address
-from lentilshore_node.assembly import ExternalClients, create_context
-from lentilshore_node.links import LinkBillCopier, PeerLink, connect_peer
-from lentilshore_node.peer_messages import (
+from lentilshore_node.peers.links import LinkBillCopier, PeerLink, connect_peer
+from lentilshore_node.peers.peer_messages import (
     apply_heartbeat,
     build_heartbeat,
     document_versions,
 )
-from lentilshore_node.peer_server import create_peer_bootstrap, serve_rpc_connection
+from lentilshore_node.peers.peer_server import (
+    create_peer_bootstrap,
+    serve_rpc_connection,
+)
+from lentilshore_node.programs.assembly import ExternalClients, create_context
 from lentilshore_protocol import load_peer_schema
 from lentilshore_standins import PlatformStandIn
 
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -8,8 +8,8 @@
 from lentilshore_fleet import Session
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address, Priority
-from lentilshore_node.requests import CompletionRequest, parse_headers
-from lentilshore_node.version_options import list_version_options
+from lentilshore_node.delivery.requests import CompletionRequest, parse_headers
+from lentilshore_node.delivery.version_options import list_version_options
 from lentilshore_routing import (
     CascadeRequest,
     Catalog,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -22,12 +22,12 @@
 from lentilshore_ctl import connect
 from lentilshore_fleet.ledger import FLUSH_INTERVAL_S
 from lentilshore_kernel.types import Address
-from lentilshore_node.maintenance import (
+from lentilshore_node.clients.platform import WATCH_TIMEOUT_S
+from lentilshore_node.programs.maintenance import (
     MAX_FLEET_CALLS_PER_S,
     RATING_INTERVAL_S,
     REPORT_INTERVAL_S,
 )
-from lentilshore_node.platform import WATCH_TIMEOUT_S
 
 from .control import measure_control
 from .processes import (
--- a/packages/node/src/lentilshore_node/app.py
+++ b/packages/node/src/lentilshore_node/callers/app.py
@@ -13,17 +13,14 @@
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing import Customer
 
-from .completions import CompletionHandler
-from .context import NodeContext
-from .edge import Receive, Send, read_body, serve_until_disconnect
-from .jobs import Job
-from .requests import (
+from ..delivery.jobs import Job
+from ..delivery.requests import (
     CallerHeaders,
     ServiceRequest,
     parse_completion,
     parse_headers,
 )
-from .responder import (
+from ..delivery.responder import (
     CLOSE_CONNECTION,
     AsgiResponder,
     Responder,
@@ -31,6 +28,9 @@
     encode_refusal,
     send_json,
 )
+from ..state.context import NodeContext
+from .completions import CompletionHandler
+from .edge import Receive, Send, read_body, serve_until_disconnect
 from .services import ServiceHandler
 
 SERVICE_PREFIX = "/v1/services/"
--- a/packages/node/src/lentilshore_node/caller_protocol.py
+++ b/packages/node/src/lentilshore_node/callers/caller_protocol.py
@@ -12,7 +12,7 @@
 from lentilshore_kernel.metrics import Metrics
 from lentilshore_kernel.types import RefusalReason
 
-from .responder import encode_refusal
+from ..delivery.responder import encode_refusal
 
 REASON_PHRASES = {
     RefusalReason.MALFORMED_REQUEST: "Bad Request",
--- a/packages/node/src/lentilshore_node/completions.py
+++ b/packages/node/src/lentilshore_node/callers/completions.py
@@ -18,14 +18,18 @@
     length_class,
 )
 
-from .completion_runner import CompletionRunner, ServedCompletion
-from .context import NodeContext
-from .jobs import Job
-from .ratings import ServedAnswer
-from .requests import SESSION_HEADER, CompletionRequest
-from .responder import EVENT_STREAM, Responder, send_json
-from .upstreams import StreamChunk, Usage
-from .version_options import VersionOption, list_version_options, rollout_base_option
+from ..clients.upstreams import StreamChunk, Usage
+from ..delivery.completion_runner import CompletionRunner, ServedCompletion
+from ..delivery.jobs import Job
+from ..delivery.requests import SESSION_HEADER, CompletionRequest
+from ..delivery.responder import EVENT_STREAM, Responder, send_json
+from ..delivery.version_options import (
+    VersionOption,
+    list_version_options,
+    rollout_base_option,
+)
+from ..state.context import NodeContext
+from ..state.ratings import ServedAnswer
 
 EXPOSURE_RETRY_AFTER_S = 5.0
 SESSION_ID_BITS = 96
--- a/packages/node/src/lentilshore_node/forwarder.py
+++ b/packages/node/src/lentilshore_node/callers/forwarder.py
@@ -6,10 +6,10 @@
 from lentilshore_kernel.types import RefusalReason
 from lentilshore_routing.routes import KeyOwner, Route
 
-from .delivery import Delivery, Outcome
-from .forwarding import ForwardRequest
-from .gateway_context import GatewayContext
-from .responder import Responder
+from ..clients.forwarding import ForwardRequest
+from ..delivery.delivery import Delivery, Outcome
+from ..delivery.responder import Responder
+from ..state.gateway_context import GatewayContext
 
 # Retry delay stated in refusals where this node lacks a configuration or its
 # confirmation; the retry reaches another node, which most often has it.
--- a/packages/node/src/lentilshore_node/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -15,13 +15,18 @@
 from lentilshore_routing.placement import ReplicaLease
 from lentilshore_routing.routes import CallerLimits
 
-from .delivery import Outcome
+from ..clients.forwarding import ForwardRequest
+from ..clients.http_client import HeaderFields
+from ..delivery.delivery import Outcome
+from ..delivery.responder import (
+    CLOSE_CONNECTION,
+    AsgiResponder,
+    encode_refusal,
+    send_json,
+)
+from ..state.gateway_context import CALLER_BODY_TIMEOUT_S, GatewayContext
 from .edge import Receive, Send, read_body, serve_until_disconnect
 from .forwarder import Forwarder
-from .forwarding import ForwardRequest
-from .gateway_context import CALLER_BODY_TIMEOUT_S, GatewayContext
-from .http_client import HeaderFields
-from .responder import CLOSE_CONNECTION, AsgiResponder, encode_refusal, send_json
 
 # Statuses that tell the caller that the request did not run and will not run.
 NOT_RUN_STATUSES = (400, 401, 403, 404, 408, 413, 421, 429, 431, 503)
--- a/packages/node/src/lentilshore_node/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -13,12 +13,12 @@
 from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
 from lentilshore_routing import Customer, ReplicaLease
 
-from .attempts import AttemptLoop, RetryScope
-from .context import NodeContext
-from .jobs import Job
-from .requests import IDEMPOTENCY_KEY_HEADER, ServiceRequest
-from .responder import Responder
-from .upstreams import ServiceAnswer, ServiceCall
+from ..clients.upstreams import ServiceAnswer, ServiceCall
+from ..delivery.attempts import AttemptLoop, RetryScope
+from ..delivery.jobs import Job
+from ..delivery.requests import IDEMPOTENCY_KEY_HEADER, ServiceRequest
+from ..delivery.responder import Responder
+from ..state.context import NodeContext
 
 # Work that one call adds to a replica's load, in tokens.
 CALL_WORK_TOKENS = 16.0
--- a/packages/node/src/lentilshore_node/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -13,11 +13,11 @@
 from lentilshore_kernel.types import Execution, RetryReason
 from lentilshore_routing import ReplicaLease, prefix_hash
 
+from ..clients.upstreams import EngineCall, StreamChunk, WholeAnswer
+from ..state.context import NodeContext
 from .attempts import AttemptLoop, RetryScope
-from .context import NodeContext
 from .jobs import Job
 from .requests import CompletionRequest
-from .upstreams import EngineCall, StreamChunk, WholeAnswer
 from .version_options import VersionOption
 
 CANCEL_TIMEOUT_S = 1.0
--- a/packages/node/src/lentilshore_node/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -22,12 +22,12 @@
 )
 from lentilshore_routing.version_evidence import latency_kind
 
+from ..clients.engine import raising_upstream_errors
+from ..clients.event_splitter import EventPace, EventSplitter
+from ..clients.forwarding import AnswerHead, Attempt, ForwardRequest
+from ..clients.http_client import Response
+from ..state.gateway_context import GatewayContext
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
-from .engine import raising_upstream_errors
-from .event_splitter import EventPace, EventSplitter
-from .forwarding import AnswerHead, Attempt, ForwardRequest
-from .gateway_context import GatewayContext
-from .http_client import Response
 from .responder import Responder
 
 # Work that every request counts for when loads are compared; a call of a plain service
--- a/packages/node/src/lentilshore_node/jobs.py
+++ b/packages/node/src/lentilshore_node/delivery/jobs.py
@@ -13,9 +13,9 @@
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing import Customer
 
+from ..state.context import NodeContext
+from ..state.explanations import AttemptRecord
 from .attempts import ExecutionProof
-from .context import NodeContext
-from .explanations import AttemptRecord
 from .requests import CallerHeaders
 
 BILL_COPY_RETRY_AFTER_S = 2.0
--- a/packages/node/src/lentilshore_node/leader.py
+++ b/packages/node/src/lentilshore_node/peers/leader.py
@@ -16,7 +16,7 @@
 from lentilshore_kernel import log_event, record_task_failure
 from lentilshore_kernel.exceptions import LeaseLostError, StoreError
 
-from .context import NodeContext
+from ..state.context import NodeContext
 from .reports import ReportMerger, merged_evidence
 from .rollout_driver import RolloutDriver
 
--- a/packages/node/src/lentilshore_node/links.py
+++ b/packages/node/src/lentilshore_node/peers/links.py
@@ -20,7 +20,7 @@
 from lentilshore_kernel.types import Address, Incarnation
 from lentilshore_protocol import load_peer_schema
 
-from .context import NodeContext
+from ..state.context import NodeContext
 from .peer_messages import (
     apply_heartbeat,
     build_heartbeat,
--- a/packages/node/src/lentilshore_node/peer_messages.py
+++ b/packages/node/src/lentilshore_node/peers/peer_messages.py
@@ -12,7 +12,7 @@
 from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Address, Incarnation
 
-from .context import NodeContext
+from ..state.context import NodeContext
 
 STATE_NAMES = {
     MemberState.ALIVE: "alive",
--- a/packages/node/src/lentilshore_node/peer_server.py
+++ b/packages/node/src/lentilshore_node/peers/peer_server.py
@@ -10,7 +10,7 @@
 from lentilshore_fleet.bills import decode_bills
 from lentilshore_protocol import load_peer_schema
 
-from .context import NodeContext
+from ..state.context import NodeContext
 from .peer_messages import (
     apply_heartbeat,
     build_heartbeat,
--- a/packages/node/src/lentilshore_node/reports.py
+++ b/packages/node/src/lentilshore_node/peers/reports.py
@@ -22,7 +22,7 @@
 )
 from lentilshore_routing.rollouts import Evidence, OutcomeTallies, split_budget
 
-from .context import NodeContext
+from ..state.context import NodeContext
 
 REPORT_PREFIX = "reports/"
 LEARNED_KEY = "learned/merged"
--- a/packages/node/src/lentilshore_node/assembly.py
+++ b/packages/node/src/lentilshore_node/programs/assembly.py
@@ -34,12 +34,12 @@
 )
 from lentilshore_routing.rollouts import ExposureBudget, OutcomeTallies
 
-from .context import NodeContext
-from .http_client import HttpClient
-from .platform import Platform
-from .ratings import RatingTracker
-from .upstreams import Engine, PlainService
-from .watcher import apply_instances
+from ..clients.http_client import HttpClient
+from ..clients.platform import Platform
+from ..clients.upstreams import Engine, PlainService
+from ..state.context import NodeContext
+from ..state.ratings import RatingTracker
+from ..state.watcher import apply_instances
 
 
 class ExternalClients(NamedTuple):
--- a/packages/node/src/lentilshore_node/background.py
+++ b/packages/node/src/lentilshore_node/programs/background.py
@@ -10,11 +10,11 @@
 from lentilshore_kernel import log_event
 from lentilshore_kernel.exceptions import PeerUnavailableError
 
-from .context import NodeContext
-from .leader import Leader
-from .links import LinkBillCopier, LinkManager
+from ..peers.leader import Leader
+from ..peers.links import LinkBillCopier, LinkManager
+from ..state.context import NodeContext
+from ..state.watcher import STORE_KEYS_BY_DOCUMENT, Watcher
 from .maintenance import Maintenance
-from .watcher import STORE_KEYS_BY_DOCUMENT, Watcher
 
 DRAIN_CHECK_S = 0.05
 ABORT_TIMEOUT_S = 2.0
--- a/packages/node/src/lentilshore_node/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_assembly.py
@@ -12,10 +12,10 @@
 from lentilshore_routing.retries import RetryPolicy, SlidingWindowBudget
 from lentilshore_routing.version_choice import VersionChooser
 
-from .fleet_view import FleetView
-from .forwarding import Translator
-from .gateway_context import GatewayBounds, GatewayContext
-from .http_client import HttpClient
+from ..clients.forwarding import Translator
+from ..clients.http_client import HttpClient
+from ..state.fleet_view import FleetView
+from ..state.gateway_context import GatewayBounds, GatewayContext
 
 # Each node uses only this share of the fleet's retries per request, since the balancer
 # spreads callers unevenly.
--- a/packages/node/src/lentilshore_node/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -16,12 +16,12 @@
 from lentilshore_kernel.metrics import keep_running
 from lentilshore_kernel.types import Address
 
-from .caller_protocol import bind_caller_protocol
-from .fleet_source import FleetSource
-from .fleet_view_updater import FleetViewUpdater
-from .gateway import GatewayApplication
-from .gateway_context import BALANCER_REMOVAL_S, GatewayContext
-from .rollout_controller import RolloutController
+from ..callers.caller_protocol import bind_caller_protocol
+from ..callers.gateway import GatewayApplication
+from ..clients.fleet_source import FleetSource
+from ..state.fleet_view_updater import FleetViewUpdater
+from ..state.gateway_context import BALANCER_REMOVAL_S, GatewayContext
+from ..state.rollout_controller import RolloutController
 from .sockets import create_listener
 
 HEAD_LIMIT_BYTES = 65_536  # request line and headers together
--- a/packages/node/src/lentilshore_node/maintenance.py
+++ b/packages/node/src/lentilshore_node/programs/maintenance.py
@@ -8,10 +8,10 @@
 from lentilshore_kernel import UpstreamError, log_event, record_task_failure
 from lentilshore_kernel.exceptions import PeerUnavailableError, StoreError
 
-from .context import NodeContext
-from .links import LinkBillCopier, LinkManager
-from .platform import Rating
-from .reports import Reporter, apply_exposure_limits
+from ..clients.platform import Rating
+from ..peers.links import LinkBillCopier, LinkManager
+from ..peers.reports import Reporter, apply_exposure_limits
+from ..state.context import NodeContext
 
 SEND_QUEUED_BILLS_INTERVAL_S = 0.2
 RECOPY_INTERVAL_S = 1.0
--- a/packages/node/src/lentilshore_node/operators.py
+++ b/packages/node/src/lentilshore_node/programs/operators.py
@@ -24,9 +24,9 @@
 from lentilshore_routing.catalog import check_record, check_references
 from lentilshore_routing.rollouts import evaluate_candidate
 
-from .context import NodeContext
-from .links import LinkManager
-from .reports import merged_evidence
+from ..peers.links import LinkManager
+from ..peers.reports import merged_evidence
+from ..state.context import NodeContext
 
 WATCH_CHECK_INTERVAL_S = 0.05
 WATCH_MAX_S = 60.0
--- a/packages/node/src/lentilshore_node/server.py
+++ b/packages/node/src/lentilshore_node/programs/server.py
@@ -29,15 +29,15 @@
 from lentilshore_kernel.tls import create_client_context, create_server_context
 from lentilshore_kernel.types import Address
 
-from .app import CallerApplication
+from ..callers.app import CallerApplication
+from ..callers.caller_protocol import bind_caller_protocol
+from ..clients.http_client import HttpClient
+from ..peers.links import LinkBillCopier, LinkManager, PeerLink, connect_peer
+from ..peers.peer_server import create_peer_bootstrap, serve_rpc_connection
+from ..state.context import NodeContext
 from .assembly import create_context, create_external_clients
 from .background import BackgroundTasks
-from .caller_protocol import bind_caller_protocol
-from .context import NodeContext
-from .http_client import HttpClient
-from .links import LinkBillCopier, LinkManager, PeerLink, connect_peer
 from .operators import OperatorServer
-from .peer_server import create_peer_bootstrap, serve_rpc_connection
 from .sockets import LISTEN_BACKLOG, create_listener
 
 
--- a/packages/node/src/lentilshore_node/context.py
+++ b/packages/node/src/lentilshore_node/state/context.py
@@ -30,11 +30,11 @@
 )
 from lentilshore_routing.rollouts import ExposureBudget, OutcomeTallies
 
+from ..clients.platform import Platform
+from ..clients.upstreams import Engine, PlainService
 from .explanations import ExplanationLog
-from .platform import Platform
 from .ratings import RatingTracker
 from .reachability import Reachability
-from .upstreams import Engine, PlainService
 
 DRAIN_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 2.0
--- a/packages/node/src/lentilshore_node/fleet_view_updater.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view_updater.py
@@ -13,7 +13,7 @@
 from lentilshore_kernel.types import StateChange, StoreRevision
 from lentilshore_routing.rollout_record import Rollout
 
-from .fleet_source import Collection, FleetSource
+from ..clients.fleet_source import Collection, FleetSource
 from .fleet_view import ReplicaRecord
 from .gateway_context import GatewayContext
 
--- a/packages/node/src/lentilshore_node/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -15,9 +15,9 @@
 from lentilshore_routing.version_choice import VersionChooser
 from lentilshore_routing.version_evidence import LatencyBaseline, VersionEvidence
 
+from ..clients.forwarding import Translator
+from ..clients.http_client import HttpClient
 from .fleet_view import FleetView
-from .forwarding import Translator
-from .http_client import HttpClient
 
 # Subtracted from the time within which a withdrawn key must be refused, because a
 # request takes some of that time to reach its replica and clocks are imprecise.
--- a/packages/node/src/lentilshore_node/ratings.py
+++ b/packages/node/src/lentilshore_node/state/ratings.py
@@ -8,7 +8,7 @@
 from lentilshore_routing.estimates import CalibrationCell, QualityEstimates
 from lentilshore_routing.rollouts import ExposureBudget, OutcomeTallies
 
-from .platform import Rating
+from ..clients.platform import Rating
 
 UNRATED_ANSWERS_LIMIT = 100_000
 
--- a/packages/node/src/lentilshore_node/rollout_controller.py
+++ b/packages/node/src/lentilshore_node/state/rollout_controller.py
@@ -8,7 +8,7 @@
 from lentilshore_routing.rollout_record import Rollout, RolloutState
 from lentilshore_routing.staging import next_record
 
-from .fleet_source import FleetSource
+from ..clients.fleet_source import FleetSource
 from .gateway_context import GatewayContext
 
 CHECK_INTERVAL_S = 0.2
--- a/packages/standins/src/lentilshore_standins/__main__.py
+++ b/packages/standins/src/lentilshore_standins/__main__.py
@@ -12,7 +12,7 @@
 
 from lentilshore_kernel import SystemClock
 from lentilshore_kernel.types import Address
-from lentilshore_node.http_client import HttpClient
+from lentilshore_node.clients.http_client import HttpClient
 
 from .asgi import create_application, serving
 from .engine import EngineOptions, EngineStandIn, RatingSender
--- a/packages/standins/src/lentilshore_standins/demo.py
+++ b/packages/standins/src/lentilshore_standins/demo.py
@@ -17,8 +17,8 @@
 from lentilshore_ctl import OperatorClient, connect
 from lentilshore_kernel import Settings, SystemClock, load_plugins, start_logging
 from lentilshore_kernel.types import Address
-from lentilshore_node.http_client import HttpAnswer, HttpClient
-from lentilshore_node.server import Node, running_node
+from lentilshore_node.clients.http_client import HttpAnswer, HttpClient
+from lentilshore_node.programs.server import Node, running_node
 from lentilshore_routing import hash_key
 
 from .asgi import create_application, serving
--- a/tests/faults/mutants.py
+++ b/tests/faults/mutants.py
@@ -11,13 +11,9 @@
 from unittest.mock import patch
 
 from lentilshore_fleet import claims, configuration, leases, ledger, sessions
-from lentilshore_node import (
-    background,
-    completion_runner,
-    jobs,
-    peer_messages,
-    rollout_driver,
-)
+from lentilshore_node.delivery import completion_runner, jobs
+from lentilshore_node.peers import peer_messages, rollout_driver
+from lentilshore_node.programs import background
 from lentilshore_routing import catalog, placement, retries
 from lentilshore_routing.rollouts import Verdict
 
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -29,13 +29,18 @@
 )
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address, Execution
-from lentilshore_node.app import CallerApplication
-from lentilshore_node.assembly import ExternalClients, create_context
-from lentilshore_node.background import BackgroundTasks
-from lentilshore_node.links import LinkBillCopier, LinkManager, PeerConnection
-from lentilshore_node.peer_server import create_peer_bootstrap
-from lentilshore_node.platform import Rating
-from lentilshore_node.upstreams import ServiceAnswer, StreamChunk, Usage, WholeAnswer
+from lentilshore_node.callers.app import CallerApplication
+from lentilshore_node.clients.platform import Rating
+from lentilshore_node.clients.upstreams import (
+    ServiceAnswer,
+    StreamChunk,
+    Usage,
+    WholeAnswer,
+)
+from lentilshore_node.peers.links import LinkBillCopier, LinkManager, PeerConnection
+from lentilshore_node.peers.peer_server import create_peer_bootstrap
+from lentilshore_node.programs.assembly import ExternalClients, create_context
+from lentilshore_node.programs.background import BackgroundTasks
 from lentilshore_protocol import load_peer_schema
 from lentilshore_routing import hash_key
 from lentilshore_standins import PlatformStandIn
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,7 @@
 
 from lentilshore_ctl import connect
 from lentilshore_kernel.types import Address
-from lentilshore_node.http_client import (
+from lentilshore_node.clients.http_client import (
     CallBrokenError,
     CallNotSentError,
     HttpAnswer,
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lentilshore_node.http_client import HttpAnswer
+from lentilshore_node.clients.http_client import HttpAnswer
 
 PREFIX = "/lentilshore/objects/"
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -13,17 +13,27 @@
     "ctl": {"kernel", "protocol"},
     "standins": {"kernel", "protocol", "routing", "fleet", "node", "ctl"},
 }
+# Rooms of the node package: which other rooms each may import.
+ALLOWED_ROOM_IMPORTS = {
+    "clients": set(),
+    "state": {"clients"},
+    "delivery": {"clients", "state"},
+    "callers": {"clients", "state", "delivery"},
+    "peers": {"clients", "state"},
+    "programs": {"clients", "state", "delivery", "callers", "peers"},
+}
 ROOT = Path(__file__).parent.parent
 PACKAGES = ROOT / "packages"
+NODE = PACKAGES / "node/src/lentilshore_node"
 PLATFORM = ROOT / "platform/src/lentilshore_platform"
 # Modules of the product that hold decisions, state or recovery. The platform adapter
 # may import only types and protocols from other modules.
 DECISION_MODULES = {
-    "lentilshore_node.delivery",
-    "lentilshore_node.forwarder",
-    "lentilshore_node.fleet_view_updater",
-    "lentilshore_node.rollout_controller",
-    "lentilshore_node.gateway",
+    "lentilshore_node.delivery.delivery",
+    "lentilshore_node.callers.forwarder",
+    "lentilshore_node.state.fleet_view_updater",
+    "lentilshore_node.state.rollout_controller",
+    "lentilshore_node.callers.gateway",
     "lentilshore_routing.model_choice",
     "lentilshore_routing.retries",
     "lentilshore_routing.rollouts",
@@ -51,7 +61,7 @@
 @pytest.mark.parametrize("package", ALLOWED_IMPORTS)
 def test_package_imports_only_allowed_packages(package):
     own = f"lentilshore_{package}"
-    for path in (PACKAGES / package / "src" / own).glob("*.py"):
+    for path in (PACKAGES / package / "src" / own).rglob("*.py"):
         for module in imported_modules(path):
             root = module.partition(".")[0]
             if root.startswith("lentilshore_") and root != own:
@@ -60,6 +70,26 @@
                 )
 
 
+def imported_rooms(path):
+    for item in ast.walk(ast.parse(path.read_text())):
+        if isinstance(item, ast.ImportFrom) and item.level > 1 and item.module:
+            yield item.module.partition(".")[0]
+
+
+@pytest.mark.parametrize("room", ALLOWED_ROOM_IMPORTS)
+def test_room_of_the_node_imports_only_allowed_rooms(room):
+    for path in (NODE / room).glob("*.py"):
+        absolute = [m for m in imported_modules(path) if m.startswith("lentilshore_n")]
+        assert not absolute, path
+        assert set(imported_rooms(path)) <= ALLOWED_ROOM_IMPORTS[room], path
+
+
+def test_every_module_of_the_node_is_in_a_room():
+    assert {path.name for path in NODE.glob("*.py")} == {"__init__.py"}
+    rooms = {path.parent.name for path in NODE.glob("*/__init__.py")}
+    assert rooms == set(ALLOWED_ROOM_IMPORTS)
+
+
 def test_platform_does_not_import_decision_modules():
     for path in PLATFORM.glob("*.py"):
         assert not DECISION_MODULES & set(imported_modules(path)), path
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -13,13 +13,13 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address
-from lentilshore_node.gateway_assembly import create_gateway
-from lentilshore_node.gateway_server import (
+from lentilshore_node.clients.http_client import HttpClient
+from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_node.programs.gateway_server import (
     HEAD_LIMIT_BYTES,
     GatewayAddresses,
     GatewayServer,
 )
-from lentilshore_node.http_client import HttpClient
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing.routes import CallerLimits, KeyOwner, RouteTable
 from lentilshore_standins.demo import (
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -3,7 +3,11 @@
 from hypothesis import strategies as st
 
 from lentilshore_kernel.exceptions import UpstreamError
-from lentilshore_node.event_splitter import EVENT_LIMIT_BYTES, EventPace, EventSplitter
+from lentilshore_node.clients.event_splitter import (
+    EVENT_LIMIT_BYTES,
+    EventPace,
+    EventSplitter,
+)
 
 WHOLE = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 9))
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,7 +5,7 @@
 
 from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_kernel.types import RefusalReason
-from lentilshore_node.events import EVENT_LIMIT_BYTES, EventReader
+from lentilshore_node.clients.events import EVENT_LIMIT_BYTES, EventReader
 
 
 def answer_events(count, request_id="r1", reported_tokens=None):
--- a/tests/test_fleet_view_updater.py
+++ b/tests/test_fleet_view_updater.py
@@ -13,11 +13,11 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import StoreRevision
-from lentilshore_node.fleet_source import Change, Changes, Listing
-from lentilshore_node.fleet_view_updater import BATCH_DELAY_S, FleetViewUpdater
-from lentilshore_node.gateway_assembly import create_gateway
-from lentilshore_node.gateway_context import GatewayBounds
-from lentilshore_node.http_client import HttpClient
+from lentilshore_node.clients.fleet_source import Change, Changes, Listing
+from lentilshore_node.clients.http_client import HttpClient
+from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_node.state.fleet_view_updater import BATCH_DELAY_S, FleetViewUpdater
+from lentilshore_node.state.gateway_context import GatewayBounds
 from lentilshore_routing.rollout_record import RolloutState
 from lentilshore_routing.routes import CallerLimits, RouteTable
 from tests.test_fleet_view import record, rollout
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,12 +9,12 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import Address
-from lentilshore_node.fleet_view import ReplicaRecord
-from lentilshore_node.forwarder import FIRST_READ_TIMEOUT_S
-from lentilshore_node.gateway import GatewayApplication
-from lentilshore_node.gateway_assembly import create_gateway
-from lentilshore_node.gateway_context import GatewayBounds
-from lentilshore_node.http_client import CallTimedOutError, HttpClient
+from lentilshore_node.callers.forwarder import FIRST_READ_TIMEOUT_S
+from lentilshore_node.callers.gateway import GatewayApplication
+from lentilshore_node.clients.http_client import CallTimedOutError, HttpClient
+from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_node.state.fleet_view import ReplicaRecord
+from lentilshore_node.state.gateway_context import GatewayBounds
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing.placement import Replica
 from lentilshore_routing.routes import (
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -7,7 +7,9 @@
 import pytest
 
 from lentilshore_kernel.types import Execution
-from lentilshore_node import attempts, delivery, fleet_view_updater, forwarder
+from lentilshore_node.callers import forwarder
+from lentilshore_node.delivery import attempts, delivery
+from lentilshore_node.state import fleet_view_updater
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing import retries, staging, version_choice
 from lentilshore_routing.observations import Observations
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -8,13 +8,13 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import Address
-from lentilshore_node.gateway_assembly import create_gateway
-from lentilshore_node.gateway_context import BALANCER_REMOVAL_S
-from lentilshore_node.gateway_server import (
+from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_node.programs.gateway_server import (
     STOP_MARGIN_S,
     GatewayAddresses,
     GatewayServer,
 )
+from lentilshore_node.state.gateway_context import BALANCER_REMOVAL_S
 from tests.test_gateway import BOUNDS
 
 ANY = Address("127.0.0.1", 0)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,7 +2,7 @@
 import pytest
 
 from lentilshore_kernel.types import Address
-from lentilshore_node.http_client import (
+from lentilshore_node.clients.http_client import (
     CallBrokenError,
     CallGarbledError,
     CallNotSentError,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,7 +15,7 @@
 )
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.types import Address, StoreRevision
-from lentilshore_node.http_client import HttpClient
+from lentilshore_node.clients.http_client import HttpClient
 from lentilshore_platform.documents import (
     StoreObject,
     decode_replica,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -5,7 +5,7 @@
 from lentilshore_fleet import Session, SessionSigner
 from lentilshore_kernel.exceptions import RefusalError
 from lentilshore_kernel.types import RefusalReason
-from lentilshore_node.requests import parse_completion, parse_headers
+from lentilshore_node.delivery.requests import parse_completion, parse_headers
 
 BODY = b'{"model":"m","messages":[{"role":"user","content":"x"}]}'
 
--- a/tests/test_served_metrics.py
+++ b/tests/test_served_metrics.py
@@ -19,7 +19,7 @@
 
 ROOT = Path(__file__).parent.parent
 SOURCE_FILES = [
-    *(ROOT / "packages/node/src/lentilshore_node").glob("*.py"),
+    *(ROOT / "packages/node/src/lentilshore_node").rglob("*.py"),
     *(ROOT / "platform/src/lentilshore_platform").glob("*.py"),
 ]
 SOURCE = "\n".join(path.read_text() for path in SOURCE_FILES)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -11,15 +11,15 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import Address, StoreRevision
-from lentilshore_node.fleet_view import (
+from lentilshore_node.clients.http_client import HttpAnswer
+from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_node.state.fleet_view import (
     KEPT_ROLLOUT_S,
     RESTORED_REPLICA_GRACE_S,
     FleetView,
 )
-from lentilshore_node.fleet_view_updater import FleetViewUpdater
-from lentilshore_node.gateway_assembly import create_gateway
-from lentilshore_node.http_client import HttpAnswer
-from lentilshore_node.rollout_controller import RolloutController
+from lentilshore_node.state.fleet_view_updater import FleetViewUpdater
+from lentilshore_node.state.rollout_controller import RolloutController
 from lentilshore_platform.store import ObjectStoreSource, StoreClient
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.rollout_record import RolloutState
