Escalate by the time to a larger model's answer, learned from first events

Cause: the threshold followed a mean of first events against their objectives, the same for a prompt of 500 tokens and one of 40,000; on engines that read slowly, long prompts were escalated into answers that came late. Change: FirstEventTimes learns a reading pace for each model and a wait that all models share. An answer is escalated below a confidence of 50 times the value that the larger model's answer keeps at the time it is expected, by a log-logistic distribution. LoadPressure and its four constants are gone.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -11,7 +11,7 @@
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.metrics import retry_counter
 from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
-from lentilshore_routing.model_choice import escalation_model, first_model
+from lentilshore_routing.model_choice import first_model, larger_model, should_escalate
 from lentilshore_routing.placement import ReplicaLease
 from lentilshore_routing.rollout_record import Rollout
 from lentilshore_routing.routes import DeliveryMode, KeyOwner, Route, shared_prefix
@@ -240,9 +240,7 @@
         if error.reason is RefusalReason.UPSTREAM_STALLED:
             self._context.typical_latencies.add(self._latency_kind, elapsed_s)
             if self._route.delivery_mode.streaming and not self._streaming:
-                self._context.load_pressure.record_first_event(
-                    elapsed_s, self._route.latency_objective_s
-                )
+                self._record_first_event_time(elapsed_s)
         self._log_failure(lease, error, elapsed_s)
         self._end_attempt(error.execution)
 
@@ -455,13 +453,20 @@
             return False
         if not self._route.delivery_mode.repeatable or self._is_last_attempt:
             return False
-        pressure = self._context.load_pressure.value
-        larger = escalation_model(
-            self._route.models, self._model, head.confidence, pressure
+        larger = larger_model(self._route.models, self._model)
+        if larger is None:
+            return False
+        expected_s = self._expected_first_event_s(larger)
+        remaining_s = (
+            self._received_at
+            + self._route.latency_objective_s
+            - self._context.clock.monotonic()
         )
         # The execution passed here matters only where a request may not be repeated,
         # which is excluded above.
-        if larger is None or not self._loop.spend_retry(Execution.NOT_RUN):
+        if not should_escalate(
+            head.confidence, expected_s, remaining_s
+        ) or not self._loop.spend_retry(Execution.NOT_RUN):
             return False
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
         if self._context.log_sampler.should_log(self._request.request_id):
@@ -471,11 +476,20 @@
                 model=self._model,
                 larger=larger,
                 confidence=head.confidence,
-                pressure=f"{pressure:.2f}",
+                expected_ms=f"{expected_s * 1000:.0f}",
+                remaining_ms=f"{remaining_s * 1000:.0f}",
             )
         self._model = larger
         return True
 
+    def _expected_first_event_s(self, model: str) -> float:
+        """Return the expected time to the first event of another model, seconds."""
+        table = self._context.view.table
+        model_costs = table.model_costs if table is not None else {}
+        return self._context.first_event_times.expected_s(
+            model, self._request.prompt_tokens, model_costs
+        )
+
     def _check_answer_head(self, response: Response, head: AnswerHead) -> None:
         if response.status in UNPROVED_NOT_RUN_STATUSES:
             raise UpstreamError(
@@ -538,13 +552,19 @@
         It counts as evidence about the version only if a cold cache can't explain it.
         """
         self._context.typical_latencies.add(self._latency_kind, first_s)
-        self._context.load_pressure.record_first_event(
-            first_s, self._route.latency_objective_s
-        )
+        self._record_first_event_time(first_s)
         _, shared_tokens = shared_prefix(self._request.parts, self._model)
         if shared_tokens <= self._request.prompt_tokens * SHARED_PREFIX_SHARE_LIMIT:
             self._record_latency(self._latency_kind, first_s)
 
+    def _record_first_event_time(self, first_s: float) -> None:
+        """Record the time to a first event, or to the timeout if none arrived."""
+        tokens = self._request.prompt_tokens
+        if self._lease is not None and self._lease.cached:
+            _, cached_tokens = shared_prefix(self._request.parts, self._model)
+            tokens = max(0, tokens - cached_tokens)
+        self._context.first_event_times.record(self._model, tokens, first_s)
+
     def _record_pace(self, pace: EventPace) -> None:
         """Record the mean time between events, which a cold cache does not lengthen."""
         pause_s = pace.take_mean_pause_s()
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -9,7 +9,7 @@
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.logs import RequestSampler
 from lentilshore_kernel.served_metrics import ServedMetrics
-from lentilshore_routing.model_choice import LoadPressure
+from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryPolicy
 from lentilshore_routing.version_choice import VersionChooser
@@ -89,7 +89,7 @@
     log_sampler: RequestSampler
     evidence: VersionEvidence = field(default_factory=VersionEvidence)
     typical_latencies: LatencyBaseline = field(default_factory=LatencyBaseline)
-    load_pressure: LoadPressure = field(default_factory=LoadPressure)
+    first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
     draining: bool = False
     in_flight: int = 0
 
--- a/packages/routing/src/lentilshore_routing/model_choice.py
+++ b/packages/routing/src/lentilshore_routing/model_choice.py
@@ -1,49 +1,17 @@
-"""Choice of a model by size, answer confidence and load pressure."""
+"""Choice of a model by size, answer confidence and the time left."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
 # On a scale of 0 to 100, an answer below this confidence is escalated to a larger
-# model (docs/PLATFORM.md).
-UNLOADED_CONFIDENCE_THRESHOLD = 50.0
-# Threshold while engines cannot keep up: then each run of the largest model delays
-# several other requests.
-LOADED_CONFIDENCE_THRESHOLD = 20.0
-# The threshold falls linearly between these two load pressures. Without load, first
-# events take about an eighth of the route's latency objective.
-UNLOADED_PRESSURE = 0.35
-LOADED_PRESSURE = 0.9
-# Weight of one first event in the moving average, so that the average covers about one
-# second of a node's first events.
-PRESSURE_EMA_WEIGHT = 0.08
-# Caps how many times the objective a single late first event counts as.
-FIRST_EVENT_SHARE_LIMIT = 3.0
-
-
-class LoadPressure:
-    """Moving average of times to first event, as shares of their objectives."""
-
-    def __init__(self) -> None:
-        self._value = 0.0
-
-    @property
-    def value(self) -> float:
-        """Current average; 1 if first events arrive exactly at the objective."""
-        return self._value
-
-    def record_first_event(
-        self, first_event_s: float, latency_objective_s: float
-    ) -> None:
-        """Add the time to a first event, or to the timeout if none arrived.
-
-        :param first_event_s: time from sending the request, seconds.
-        :param latency_objective_s: the route's latency objective, seconds.
-        """
-        share = min(
-            FIRST_EVENT_SHARE_LIMIT, first_event_s / max(latency_objective_s, 0.001)
-        )
-        self._value += (share - self._value) * PRESSURE_EMA_WEIGHT
+# model if its answer would be on time (docs/DECISIONS.md).
+CONFIDENCE_THRESHOLD = 50.0
+# Value of a late answer relative to one on time, as far as no caller says otherwise.
+LATE_ANSWER_VALUE = 0.3
+# Exponent of the log-logistic distribution that first events' times follow around
+# their expected value.
+LATENCY_SHAPE = 3.0
 
 
 def first_model(models: Sequence[str]) -> str:
@@ -54,30 +22,51 @@
     return models[0]
 
 
-def confidence_threshold(pressure: float) -> float:
+def on_time_probability(expected_s: float, remaining_s: float) -> float:
+    """Return the probability that a first event arrives in time.
+
+    :param expected_s: expected time to the first event, seconds.
+    :param remaining_s: time left until the latency objective, seconds.
+    """
+    if remaining_s <= 0.0:
+        return 0.0
+    return 1.0 / (1.0 + (max(0.0, expected_s) / remaining_s) ** LATENCY_SHAPE)
+
+
+def confidence_threshold(expected_s: float, remaining_s: float) -> float:
     """Return the confidence, 0 to 100, below which an answer is escalated.
 
-    :param pressure: value of a :class:`LoadPressure`.
+    It falls with the value that the larger model's answer loses by being late.
+
+    :param expected_s: expected time to the larger model's first event, seconds.
+    :param remaining_s: time left until the latency objective, seconds.
     """
-    load = (pressure - UNLOADED_PRESSURE) / (LOADED_PRESSURE - UNLOADED_PRESSURE)
-    return UNLOADED_CONFIDENCE_THRESHOLD + (
-        LOADED_CONFIDENCE_THRESHOLD - UNLOADED_CONFIDENCE_THRESHOLD
-    ) * min(1.0, max(0.0, load))
+    on_time = on_time_probability(expected_s, remaining_s)
+    value = on_time + (1.0 - on_time) * LATE_ANSWER_VALUE
+    return CONFIDENCE_THRESHOLD * value
 
 
-def escalation_model(
-    models: Sequence[str], model: str, confidence: int | None, pressure: float = 0.0
-) -> str | None:
-    """Return the model to escalate to, or None to keep the answer.
+def larger_model(models: Sequence[str], model: str) -> str | None:
+    """Return the model that an answer of a model may be escalated to.
 
-    Escalation goes straight to the largest model, since a medium one whose answer is
-    also rejected would cost a third run.
+    That is the largest, since a medium one whose answer is also rejected would cost a
+    third run.
 
     :param models: names, smallest first.
     :param model: the model that gave the answer.
-    :param confidence: confidence of that answer, 0 to 100; None if not reported.
-    :param pressure: value of a :class:`LoadPressure`.
     """
-    if confidence is None or model == models[-1]:
-        return None
-    return models[-1] if confidence < confidence_threshold(pressure) else None
+    return None if model == models[-1] else models[-1]
+
+
+def should_escalate(
+    confidence: int | None, expected_s: float, remaining_s: float
+) -> bool:
+    """Return whether to send a request again to a larger model.
+
+    :param confidence: confidence of the answer at hand, 0 to 100; None if not reported.
+    :param expected_s: expected time to the larger model's first event, seconds.
+    :param remaining_s: time left until the latency objective, seconds.
+    """
+    if confidence is None:
+        return False
+    return confidence < confidence_threshold(expected_s, remaining_s)
--- a/tests/test_model_choice.py
+++ b/tests/test_model_choice.py
@@ -1,19 +1,22 @@
-"""Choice of the model by answer confidence, without load and under load."""
+"""Choice of the model by answer confidence and the time left, also under load."""
 
 import random
 
 import pytest
 
+from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.model_choice import (
-    LOADED_CONFIDENCE_THRESHOLD,
-    UNLOADED_CONFIDENCE_THRESHOLD,
-    LoadPressure,
+    CONFIDENCE_THRESHOLD,
+    LATE_ANSWER_VALUE,
     confidence_threshold,
-    escalation_model,
     first_model,
+    larger_model,
+    on_time_probability,
+    should_escalate,
 )
 
 MODELS = ("small", "middle", "large")
+COSTS = {"small": 0.02, "middle": 0.1, "large": 0.3}
 
 
 def test_the_smallest_model_is_tried_first():
@@ -21,31 +24,83 @@
 
 
 @pytest.mark.parametrize(
-    ("model", "confidence", "pressure", "larger"),
+    ("model", "larger"), [("small", "large"), ("middle", "large"), ("large", None)]
+)
+def test_an_answer_is_escalated_to_the_largest_model(model, larger):
+    assert larger_model(MODELS, model) == larger
+
+
+@pytest.mark.parametrize(
+    ("confidence", "expected_s", "remaining_s", "escalated"),
     [
-        ("small", 20, 0.0, "large"),
-        ("small", 49, 0.3, "large"),
-        ("small", 50, 0.0, None),
-        ("small", 49, 0.9, None),
-        ("small", 19, 0.9, "large"),
-        ("small", 19, 3.0, "large"),
-        ("small", None, 0.0, None),
-        ("large", 5, 0.0, None),
+        (20, 0.0, 1.0, True),
+        (49, 0.1, 1.0, True),
+        (50, 0.0, 1.0, False),
+        (49, 1.0, 1.0, False),
+        (30, 1.0, 1.0, True),
+        (30, 2.0, 1.0, False),
+        (10, 9.0, 1.0, True),
+        (14, 0.1, -1.0, True),
+        (16, 0.1, -1.0, False),
+        (0, 9.0, 0.0, True),
+        (None, 0.0, 1.0, False),
     ],
 )
-def test_a_low_confidence_answer_is_escalated_to_the_largest_model(
-    model, confidence, pressure, larger
+def test_an_answer_is_escalated_if_the_larger_models_would_be_in_time(
+    confidence, expected_s, remaining_s, escalated
+):
+    assert should_escalate(confidence, expected_s, remaining_s) is escalated
+
+
+@pytest.mark.parametrize("expected_s", [-1.0, 0.0, 1e-9, 1.0, 1e9, float("inf")])
+@pytest.mark.parametrize("remaining_s", [-1e9, 0.0, 1e-9, 1.0, 1e9])
+def test_the_threshold_stays_within_its_bounds(expected_s, remaining_s):
+    assert 0.0 <= on_time_probability(expected_s, remaining_s) <= 1.0
+    lowest = CONFIDENCE_THRESHOLD * LATE_ANSWER_VALUE
+    threshold = confidence_threshold(expected_s, remaining_s)
+    assert lowest - 1e-9 <= threshold <= CONFIDENCE_THRESHOLD
+
+
+def learn(seconds_per_token, wait_s=0.05, samples=200, seed=7):
+    """Return times learned from an engine that reads at the given paces."""
+    rng = random.Random(seed)
+    times = FirstEventTimes()
+    for _ in range(samples):
+        model = rng.choice(list(seconds_per_token))
+        tokens = rng.lognormvariate(8.0, 1.0)
+        first_event_s = wait_s + tokens * seconds_per_token[model]
+        times.record(model, tokens, first_event_s * rng.uniform(0.9, 1.1))
+    return times
+
+
+@pytest.mark.parametrize("speed", [0.33, 1.0, 3.0])
+@pytest.mark.parametrize("cost_factor", [0.1, 10.0])
+def test_the_longest_prompt_that_is_escalated_grows_with_the_engines_speed(
+    speed, cost_factor
 ):
-    assert escalation_model(MODELS, model, confidence, pressure) == larger
+    """The decision depends on learned paces, not on a number of tokens."""
+    paces = {"small": 2e-6 / speed, "large": 60e-6 / speed}
+    costs = {name: cost * cost_factor for name, cost in COSTS.items()}
+    times = learn(paces)
+    escalated = [
+        tokens
+        for tokens in range(1_000, 200_000, 1_000)
+        if should_escalate(35, times.expected_s("large", tokens, costs), 2.0)
+    ]
+    # 35 is below the threshold until the answer is late with a probability of 0.43.
+    assert max(escalated) * paces["large"] == pytest.approx(1.8, rel=0.25)
+
 
+def test_a_model_without_samples_is_slower_by_what_it_costs_more():
+    times = learn({"small": 2e-6})
+    small_s = times.reading_s("small", 10_000, COSTS)
+    assert small_s == pytest.approx(0.02, rel=0.3)
+    assert times.reading_s("large", 10_000, COSTS) == pytest.approx(15 * small_s)
+    assert times.reading_s("large", 10_000, {}) == 0.0
 
-def test_the_threshold_falls_with_load_pressure_to_its_minimum():
-    thresholds = [confidence_threshold(pressure / 10) for pressure in range(20)]
-    assert thresholds == sorted(thresholds, reverse=True)
-    assert (thresholds[0], thresholds[-1]) == (
-        UNLOADED_CONFIDENCE_THRESHOLD,
-        LOADED_CONFIDENCE_THRESHOLD,
-    )
+
+def test_nothing_is_expected_before_the_first_sample():
+    assert FirstEventTimes().expected_s("large", 10_000, COSTS) == 0.0
 
 
 def test_load_reduces_escalations_until_it_ends():
@@ -54,27 +109,42 @@
     Once the load has ended, requests are escalated as often as before.
     """
     rng = random.Random(7)
-    load_pressure = LoadPressure()
-    confidences = [rng.randrange(101) for _ in range(300)]
+    times = learn({"small": 2e-6, "large": 30e-6})
+    requests = [(rng.randrange(101), rng.lognormvariate(8, 1)) for _ in range(300)]
 
-    def escalations(first_event_s):
+    def escalations(wait_s):
         count = 0
-        for confidence in confidences:
-            load_pressure.record_first_event(first_event_s, 1.0)
-            larger = escalation_model(MODELS, "small", confidence, load_pressure.value)
-            count += larger is not None
+        for confidence, tokens in requests:
+            times.record("small", tokens, wait_s + tokens * 2e-6)
+            expected_s = times.expected_s("large", tokens, COSTS)
+            count += should_escalate(confidence, expected_s, 1.0)
         return count
 
-    unloaded, loaded, after = escalations(0.12), escalations(2.0), escalations(0.12)
+    unloaded, loaded, after = escalations(0.1), escalations(2.0), escalations(0.1)
     assert loaded < 0.6 * unloaded
     assert after > 0.8 * unloaded
 
 
-def test_one_late_first_event_hardly_lowers_the_threshold():
-    load_pressure = LoadPressure()
-    for _ in range(50):
-        load_pressure.record_first_event(0.12, 1.0)
-    load_pressure.record_first_event(30.0, 1.0)
-    assert (
-        confidence_threshold(load_pressure.value) > 0.9 * UNLOADED_CONFIDENCE_THRESHOLD
-    )
+def test_load_is_noticed_from_the_first_events_of_any_model():
+    times = learn({"small": 2e-6, "large": 30e-6})
+    for _ in range(20):
+        times.record("small", 1_000, 1.5)
+    assert times.expected_s("large", 1_000, COSTS) > 1.0
+
+
+def test_one_late_first_event_hardly_changes_what_is_expected():
+    times = learn({"small": 2e-6, "large": 30e-6})
+    before_s = times.reading_s("large", 10_000, COSTS)
+    times.record("large", 10_000, 30.0)
+    for _ in range(40):
+        times.record("small", 1_000, 0.05)
+    assert times.wait_s < 0.2
+    assert times.reading_s("large", 10_000, COSTS) < 1.5 * before_s
+
+
+@pytest.mark.parametrize("tokens", [-5, 0, 1, 10**9, 10**15])
+@pytest.mark.parametrize("first_event_s", [0.0, 1e-9, 1e6])
+def test_absurd_samples_are_bounded(tokens, first_event_s):
+    times = learn({"small": 2e-6, "large": 30e-6})
+    times.record("large", tokens, first_event_s)
+    assert 0.0 <= times.expected_s("large", 10_000, COSTS) < 1e7
