Split the relay of answers and the measurements off delivery.py

Change: answers.py relays, measurements.py records; delivery.py keeps the attempts. No behaviour is changed.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -20,14 +20,15 @@
     next_event_timeout_s,
     timeout_extension_s,
 )
-from lentilshore_routing.version_evidence import latency_kind
 
 from ..clients.engine import raising_upstream_errors
-from ..clients.event_splitter import EventPace, EventSplitter
+from ..clients.event_splitter import EventPace
 from ..clients.forwarding import AnswerHead, Attempt, ForwardRequest
 from ..clients.http_client import Response
 from ..state.gateway_context import GatewayContext
+from .answers import Answer, AnswerRelay, check_answer_head
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
+from .measurements import AttemptMeasurements
 from .responder import Responder
 
 # Work that every request counts for when loads are compared; a call of a plain service
@@ -52,26 +53,12 @@
 # A replica answers with this status at the deadline. That is not counted as an error of
 # the replica's version, since it says nothing about the version.
 GATEWAY_TIMEOUT_STATUS = 504
-# Up to this share of tokens that a prompt has in common with others, its first event
-# comes about as soon from a cold cache as from a warm one.
-SHARED_PREFIX_SHARE_LIMIT = 0.4
-# Statuses that tell a caller that the request did not run. A replica that did not run
-# it states so with a header; without that header the status proves nothing.
-UNPROVED_NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Longest idle time of a connection that is used again. It is shorter for a request that
 # may not be repeated, so that the server does not close the connection meanwhile.
 UNREPEATABLE_IDLE_LIMIT_S = 1.0
 REPEATABLE_IDLE_LIMIT_S = 4.0
 
 
-class Answer(NamedTuple):
-    """A complete answer of a replica."""
-
-    status: int
-    fields: list[tuple[str, str]]
-    body: bytes
-
-
 class Outcome(NamedTuple):
     """Result of a request, for logs and metrics.
 
@@ -121,7 +108,6 @@
         self._route = route
         self._customer = customer
         self._received_at = received_at
-        self._responder = responder
         limit_s = route.timeout_s
         if request.deadline_s is not None:
             limit_s = min(limit_s, request.deadline_s)
@@ -142,12 +128,11 @@
             request_id, request_id, self._service, route.delivery_mode.repeatable
         )
         self._loop = AttemptLoop(context, self, scope)
-        # Identifier of the last event that was sent to the caller.
-        self._resume_after = request.resume_after
+        self._relay = AnswerRelay(context, responder, request.resume_after)
+        self._measurements = AttemptMeasurements(context, request, route)
         # A replica's last answer with a status of 500 or above, sent if all attempts
         # fail.
         self._error_answer: Answer | None = None
-        self._answered_at: float | None = None
         self._lease: ReplicaLease | None = None
         self._version = ""
         self._rollout: Rollout | None = None
@@ -238,9 +223,10 @@
         """Record a failed attempt; the time until a timeout counts as a latency."""
         elapsed_s = self._context.clock.monotonic() - self._attempt_started_at
         if error.reason is RefusalReason.UPSTREAM_STALLED:
-            self._context.typical_latencies.add(self._latency_kind, elapsed_s)
-            if self._route.delivery_mode.streaming and not self._streaming:
-                self._record_first_event_time(elapsed_s)
+            first_event_pending = (
+                self._route.delivery_mode.streaming and not self._streaming
+            )
+            self._measurements.record_stall(elapsed_s, first_event_pending)
         self._log_failure(lease, error, elapsed_s)
         self._end_attempt(error.execution)
 
@@ -251,7 +237,7 @@
         route's attempts are used up, or shortly before the deadline.
         """
         resumable = self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE
-        if self._responder.started and not resumable:
+        if self._relay.started and not resumable:
             return False
         if self._possible_runs >= self._route.max_attempts:
             return False
@@ -269,17 +255,20 @@
         self._attempts += 1
         self._lease = lease
         self._attempt_started_at = self._context.clock.monotonic()
+        self._measurements.begin(
+            self._rollout, (self._service, self._version), lease, self._model
+        )
         status = await self._exchange(lease, self._attempt_started_at)
         if status is None:
             self._end_attempt(Execution.RAN)
         return status
 
     async def _exchange(self, lease: ReplicaLease, started_at: float) -> int | None:
-        typical_latency_s = self._context.typical_latencies.expected_s(
-            self._latency_kind
-        )
         timeout_s = answer_timeout_s(
-            self._route, typical_latency_s, self._is_last_attempt, self._timeout_limit_s
+            self._route,
+            self._measurements.typical_latency_s,
+            self._is_last_attempt,
+            self._timeout_limit_s,
         )
         with raising_upstream_errors():
             async with self._open(lease, timeout_s) as response:
@@ -320,7 +309,7 @@
             remaining_s=self._remaining_s,
             priority=self._priority,
             model=self._model,
-            resume_after=self._resume_after,
+            resume_after=self._relay.resume_after,
         )
         data = self._context.translator.encode_attempt(self._request, attempt)
         self._proof.begin()
@@ -369,16 +358,11 @@
         self, response: Response, head: AnswerHead, started_at: float
     ) -> int:
         body = await response.read()
-        self._check_answer_head(response, head)
-        now = self._context.clock.monotonic()
-        self._record_version_outcome(
+        check_answer_head(response, head)
+        self._measurements.record_outcome(
             response.status >= 500 and response.status != GATEWAY_TIMEOUT_STATUS
         )
-        if response.status < 500:
-            self._context.typical_latencies.add(self._latency_kind, now - started_at)
-            self._record_latency(self._route.name, now - started_at)
-        fields = self._context.translator.answer_fields(response.fields)
-        answer = Answer(response.status, fields, body)
+        answer = self._relay.read_answer(response, body)
         if response.status >= 500:
             self._error_answer = answer
             raise UpstreamError(
@@ -386,18 +370,21 @@
                 Execution.RAN,
                 f"the replica answered with status {response.status}",
             )
-        self._answered_at = now
-        await self._send_buffered(answer)
+        self._measurements.record_answer_time(
+            self._context.clock.monotonic() - started_at
+        )
+        await self._relay.send_buffered(answer)
         return response.status
 
     async def _relay_stream(
         self, response: Response, head: AnswerHead, started_at: float
     ) -> int | None:
-        self._check_answer_head(response, head)
-        first_s = self._context.clock.monotonic() - started_at
-        self._record_first_event(first_s)
-        # False: a stream that has started counts as a success of the version.
-        self._record_version_outcome(False)
+        check_answer_head(response, head)
+        self._measurements.record_first_event(
+            self._context.clock.monotonic() - started_at
+        )
+        # A stream that has started counts as a success of the version.
+        self._measurements.record_outcome(False)
         if self._escalate(head):
             return None
         response.timeout_s = next_event_timeout_s(
@@ -405,58 +392,31 @@
         )
         self._streaming = True
         self._waiting_since = self._context.clock.monotonic()
-        splitter = EventSplitter()
-        pace = EventPace()
-        async for data in response.aiter_stream():
-            self._record_activity()
-            events = splitter.feed(data)
-            if not events:
-                continue
-            await self._send_events(response, events)
-            if splitter.last_id is not None:
-                self._resume_after = splitter.last_id
-                pace.record_event(splitter.last_id, self._context.clock.monotonic())
-                self._record_pace(pace)
-        if splitter.partial_event:
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_TRUNCATED,
-                Execution.RAN,
-                "the stream ended within an event",
-            )
-        if not self._responder.started:
-            await self._send_events(response, b"")
-        self._context.metrics.observe("stream.pause_s", pace.longest_pause_s)
-        await self._responder.finish()
+        await self._relay.relay_stream(response, self)
         return response.status
 
-    async def _send_events(self, response: Response, events: bytes) -> None:
-        if not self._responder.started:
-            self._answered_at = self._context.clock.monotonic()
-            fields = self._context.translator.answer_fields(response.fields)
-            await self._responder.start(response.status, fields)
-        if events:
-            self._context.metrics.count("bytes.answered", len(events))
-            await self._responder.send(events)
-
-    async def _send_buffered(self, answer: Answer) -> None:
-        self._context.metrics.count("bytes.answered", len(answer.body))
-        length = ("content-length", str(len(answer.body)))
-        await self._responder.start(answer.status, [*answer.fields, length])
-        await self._responder.finish(answer.body)
+    def record_data(self) -> None:
+        """Record that the replica has sent data of a stream."""
+        self._waiting_since = self._context.clock.monotonic()
+        self._context.placement.record_answer(self._replica_name)
+
+    def record_pace(self, pace: EventPace) -> None:
+        """Record the pauses between the events of a stream so far."""
+        self._measurements.record_pace(pace)
 
     def _escalate(self, head: AnswerHead) -> bool:
         """Switch to a larger model if the answer's confidence is too low.
 
         :returns: whether the request is to be sent again, to the larger model.
         """
-        if self._responder.started or not self._route.models:
+        if self._relay.started or not self._route.models:
             return False
         if not self._route.delivery_mode.repeatable or self._is_last_attempt:
             return False
         larger = larger_model(self._route.models, self._model)
         if larger is None:
             return False
-        expected_s = self._expected_first_event_s(larger)
+        expected_s = self._measurements.expected_first_event_s(larger)
         remaining_s = (
             self._received_at
             + self._route.latency_objective_s
@@ -482,30 +442,6 @@
         self._model = larger
         return True
 
-    def _expected_first_event_s(self, model: str) -> float:
-        """Return the expected time to the first event of another model, seconds."""
-        table = self._context.view.table
-        model_costs = table.model_costs if table is not None else {}
-        return self._context.first_event_times.expected_s(
-            model, self._request.prompt_tokens, model_costs
-        )
-
-    def _check_answer_head(self, response: Response, head: AnswerHead) -> None:
-        if response.status in UNPROVED_NOT_RUN_STATUSES:
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_FAILED,
-                Execution.UNKNOWN,
-                f"status {response.status} without proof that the request did not run",
-            )
-        if head.unaltered or response.status >= 500:
-            return
-        raise UpstreamError(
-            RefusalReason.UPSTREAM_GARBLED,
-            Execution.UNKNOWN,
-            f"answer with status {response.status} lacks the replica's signature "
-            "or has a content encoding that was not requested",
-        )
-
     def _check_replica_usable(self, lease: ReplicaLease) -> None:
         if not self._context.view.usable(lease.replica.name):
             raise UpstreamError(
@@ -514,18 +450,14 @@
                 "the replica is draining, removed or of a version no longer allowed",
             )
 
-    def _record_activity(self) -> None:
-        self._waiting_since = self._context.clock.monotonic()
-        self._context.placement.record_answer(self._replica_name)
-
     def _end_attempt(self, execution: Execution) -> None:
         self._streaming = False
         self._possible_runs += execution is not Execution.NOT_RUN
         self._proof.end(execution)
 
     async def _give_up(self, error: UpstreamError) -> int:
-        if self._error_answer is not None and not self._responder.started:
-            await self._send_buffered(self._error_answer)
+        if self._error_answer is not None and not self._relay.started:
+            await self._relay.send_buffered(self._error_answer)
             return self._error_answer.status
         execution = self._proof.execution
         retry_after_s = (
@@ -535,42 +467,6 @@
             error.reason, execution, error.detail, retry_after_s
         ) from error
 
-    @property
-    def _evidence_source(self) -> tuple[str, str, str]:
-        return self._service, self._version, self._replica_name
-
-    def _record_version_outcome(self, bad: bool) -> None:
-        self._context.evidence.record_answer(self._rollout, self._evidence_source, bad)
-
-    def _record_latency(self, kind: str, seconds: float) -> None:
-        source = self._evidence_source
-        self._context.evidence.record_latency(self._rollout, source, kind, seconds)
-
-    def _record_first_event(self, first_s: float) -> None:
-        """Record the time to the first event.
-
-        It counts as evidence about the version only if a cold cache can't explain it.
-        """
-        self._context.typical_latencies.add(self._latency_kind, first_s)
-        self._record_first_event_time(first_s)
-        _, shared_tokens = shared_prefix(self._request.parts, self._model)
-        if shared_tokens <= self._request.prompt_tokens * SHARED_PREFIX_SHARE_LIMIT:
-            self._record_latency(self._latency_kind, first_s)
-
-    def _record_first_event_time(self, first_s: float) -> None:
-        """Record the time to a first event, or to the timeout if none arrived."""
-        tokens = self._request.prompt_tokens
-        if self._lease is not None and self._lease.cached:
-            _, cached_tokens = shared_prefix(self._request.parts, self._model)
-            tokens = max(0, tokens - cached_tokens)
-        self._context.first_event_times.record(self._model, tokens, first_s)
-
-    def _record_pace(self, pace: EventPace) -> None:
-        """Record the mean time between events, which a cold cache does not lengthen."""
-        pause_s = pace.take_mean_pause_s()
-        if pause_s is not None:
-            self._record_latency(f"pace/{self._model}", pause_s)
-
     @property
     def _is_last_attempt(self) -> bool:
         """Whether no further attempt is allowed if the current one may have run."""
@@ -582,10 +478,6 @@
             return self._customer.priority
         return self._route.priority
 
-    @property
-    def _latency_kind(self) -> str:
-        return latency_kind(self._route.name, self._model, self._request.prompt_tokens)
-
     def _log_failure(
         self, lease: ReplicaLease, error: UpstreamError, elapsed_s: float
     ) -> None:
@@ -604,7 +496,7 @@
 
     def _outcome(self, status: int) -> Outcome:
         now = self._context.clock.monotonic()
-        answered_at = self._answered_at or now
+        answered_at = self._relay.answered_at or now
         return Outcome(
             status,
             self._attempts,
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -8,7 +8,7 @@
 
 from lentilshore_kernel.types import Execution
 from lentilshore_node.callers import forwarder
-from lentilshore_node.delivery import attempts, delivery
+from lentilshore_node.delivery import answers, attempts, delivery
 from lentilshore_node.state import fleet_view_updater
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing import retries, staging, version_choice
@@ -230,8 +230,8 @@
         "read_head",
         _without_request_id(HeaderTranslator.read_head),
     ),
-    (resumes_after_whole_events, delivery.EventSplitter, "last_id", None),
-    (relays_only_whole_events, delivery.EventSplitter, "feed", lambda self, data: data),
+    (resumes_after_whole_events, answers.EventSplitter, "last_id", None),
+    (relays_only_whole_events, answers.EventSplitter, "feed", lambda self, data: data),
     (refuses_unproved_keys, forwarder.Forwarder, "require_key_proof", _return_none),
     (
         avoids_draining_replicas,
