--- a/packages/fleet/src/lentilshore_fleet/claims.py
+++ b/packages/fleet/src/lentilshore_fleet/claims.py
@@ -178,9 +178,12 @@
             raise _claim_unavailable() from error
         except (StoreConflictError, StoreAmbiguousError):
             latest = await self._read(claim.key)
-        if latest is not None and latest.value["attempt"] == claim.attempt:
+        if latest is None:
+            raise _claim_unavailable()
+        if latest.value["attempt"] == claim.attempt:
             return claim._replace(version=latest.version)
-        raise _claim_unavailable()
+        # Another attempt took the claim over and may run.
+        return _replay_or_refuse(latest.value)
 
 
 def claim_key(customer: str, idempotency_key: str) -> str:
--- a/packages/fleet/src/lentilshore_fleet/ledger.py
+++ b/packages/fleet/src/lentilshore_fleet/ledger.py
@@ -28,7 +28,6 @@
 from .store import ObjectStore, read_back
 
 MAX_SEGMENT_BILLS = 2_000
-SEGMENT_BYTES = 600_000
 FLUSH_INTERVAL_S = 30.0
 MAX_FLUSH_SEGMENTS = 4
 SEGMENT_PREFIX = "bills/"
@@ -358,9 +357,10 @@
         copies = self._copies.get(owner)
         if copies is None:
             return True
-        bills = sorted(copies.by_sequence().values())
-        for start in range(0, len(bills), MAX_SEGMENT_BILLS):
-            batch = bills[start : start + MAX_SEGMENT_BILLS]
+        written: set[Bill] = set()
+        # Copies may be accepted while earlier ones are written.
+        while batch := sorted(set(copies.by_sequence().values()) - written):
+            batch = batch[:MAX_SEGMENT_BILLS]
             data = encode_bills(batch)
             digest = hashlib.blake2b(data, digest_size=8).hexdigest()
             key = f"{SEGMENT_PREFIX}{owner}/copy-{self._holder}-{digest}"
@@ -369,6 +369,7 @@
             )
             if not await write_once(self._store, self._clock, key, record):
                 return False
+            written.update(batch)
         self._copies.pop(owner, None)
         return True
 
--- a/packages/node/src/lentilshore_node/clients/event_splitter.py
+++ b/packages/node/src/lentilshore_node/clients/event_splitter.py
@@ -5,7 +5,8 @@
 from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_kernel.types import Execution, RefusalReason
 
-EVENT_BOUNDARY = b"\n\n"
+# An event ends with an empty line; lines end with LF or CRLF.
+EVENT_BOUNDARIES = (b"\n\n", b"\n\r\n")
 ID_FIELD = b"id:"
 # An event holds a few tokens of text; one that exceeds this limit is an error.
 EVENT_LIMIT_BYTES = 1_048_576
@@ -39,8 +40,8 @@
             :data:`EVENT_LIMIT_BYTES`.
         """
         data = self._partial_event + data
-        end = data.rfind(EVENT_BOUNDARY)
-        if end < 0:
+        end = max(_end_of_last(data, boundary) for boundary in EVENT_BOUNDARIES)
+        if end == 0:
             if len(data) > EVENT_LIMIT_BYTES:
                 raise UpstreamError(
                     RefusalReason.UPSTREAM_GARBLED,
@@ -49,7 +50,6 @@
                 )
             self._partial_event = data
             return b""
-        end += len(EVENT_BOUNDARY)
         self._partial_event = data[end:]
         events = data[:end]
         self._update_last_id(events)
@@ -64,6 +64,12 @@
                 return
 
 
+def _end_of_last(data: bytes, boundary: bytes) -> int:
+    """Return the offset after the last occurrence of a boundary, 0 if there is none."""
+    start = data.rfind(boundary)
+    return start + len(boundary) if start >= 0 else 0
+
+
 class EventPace:
     """Measures the pauses between the events of a stream."""
 
--- a/packages/node/src/lentilshore_node/clients/platform.py
+++ b/packages/node/src/lentilshore_node/clients/platform.py
@@ -81,7 +81,8 @@
         """Wait until an object is newer than a version; None if none came in time."""
         path = f"/watch/{quote(key, safe='')}?after={after_version}"
         answer = await self._read("GET", path, WATCH_TIMEOUT_S + self._timeout_s)
-        return None if answer.status == 204 else _read_object(answer)
+        # A removed object has no newer version to wait for.
+        return None if answer.status in (204, 404) else _read_object(answer)
 
     async def put(self, key: str, value: Any, expected_version: int) -> int:
         """Write an object if its version is the expected one."""
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -19,7 +19,6 @@
 # and random ones, for load balancing.
 AFFINITY_CANDIDATES = 3
 RANDOM_CANDIDATES = 2
-AFFINITY_LOAD_FACTOR = 1.25
 MIN_PREFIX_TOKENS = 128
 PREFIXES_PER_REPLICA_LIMIT = 64
 # Older load reports are ignored.
@@ -34,7 +33,6 @@
 EJECTION_CONSECUTIVE_FAILURES = 5
 EJECTION_S = 10.0
 EJECTED_SHARE_LIMIT = 0.3
-BATCH_SLOT_SHARE = 0.7
 # Work added to the load of a replica in another data centre, as a share of the work of
 # the request: transferring its bytes costs about a tenth of what processing it does.
 REMOTE_WORK_SHARE = 0.1
@@ -323,7 +321,8 @@
     ) -> bool:
         if state.last_answered_at >= lease.taken_at:
             return False
-        state.ejected_until = now + UNREACHABLE_EJECTION_S
+        # A longer ejection for failures is not shortened.
+        state.ejected_until = max(state.ejected_until, now + UNREACHABLE_EJECTION_S)
         return True
 
     def record_answer(self, name: str) -> None:
--- a/packages/routing/src/lentilshore_routing/rollouts.py
+++ b/packages/routing/src/lentilshore_routing/rollouts.py
@@ -39,7 +39,6 @@
 # Share of an exposure budget that new sessions may use; the rest is left to sessions
 # that are pinned to the candidate already.
 NEW_SESSION_BUDGET_SHARE = 0.6
-TRACKED_LIMIT = 100_000
 # Ratings of the candidate needed to leave the first stage; doubles with each further
 # stage.
 FIRST_STAGE_MIN_RATINGS = 30
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -27,6 +27,14 @@
     assert out == WHOLE
 
 
+def test_lines_that_end_with_crlf_are_split():
+    splitter = EventSplitter()
+    whole = b"id: 1\r\ndata: a\r\n\r\n"
+    assert splitter.feed(whole + b"id: 2\r\ndata: b\r\n") == whole
+    assert splitter.last_id == 1
+    assert splitter.feed(b"\r\n") == b"id: 2\r\ndata: b\r\n\r\n"
+
+
 @pytest.mark.parametrize(
     ("data", "last_id"),
     [
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 
 from lentilshore_fleet import (
     Bill,
+    BillCopyHolder,
     BillLine,
     Change,
     ClaimStore,
@@ -122,6 +123,57 @@
     assert run_with_clock(clock, run) == expected
 
 
+def test_who_loses_a_claim_that_is_taken_over_is_not_told_that_it_did_not_run():
+    """Two attempts find an abandoned claim; the one that took it over may run."""
+    clock, store = make_store()
+    claims = ClaimStore(store, clock)
+    put = store.put
+
+    async def run():
+        claim = await claims.acquire("c", "k", b"x", "attempt-1")
+        await claims.abandon(claim)
+
+        async def put_after_another(key, value, version):
+            store.put = put
+            await claims.acquire("c", "k", b"x", "attempt-2")
+            return await put(key, value, version)
+
+        # The first write of an attempt fails, as another claim stands there already.
+        calls = iter([put, put_after_another])
+
+        async def choose(key, value, version):
+            return await next(calls)(key, value, version)
+
+        store.put = choose
+        with pytest.raises(RefusalError) as caught:
+            await claims.acquire("c", "k", b"x", "attempt-3")
+        return caught.value
+
+    refusal = run_with_clock(clock, run)
+    assert refusal.reason is RefusalReason.OUTCOME_UNKNOWN
+    assert refusal.execution is Execution.UNKNOWN
+
+
+def test_copies_accepted_while_others_are_written_are_written_too():
+    clock, store = make_store()
+    holder = BillCopyHolder(Incarnation("n2", 1), store, clock)
+    owner = str(Incarnation("n1", 1))
+    bills = [make_bill(sequence) for sequence in (1, 2)]
+    holder.accept(owner, bills[:1], 0)
+    put = store.put
+
+    async def accept_and_put(key, value, version):
+        store.put = put
+        holder.accept(owner, bills[1:], 0)
+        return await put(key, value, version)
+
+    store.put = accept_and_put
+    assert run_with_clock(clock, holder.write_to_store, owner)
+    segments = [key for key in store.objects if owner in key]
+    assert len(segments) == 2
+    assert holder.owners == []
+
+
 @pytest.mark.parametrize("kind", PUT_FAULTS)
 def test_claim_is_granted_at_most_once_despite_write_faults(kind):
     clock, store = make_store()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,12 @@
 
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address
-from lentilshore_routing.placement import UNREACHABLE_EJECTION_S, Placement, Replica
+from lentilshore_routing.placement import (
+    EJECTION_CONSECUTIVE_FAILURES,
+    UNREACHABLE_EJECTION_S,
+    Placement,
+    Replica,
+)
 
 
 @pytest.fixture
@@ -55,6 +60,16 @@
     assert chosen_replicas(placement) == {"a", "b"}
 
 
+def test_a_timeout_does_not_shorten_the_ejection_for_failures(clock):
+    placement = create_placement(clock)
+    leases = [take_lease(placement, "a") for _ in range(6)]
+    for lease in leases[:EJECTION_CONSECUTIVE_FAILURES]:
+        placement.release(lease, True)
+    placement.release(leases[-1], True, unreachable=True)
+    clock.advance(UNREACHABLE_EJECTION_S + 1.0)
+    assert placement.ejected() == ["a"]
+
+
 def test_all_replicas_are_tried_if_all_are_unreachable(clock):
     placement = create_placement(clock)
     for name in "ab":
