Relay what one gateway of a data centre has read from the store to the others

Cause: every node read the configuration and watched the store by itself, so that calls grew with the nodes. Change: gateways register in the store and order one another by a hash of their names. Each asks those before it, on the internal port, for the version of the configuration with the age of that knowledge, and for changes of replicas and roll-outs; the age counts from before its own call. A peer that does not answer, has lost the store or knows another version makes a gateway ask the store, as all did before.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -56,6 +56,12 @@
         "part",
         "Failed reads of the store, by part",
     ),
+    MetricFamily(
+        "relay",
+        "lentilshore_relay_calls",
+        "outcome",
+        "Calls between gateways, by outcome",
+    ),
     MetricFamily(
         "task", "lentilshore_task_events", "event", "Errors of recurring tasks"
     ),
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
@@ -31,25 +32,36 @@
 # Statuses that tell the caller that the request did not run and will not run.
 NOT_RUN_STATUSES = (400, 401, 403, 404, 408, 413, 421, 429, 431, 503)
 UNAVAILABLE_STATUS = 503
+PEER_PREFIX = "/relay/"  # paths of other gateways' calls
 BAD_GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 
+# Returns the body of the answer to a path and its query, None if there is none.
+PeerAnswer = Callable[[str, bytes], Awaitable[bytes | None]]
+
 
 class GatewayApplication:
     """Receives callers' requests and answers each once.
 
     :param context: context of the gateway.
     :param ready_port: port for the balancer's readiness probes, 0 for any port.
-    :param metrics_port: port at which metrics are served, 0 for none.
+    :param metrics_port: port at which metrics are served and other gateways call, 0
+        for none.
+    :param answer_peer: returns the body of the answer to another gateway's call.
     """
 
     def __init__(
-        self, context: GatewayContext, ready_port: int = 0, metrics_port: int = 0
+        self,
+        context: GatewayContext,
+        ready_port: int = 0,
+        metrics_port: int = 0,
+        answer_peer: PeerAnswer | None = None,
     ) -> None:
         self._context = context
         self._forwarder = Forwarder(context)
         self._ready_port = ready_port
         self._metrics_port = metrics_port
+        self._answer_peer = answer_peer
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one request of the ASGI server."""
@@ -58,7 +70,7 @@
         responder = AsgiResponder(send, self._context.clock, self._closes_connections)
         port = scope["server"][1] if scope.get("server") else 0
         if self._metrics_port and port == self._metrics_port:
-            await self._send_metrics(responder)
+            await self._serve_internal(scope, responder)
             return
         is_ready_probe = scope["path"] == self._context.translator.ready_path
         if is_ready_probe and self._ready_port in (0, port):
@@ -77,6 +89,19 @@
         status = 200 if self._context.ready else UNAVAILABLE_STATUS
         await send_json(responder, status, b"{}")
 
+    async def _serve_internal(self, scope: Any, responder: AsgiResponder) -> None:
+        if self._answer_peer is None or not scope["path"].startswith(PEER_PREFIX):
+            await self._send_metrics(responder)
+            return
+        body = await self._answer_peer(scope["path"], scope["query_string"])
+        status = 404 if body is None else 200
+        fields = [
+            ("content-type", "application/msgpack"),
+            ("content-length", str(len(body or b""))),
+        ]
+        await responder.start(status, fields)
+        await responder.finish(body or b"")
+
     async def _send_metrics(self, responder: AsgiResponder) -> None:
         body = self._context.metrics.render().encode()
         fields = [
--- a/packages/node/src/lentilshore_node/clients/fleet_source.py
+++ b/packages/node/src/lentilshore_node/clients/fleet_source.py
@@ -4,7 +4,7 @@
 
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
-from lentilshore_kernel.types import StoreRevision
+from lentilshore_kernel.types import Address, StoreRevision
 from lentilshore_routing.rollout_record import Rollout
 from lentilshore_routing.routes import RouteTable
 
@@ -38,10 +38,38 @@
 
     :param changes: the changes.
     :param revision: revision up to which all changes are included.
+    :param age_s: time by which they may be out of date when the call begins, seconds;
+        0 if the store itself was asked.
     """
 
     changes: list[Change[T]]
     revision: StoreRevision
+    age_s: float = 0.0
+
+
+class TableReading(NamedTuple):
+    """Result of a read of the configuration.
+
+    :param table: the newest route table, None if there is none yet.
+    :param age_s: time before the call began at which it was known to be the newest,
+        seconds; 0 if the store itself was asked.
+    """
+
+    table: RouteTable | None
+    age_s: float = 0.0
+
+
+class GatewayEntry(NamedTuple):
+    """A gateway that other gateways may ask for what it has read from the store.
+
+    :param name: name of the instance.
+    :param address: address for calls of other gateways.
+    :param data_centre: data centre that it runs in.
+    """
+
+    name: str
+    address: Address
+    data_centre: str
 
 
 class Collection(Protocol[T]):
@@ -74,10 +102,9 @@
     def rollouts(self) -> Collection:
         """Records of roll-outs."""
 
-    async def read_table(self) -> RouteTable | None:
+    async def read_table(self) -> TableReading:
         """Return the newest route table, which is the fleet's configuration.
 
-        :returns: the table, None if there is none yet.
         :raises StoreUnavailableError: if it cannot be read.
         """
 
@@ -88,3 +115,15 @@
         :raises StoreError: if the stored record cannot be determined, or if the store
             has begun another era since the record was read.
         """
+
+    async def register_gateway(self, entry: GatewayEntry) -> None:
+        """Write the entry of this gateway unless it stands there already.
+
+        :raises StoreError: if the store fails; call again.
+        """
+
+    async def list_gateways(self) -> list[GatewayEntry]:
+        """Return all registered gateways; the list may be seconds old.
+
+        :raises StoreError: if the store fails; call again.
+        """
--- /dev/null
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -0,0 +1,108 @@
+"""Which gateways there are, and which of them read the platform's store for others."""
+
+from __future__ import annotations
+
+import random
+
+from lentilshore_kernel import log_event
+from lentilshore_kernel.clock import Clock
+from lentilshore_kernel.exceptions import StoreError
+from lentilshore_kernel.metrics import Metrics
+from lentilshore_routing.version_choice import hash_fraction
+
+from ..clients.fleet_source import FleetSource, GatewayEntry
+
+# Random delay of the first registration: all gateways of a fleet may start together.
+REGISTRATION_SPREAD_S = 1.0
+# The first list follows when gateways that started together have registered.
+FIRST_LIST_DELAY_S = 2.0
+LIST_INTERVAL_S = 20.0
+# A gateway that did not answer is not asked again for this time.
+FAILED_PEER_PAUSE_S = 3.0
+# A gateway asks this many others in turn before it calls the store itself.
+MAX_PEERS_ASKED = 2
+
+
+class GatewayDirectory:
+    """Gateways that registered in the platform's store, in the order to ask them.
+
+    In each data centre all gateways order one another alike, by a hash of their names.
+    The first one reads the store; the others ask those before them, so that calls of
+    the store grow with the data centres and not with the gateways.
+
+    :param own: this gateway's entry.
+    :param source: the platform's store, in which gateways register.
+    :param clock: source of time.
+    :param random_source: spreads calls of the store.
+    :param metrics: counts failures.
+    """
+
+    def __init__(
+        self,
+        own: GatewayEntry,
+        source: FleetSource,
+        clock: Clock,
+        random_source: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._own = own
+        self._source = source
+        self._clock = clock
+        self._random = random_source
+        self._metrics = metrics
+        self._preferred: list[GatewayEntry] = []
+        self._registered = False
+        self._paused_until: dict[str, float] = {}
+
+    def peers_to_ask(self, limit: int = MAX_PEERS_ASKED) -> list[GatewayEntry]:
+        """Return the gateways to ask instead of the store, best first.
+
+        :param limit: greatest number of gateways.
+        """
+        now = self._clock.monotonic()
+        usable = [
+            entry
+            for entry in self._preferred
+            if self._paused_until.get(entry.name, 0.0) <= now
+        ]
+        return usable[:limit]
+
+    def record_failure(self, peer: GatewayEntry) -> None:
+        """Record that a gateway did not answer, or knows less than this one."""
+        self._metrics.count("relay.peer_failed")
+        self._paused_until[peer.name] = self._clock.monotonic() + FAILED_PEER_PAUSE_S
+
+    async def run(self) -> None:
+        """Register this gateway and keep the list up to date until cancelled."""
+        await self._clock.sleep(REGISTRATION_SPREAD_S * self._random.random())
+        delay_s = FIRST_LIST_DELAY_S
+        while True:
+            try:
+                if not self._registered:
+                    await self._source.register_gateway(self._own)
+                await self._clock.sleep(delay_s * (0.5 + self._random.random()))
+                self.update(await self._source.list_gateways())
+                delay_s = LIST_INTERVAL_S
+            except StoreError as error:
+                log_event("gateways_not_listed", detail=str(error))
+                await self._clock.sleep(FIRST_LIST_DELAY_S)
+
+    def update(self, entries: list[GatewayEntry]) -> None:
+        """Replace the known gateways.
+
+        :param entries: all gateways that are registered.
+        """
+        # A store that was restored from a copy may have lost this gateway's entry.
+        self._registered = self._own in entries
+        nearby = [e for e in entries if e.data_centre == self._own.data_centre]
+        ordered = sorted(nearby, key=lambda entry: (_rank(entry), entry.name))
+        own_rank = (_rank(self._own), self._own.name)
+        self._preferred = [e for e in ordered if (_rank(e), e.name) < own_rank]
+        known = {entry.name for entry in entries}
+        self._paused_until = {
+            name: until for name, until in self._paused_until.items() if name in known
+        }
+
+
+def _rank(entry: GatewayEntry) -> float:
+    return hash_fraction(f"reader/{entry.name}")
--- a/packages/node/src/lentilshore_node/programs/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_assembly.py
@@ -66,6 +66,7 @@
     placement = Placement(node, clock, random_source, data_centre)
     return GatewayContext(
         node_name=node,
+        data_centre=data_centre,
         bounds=bounds,
         clock=clock,
         random=random_source,
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -18,7 +18,9 @@
 
 from ..callers.caller_protocol import bind_caller_protocol
 from ..callers.gateway import GatewayApplication
-from ..clients.fleet_source import FleetSource
+from ..clients.fleet_source import FleetSource, GatewayEntry
+from ..peers.gateway_directory import GatewayDirectory
+from ..peers.relay import PeerClient, RelayedSource, RelayServer
 from ..state.fleet_view_updater import FleetViewUpdater
 from ..state.gateway_context import BALANCER_REMOVAL_S, GatewayContext
 from ..state.rollout_controller import RolloutController
@@ -44,7 +46,7 @@
 
     :param caller: address for callers.
     :param ready: address for the balancer's readiness probes.
-    :param metrics: address for metrics, None to serve none.
+    :param metrics: address for metrics and for calls of other gateways, None for none.
     """
 
     caller: Address
@@ -86,7 +88,14 @@
         # In the order of the fields of GatewayAddresses.
         ports = [s.getsockname()[1] for s in self._sockets]
         metrics_port = ports[2] if addresses.metrics else 0
-        application = GatewayApplication(context, ports[1], metrics_port)
+        application = GatewayApplication(
+            context, ports[1], metrics_port, RelayServer(context, source).answer
+        )
+        self._directory: GatewayDirectory | None = None
+        if addresses.metrics is not None:
+            self._directory = _create_directory(context, source, addresses.metrics)
+            peers = PeerClient(self._directory, context.http, context.metrics)
+            self._source = RelayedSource(source, peers, context)
         self._uvicorn_config = _server_config(application, context)
         self._server = _Server(self._uvicorn_config)
 
@@ -99,7 +108,10 @@
             group.start_soon(self._receive_signals)
             FleetViewUpdater(self._context, self._source).start(group)
             controller = RolloutController(self._context, self._source)
-            for task in (controller.run, self._apply_limits, self._poll_settings):
+            tasks = [controller.run, self._apply_limits, self._poll_settings]
+            if self._directory is not None:
+                tasks.append(self._directory.run)
+            for task in tasks:
                 group.start_soon(
                     keep_running, task, self._context.metrics, self._context.clock
                 )
@@ -171,6 +183,15 @@
                 last_active_at = clock.monotonic()
 
 
+def _create_directory(
+    context: GatewayContext, source: FleetSource, address: Address
+) -> GatewayDirectory:
+    entry = GatewayEntry(context.node_name, address, context.data_centre)
+    return GatewayDirectory(
+        entry, source, context.clock, context.random, context.metrics
+    )
+
+
 def _server_config(
     application: GatewayApplication, context: GatewayContext
 ) -> uvicorn.Config:
--- a/packages/node/src/lentilshore_node/state/fleet_view_updater.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view_updater.py
@@ -15,12 +15,15 @@
 
 from ..clients.fleet_source import Collection, FleetSource
 from .fleet_view import ReplicaRecord
-from .gateway_context import GatewayContext
+from .gateway_context import REPLICAS_PART, ROLLOUTS_PART, GatewayContext
 
 # Interval between configuration reads, as a share of the time within which a new
 # configuration must be in force. It is below one half, so that the limit is met even if
 # one read fails.
 READ_INTERVAL_SHARE = 0.45
+# Interval after a read that another gateway has answered, as a share of the interval
+# after a read of the store: both delays add up.
+RELAYED_INTERVAL_SHARE = 0.5
 # Longest wait of a watch call. A watch that no longer answers is detected after this
 # time plus the call's own timeout.
 WATCH_WAIT_S = 5.0
@@ -59,7 +62,7 @@
         self._start_task(
             group,
             self._watch_collection,
-            "rollouts",
+            ROLLOUTS_PART,
             self._source.rollouts,
             view.replace_rollouts,
             self._update_rollout,
@@ -68,7 +71,7 @@
         self._start_task(
             group,
             self._watch_collection,
-            "replicas",
+            REPLICAS_PART,
             self._source.replicas,
             view.replace_replicas,
             self._update_replica,
@@ -85,7 +88,7 @@
         while True:
             read_started_at = clock.monotonic()
             try:
-                table = await self._source.read_table()
+                table, age_s = await self._source.read_table()
             except StoreError as error:
                 self._report_store_state("configuration", error)
                 await clock.sleep(RETRY_MIN_S * (0.5 + self._context.random.random()))
@@ -93,9 +96,11 @@
             self._report_store_state("configuration", None)  # the read succeeded
             if table is not None:
                 view.update_table(table)
-                view.confirm_table(table.version, read_started_at)
+                view.confirm_table(table.version, read_started_at - age_s)
             spent_s = clock.monotonic() - read_started_at
             interval_s = self._context.bounds.config_apply_s * READ_INTERVAL_SHARE
+            if age_s > 0.0:
+                interval_s *= RELAYED_INTERVAL_SHARE
             # A read that took most of the interval is still followed by a pause.
             await clock.sleep(max(RETRY_MIN_S, interval_s - spent_s))
 
@@ -107,14 +112,17 @@
         update: Callable[[Any], Awaitable[None]],
         remove: Callable[[str], None],
     ) -> None:
+        log = self._context.change_logs[part]
         revision: StoreRevision | None = None
         delay_s, wait_s = RETRY_MIN_S, WATCH_WAIT_S
         while True:
+            started_at = self._context.clock.monotonic()
             try:
                 if revision is None:
                     listing = await collection.list()
                     replace_all(listing.items, listing.revision.era)
                     revision = listing.revision
+                    log.restart(revision, started_at)
                 else:
                     batch = await collection.watch(revision, wait_s)
                     for item_name, item in batch.changes:
@@ -123,6 +131,7 @@
                         else:
                             await update(item)
                     revision = max(revision, batch.revision)
+                    log.append(batch, started_at - batch.age_s)
                     if batch.changes:
                         await self._context.clock.sleep(BATCH_DELAY_S)
                 self._report_store_state(part, None)  # the read succeeded
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -17,6 +17,7 @@
 
 from ..clients.forwarding import Translator
 from ..clients.http_client import HttpClient
+from .change_log import ChangeLog
 from .fleet_view import FleetView
 
 # Subtracted from the time within which a withdrawn key must be refused, because a
@@ -31,6 +32,11 @@
 BALANCER_REMOVAL_S = 2.6
 
 
+# Parts of the store that are listed and watched.
+REPLICAS_PART = "replicas"
+ROLLOUTS_PART = "rollouts"
+
+
 class GatewayBounds(NamedTuple):
     """Bounds that a deployment sets.
 
@@ -76,6 +82,7 @@
     """
 
     node_name: str
+    data_centre: str
     bounds: GatewayBounds
     clock: Clock
     random: random.Random
@@ -90,9 +97,15 @@
     evidence: VersionEvidence = field(default_factory=VersionEvidence)
     typical_latencies: LatencyBaseline = field(default_factory=LatencyBaseline)
     first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
+    change_logs: dict[str, ChangeLog] = field(init=False)
     draining: bool = False
     in_flight: int = 0
 
+    def __post_init__(self) -> None:
+        self.change_logs = {
+            part: ChangeLog(self.clock) for part in (REPLICAS_PART, ROLLOUTS_PART)
+        }
+
     @property
     def ready(self) -> bool:
         """Whether a balancer should send requests here."""
--- a/tests/test_fleet_view_updater.py
+++ b/tests/test_fleet_view_updater.py
@@ -13,7 +13,7 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import StoreRevision
-from lentilshore_node.clients.fleet_source import Change, Changes, Listing
+from lentilshore_node.clients.fleet_source import Change, Changes, Listing, TableReading
 from lentilshore_node.clients.http_client import HttpClient
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_node.state.fleet_view_updater import BATCH_DELAY_S, FleetViewUpdater
@@ -65,7 +65,7 @@
         result = self._tables.pop(0) if len(self._tables) > 1 else self._tables[0]
         if isinstance(result, Exception):
             raise result
-        return result
+        return TableReading(result)
 
 
 def listed(items, revision, era=0):
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,515 @@
+"""Relayed knowledge of the store is believed only as far as it is fresh."""
+
+import random
+
+import anyio
+import msgspec
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from lentilshore_kernel.exceptions import StoreUnavailableError
+from lentilshore_kernel.served_metrics import ServedMetrics
+from lentilshore_kernel.testing import FakeClock, run_with_clock
+from lentilshore_kernel.types import Address, StoreRevision
+from lentilshore_node.clients.fleet_source import (
+    Change,
+    Changes,
+    GatewayEntry,
+    Listing,
+    TableReading,
+)
+from lentilshore_node.clients.http_client import CallTimedOutError, HttpAnswer
+from lentilshore_node.peers.gateway_directory import (
+    FAILED_PEER_PAUSE_S,
+    MAX_PEERS_ASKED,
+    GatewayDirectory,
+)
+from lentilshore_node.peers.relay import (
+    CHANGES_PATH,
+    CONFIGURATION_PATH,
+    PeerClient,
+    RelayedSource,
+    RelayServer,
+)
+from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_node.state.change_log import LOGGED_CHANGES_LIMIT, ChangeLog
+from lentilshore_node.state.fleet_view_updater import FleetViewUpdater
+from lentilshore_routing.rollout_record import RolloutState
+from tests.test_fleet_view import record, rollout, table
+from tests.test_fleet_view_updater import BOUNDS
+
+NAMES = ("n1", "n2", "n3")
+
+
+def entry(name, data_centre="dc"):
+    return GatewayEntry(name, Address("10.0.0.1", int(name[1:])), data_centre)
+
+
+class SharedStore:
+    """The platform's store as all gateways of a test see it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.era = 1
+        self.version = 1
+        self.number = 10
+        self.replicas = [record()]
+        self.events = []
+        self.entries = [entry(name) for name in NAMES]
+
+
+class StoreSource:
+    """One gateway's access to the store, which may be cut; counts its calls."""
+
+    def __init__(self, store):
+        self._store = store
+        self.cut = False
+        self.calls = 0
+        self.era = store.era
+        self.replicas = _Replicas(self, store)
+        self.rollouts = _Rollouts(self, store)
+
+    async def call(self):
+        self.calls += 1
+        await self._store.clock.sleep(0.004)
+        if self.cut:
+            raise StoreUnavailableError("cut")
+        self.era = self._store.era
+
+    async def read_table(self):
+        await self.call()
+        return TableReading(table(self._store.version))
+
+    async def register_gateway(self, gateway):
+        await self.call()
+
+    async def list_gateways(self):
+        await self.call()
+        return self._store.entries
+
+
+class _Replicas:
+    def __init__(self, source, store):
+        self._source, self._store = source, store
+
+    async def list(self):
+        await self._source.call()
+        revision = StoreRevision(self._store.era, self._store.number)
+        return Listing(list(self._store.replicas), revision)
+
+    async def watch(self, after, wait_s):
+        await self._source.call()
+        waited_s = 0.0
+        while True:
+            found = [c for n, c in self._store.events if n > after.number]
+            if found or waited_s >= wait_s or self._source.cut:
+                break
+            await self._store.clock.sleep(0.05)
+            waited_s += 0.05
+        if self._source.cut:
+            raise StoreUnavailableError("cut")
+        return Changes(found, after._replace(number=self._store.number))
+
+
+class _Rollouts(_Replicas):
+    async def list(self):
+        await self._source.call()
+        return Listing([], StoreRevision(self._store.era, self._store.number))
+
+    async def watch(self, after, wait_s):
+        await self._source.call()
+        await self._store.clock.sleep(wait_s)
+        return Changes([], after)
+
+
+class Network:
+    """Carries calls between gateways; links may be cut, silent or slow."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.servers = {}
+        self.unreachable = set()
+        self.delays = {}
+        self.replies = {}
+
+    async def request(self, method, address, path, timeout_s=1.0):
+        name = f"n{address.port}"
+        path, _, query = path.partition("?")
+        if name in self.unreachable:
+            await self._clock.sleep(timeout_s)
+            raise CallTimedOutError("silent")
+        if name in self.replies:
+            return HttpAnswer(200, {}, self.replies[name])
+        body = await self.servers[name].answer(path, query.encode())
+        await self._clock.sleep(self.delays.get(name, 0.001))
+        return HttpAnswer(404 if body is None else 200, {}, body or b"")
+
+
+class Fleet:
+    """Three gateways of one data centre before one store."""
+
+    def __init__(self, exchange=True):
+        self.clock = FakeClock()
+        self.store = SharedStore(self.clock)
+        self.network = Network(self.clock)
+        self.sources, self.contexts, self.relayed, self.directories = {}, {}, {}, {}
+        for name in NAMES:
+            metrics = ServedMetrics()
+            context = create_gateway(
+                name, "dc", BOUNDS, self.clock, random.Random(1), metrics, None, None
+            )
+            source = StoreSource(self.store)
+            directory = GatewayDirectory(
+                entry(name), source, self.clock, random.Random(1), metrics
+            )
+            directory.update(self.store.entries if exchange else [])
+            peers = PeerClient(directory, self.network, metrics)
+            self.sources[name], self.contexts[name] = source, context
+            self.directories[name] = directory
+            self.relayed[name] = RelayedSource(source, peers, context)
+            self.network.servers[name] = RelayServer(context, source)
+        ranked = sorted(NAMES, key=lambda n: len(self.directories[n]._preferred))
+        self.reader, self.follower, self.last = ranked
+
+    def run(self, steps):
+        async def main():
+            async with anyio.create_task_group() as group:
+                for name in NAMES:
+                    FleetViewUpdater(self.contexts[name], self.relayed[name]).start(
+                        group
+                    )
+                await steps(self)
+                group.cancel_scope.cancel()
+
+        run_with_clock(self.clock, main)
+        return self
+
+    def view(self, name):
+        return self.contexts[name].view
+
+
+async def wait(fleet, seconds=10.0):
+    await fleet.clock.sleep(seconds)
+
+
+def test_most_calls_of_the_store_are_made_by_one_gateway():
+    with_exchange = Fleet().run(lambda fleet: wait(fleet, 30.0))
+    without = Fleet(exchange=False).run(lambda fleet: wait(fleet, 30.0))
+    calls = {name: source.calls for name, source in with_exchange.sources.items()}
+    total = sum(calls.values())
+    assert total < 0.5 * sum(source.calls for source in without.sources.values())
+    assert calls[with_exchange.reader] > 0.7 * total
+
+
+def test_a_gateway_orders_the_others_as_they_order_it():
+    fleet = Fleet()
+    preferred = [[e.name for e in d._preferred] for d in fleet.directories.values()]
+    assert sorted(map(len, preferred)) == [0, 1, 2]
+    far = GatewayDirectory(
+        entry("n9", "other"), None, fleet.clock, random.Random(1), ServedMetrics()
+    )
+    far.update(fleet.store.entries)
+    assert far.peers_to_ask() == []
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_a_new_configuration_is_in_force_everywhere_within_its_bound(name):
+    async def steps(fleet):
+        await wait(fleet, 5.0)
+        fleet.store.version = 2
+        await wait(fleet, BOUNDS.config_apply_s)
+
+    assert Fleet().run(steps).view(name).table.version == 2
+
+
+def test_changes_of_replicas_are_relayed_within_their_bound():
+    async def steps(fleet):
+        await wait(fleet, 5.0)
+        calls = fleet.sources[fleet.last].calls
+        fleet.store.number += 1
+        leaving = Change("i-1", record(draining=True))
+        fleet.store.events.append((fleet.store.number, leaving))
+        await wait(fleet, 0.5 * BOUNDS.replica_drain_s)
+        assert not fleet.view(fleet.last).usable("i-1.0")
+        assert fleet.sources[fleet.last].calls == calls
+
+    Fleet().run(steps)
+
+
+@pytest.mark.parametrize("fault", ["killed", "cut", "frozen"])
+def test_a_lost_reader_costs_no_proof(fault):
+    """Proofs of the other gateways never grow too old to accept a key."""
+    ages = []
+
+    async def steps(fleet):
+        await wait(fleet, 5.0)
+        if fault == "cut":
+            fleet.sources[fleet.reader].cut = True
+        else:
+            fleet.network.unreachable.add(fleet.reader)
+        for _ in range(100):
+            await wait(fleet, 0.1)
+            for name in (fleet.follower, fleet.last):
+                ages.append(fleet.view(name).confirmed_age_s)
+
+    Fleet().run(steps)
+    assert max(ages) < 2.5
+
+
+@pytest.mark.parametrize("fault", ["killed", "cut"])
+def test_a_lost_reader_delays_no_departure_of_a_replica(fault):
+    async def steps(fleet):
+        await wait(fleet, 5.03)
+        if fault == "cut":
+            fleet.sources[fleet.reader].cut = True
+        else:
+            fleet.network.unreachable.add(fleet.reader)
+        fleet.store.number += 1
+        leaving = Change("i-1", record(draining=True))
+        fleet.store.events.append((fleet.store.number, leaving))
+        await wait(fleet, BOUNDS.replica_drain_s - 0.3)
+        for name in (fleet.follower, fleet.last):
+            assert not fleet.view(name).usable("i-1.0")
+
+    Fleet().run(steps)
+
+
+def test_a_slow_link_makes_a_proof_older_and_not_younger():
+    async def steps(fleet):
+        fleet.network.delays = dict.fromkeys(NAMES, 0.25)
+        await wait(fleet, 5.0)
+        for _ in range(30):
+            await wait(fleet, 0.1)
+            reader, last = fleet.view(fleet.reader), fleet.view(fleet.last)
+            assert last._confirmed_at <= reader._confirmed_at
+
+    Fleet().run(steps)
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"",
+        b"\xc1",
+        b"x" * 100_000,
+        b"\x91" * 100_000,
+        msgspec.msgpack.encode({"era": 1, "version": 1, "age_s": -5.0}),
+        msgspec.msgpack.encode({"era": 1, "version": 1, "age_s": float("nan")}),
+        msgspec.msgpack.encode({"era": 1, "version": 1, "age_s": 99.0}),
+        msgspec.msgpack.encode({"era": 1, "version": 99, "age_s": 0.0}),
+        msgspec.msgpack.encode({"era": 0, "version": 1, "age_s": 0.0}),
+        msgspec.msgpack.encode({"number": 99, "age_s": 0.0, "changes": [["i-1"]]}),
+        msgspec.msgpack.encode({"version": "1"}),
+    ],
+)
+def test_nothing_is_believed_of_a_peer_that_answers_nonsense(reply):
+    async def steps(fleet):
+        await wait(fleet, 3.0)
+        fleet.network.replies = dict.fromkeys(NAMES, reply)
+        calls = fleet.sources[fleet.last].calls
+        await wait(fleet, 5.0)
+        view = fleet.view(fleet.last)
+        assert fleet.sources[fleet.last].calls > calls
+        assert (view.table.version, view.usable("i-1.0")) == (1, True)
+        assert view.confirmed_age_s < 1.5
+
+    Fleet().run(steps)
+
+
+@pytest.mark.parametrize(
+    ("path", "query"),
+    [
+        ("/relay/other", b""),
+        (CHANGES_PATH, b""),
+        (CHANGES_PATH, b"part=replicas&era=1&number=x&timeout_ms=0"),
+        (CHANGES_PATH, b"part=replicas&era=1&number=" + b"9" * 5000 + b"&timeout_ms=0"),
+        (CHANGES_PATH, b"part=secrets&era=1&number=1&timeout_ms=0"),
+        (CHANGES_PATH, b"\xff\xfe"),
+        (CHANGES_PATH, b"part=replicas&era=1&number=1&timeout_ms=0"),
+        (CONFIGURATION_PATH, b""),
+    ],
+)
+def test_a_call_that_cannot_be_answered_gets_no_body(path, query):
+    fleet = Fleet()
+    server = fleet.network.servers["n1"]
+    assert run_with_clock(fleet.clock, server.answer, path, query) is None
+
+
+def test_a_peer_that_failed_is_left_alone_for_a_while():
+    fleet = Fleet()
+    directory = fleet.directories[fleet.last]
+    first, second = directory.peers_to_ask()
+    directory.record_failure(first)
+    assert directory.peers_to_ask() == [second]
+    fleet.clock.advance(FAILED_PEER_PAUSE_S)
+    assert directory.peers_to_ask() == [first, second]
+
+
+def test_few_peers_are_asked_before_the_store():
+    fleet = Fleet()
+    directory = fleet.directories[fleet.last]
+    directory.update([entry(f"n{n}") for n in range(1, 200)])
+    assert len(directory.peers_to_ask()) <= MAX_PEERS_ASKED
+
+
+def test_an_entry_that_the_store_lost_is_written_again():
+    fleet = Fleet()
+    directory = fleet.directories["n1"]
+    directory.update(fleet.store.entries)
+    assert directory._registered
+    directory.update([])
+    assert not directory._registered
+
+
+@pytest.mark.parametrize(
+    ("after", "names"),
+    [
+        (StoreRevision(1, 5), None),
+        (StoreRevision(1, 10), ["b", "a"]),
+        (StoreRevision(1, 11), ["b", "a"]),
+        (StoreRevision(1, 12), ["a"]),
+        (StoreRevision(1, 14), []),
+        (StoreRevision(1, 99), []),
+        (StoreRevision(2, 12), None),
+        (StoreRevision(0, 12), None),
+    ],
+)
+def test_a_change_log_returns_the_last_change_of_each_item(after, names):
+    log = ChangeLog(FakeClock())
+    log.restart(StoreRevision(1, 10), 1000.0)
+    first = [Change("a", 1), Change("b", 2)]
+    log.append(Changes(first, StoreRevision(1, 12)), 1000.0)
+    log.append(Changes([Change("a", None)], StoreRevision(1, 14)), 1000.0)
+    found = log.changes_after(after)
+    assert (found and sorted(c.name for c in found.changes)) == (
+        names and sorted(names)
+    )
+    if found is not None:
+        assert all(c.item is None for c in found.changes if c.name == "a")
+        assert found.revision >= StoreRevision(1, 14)
+
+
+def test_a_change_log_is_bounded_and_drops_whole_batches():
+    log = ChangeLog(FakeClock())
+    log.restart(StoreRevision(1, 0), 1000.0)
+    for number in range(1, LOGGED_CHANGES_LIMIT):
+        batch = [Change(f"{number}/{i}", number) for i in range(3)]
+        log.append(Changes(batch, StoreRevision(1, number)), 1000.0)
+    assert len(log._entries) <= LOGGED_CHANGES_LIMIT
+    assert len(log._entries) % 3 == 0
+    assert log.changes_after(StoreRevision(1, 1)) is None
+    kept = log.changes_after(log._start)
+    assert len(kept.changes) == len(log._entries)
+
+
+def test_roll_outs_and_replicas_survive_the_relay():
+    fleet = Fleet()
+    context = fleet.contexts["n1"]
+    context.view.update_table(table(1))
+    context.view.confirm_table(1, fleet.clock.monotonic())
+    for part, item in (
+        ("replicas", record(started_ms=7)),
+        ("rollouts", rollout(RolloutState.RUNNING, stage=1)),
+    ):
+        log = context.change_logs[part]
+        log.restart(StoreRevision(1, 10), fleet.clock.monotonic())
+        batch = [Change("x", item), Change("y", None)]
+        revision = StoreRevision(1, 12)
+        log.append(Changes(batch, revision), fleet.clock.monotonic())
+        relayed = fleet.relayed[fleet.last]
+        fleet.network.servers = dict.fromkeys(NAMES, fleet.network.servers["n1"])
+        collection = getattr(relayed, part)
+        found = run_with_clock(fleet.clock, collection.watch, StoreRevision(1, 10), 1.0)
+        assert found.changes == batch
+        assert found.revision == revision
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["wait", "withdraw", "cut", "mend", "silence", "slow"]),
+        st.sampled_from(NAMES),
+        st.floats(0.01, 1.5),
+    ),
+    max_size=14,
+)
+
+
+def withdrawn_version_is_accepted_late(events):
+    """Return whether a gateway proves keys by a configuration withdrawn too long ago.
+
+    :param events: interleaving of reads, relays, pauses, cuts and withdrawals.
+    """
+    withdrawn_at = {}
+    late = []
+
+    def check(fleet):
+        now = fleet.clock.monotonic()
+        for name in NAMES:
+            view = fleet.view(name)
+            if view.table is None:
+                continue
+            if view.confirmed_age_s >= BOUNDS.key_max_config_age_s:
+                continue
+            changed_at = withdrawn_at.get(view.table.version)
+            if changed_at is not None and now - changed_at > BOUNDS.key_withdrawal_s:
+                late.append(name)
+
+    async def steps(fleet):
+        await wait(fleet, 3.0)
+        for kind, name, seconds in events:
+            if kind == "withdraw":
+                withdrawn_at[fleet.store.version] = fleet.clock.monotonic()
+                fleet.store.version += 1
+            elif kind in ("cut", "mend"):
+                fleet.sources[name].cut = kind == "cut"
+                fleet.network.unreachable.discard(name)
+            elif kind == "silence":
+                fleet.network.unreachable.add(name)
+            elif kind == "slow":
+                fleet.network.delays[name] = seconds
+            for _ in range(int(seconds * 5) + 1):
+                await wait(fleet, 0.2)
+                check(fleet)
+        for _ in range(30):
+            await wait(fleet, 0.2)
+            check(fleet)
+
+    Fleet().run(steps)
+    return bool(late)
+
+
+@seed(20261204)
+@settings(max_examples=40, deadline=None, derandomize=True, database=None)
+@given(EVENTS)
+def test_no_interleaving_keeps_a_withdrawn_key_past_its_bound(events):
+    assert not withdrawn_version_is_accepted_late(events)
+
+
+CUT_AND_SLOW = [
+    ("cut", "n1", 0.1),
+    ("cut", "n2", 0.1),
+    ("cut", "n3", 0.1),
+    ("withdraw", "n1", 1.5),
+    ("wait", "n1", 1.5),
+    ("wait", "n1", 1.5),
+    ("wait", "n1", 1.5),
+]
+
+
+def test_a_relay_that_drops_ages_would_keep_a_withdrawn_key(monkeypatch):
+    assert not withdrawn_version_is_accepted_late(CUT_AND_SLOW)
+    read_table = RelayedSource.read_table
+
+    async def drop_age(self):
+        return (await read_table(self))._replace(age_s=1e-9)
+
+    answers = PeerClient.answers
+
+    def accept_any_age(self, path, answer_type, max_age_s, *args):
+        return answers(self, path, answer_type, 1e9, *args)
+
+    monkeypatch.setattr(RelayedSource, "read_table", drop_age)
+    monkeypatch.setattr(RelayServer, "_reaches_store", True)
+    monkeypatch.setattr(PeerClient, "answers", accept_any_age)
+    assert withdrawn_version_is_accepted_late(CUT_AND_SLOW)
--- a/tests/test_served_metrics.py
+++ b/tests/test_served_metrics.py
@@ -22,6 +22,21 @@
     *(ROOT / "packages/node/src/lentilshore_node").rglob("*.py"),
     *(ROOT / "platform/src/lentilshore_platform").glob("*.py"),
 ]
+NODE = ROOT / "packages/node/src/lentilshore_node"
+# Modules that run in a gateway, whose metrics are served and not sent.
+GATEWAY_SOURCE = "\n".join(
+    path.read_text()
+    for path in [
+        *NODE.glob("state/fleet_*.py"),
+        *NODE.glob("callers/*gateway*.py"),
+        NODE / "callers/caller_protocol.py",
+        NODE / "delivery/delivery.py",
+        *NODE.glob("peers/gateway_*.py"),
+        NODE / "peers/relay.py",
+        *(ROOT / "platform/src/lentilshore_platform").glob("*.py"),
+    ]
+)
+COUNTED_NAMES = sorted(set(re.findall(r'count\("([^"{]+)"', GATEWAY_SOURCE)))
 SOURCE = "\n".join(path.read_text() for path in SOURCE_FILES)
 
 
@@ -57,6 +72,11 @@
     ServedMetrics().count(name)
 
 
+@pytest.mark.parametrize("name", COUNTED_NAMES)
+def test_every_counter_in_the_source_has_a_metric_family(name):
+    ServedMetrics().count(name)
+
+
 @pytest.mark.parametrize("change", StateChange)
 def test_every_state_change_is_recorded_somewhere(change):
     assert f"StateChange.{change.name}" in SOURCE
