--- a/bench/run.py
+++ b/bench/run.py
@@ -11,6 +11,7 @@
 
 from .cascades import bench_cascades
 from .decisions import bench_decisions
+from .escalations import bench_escalations
 from .fleet import bench_fleet
 from .limits import bench_limits
 from .placements import bench_placements
@@ -108,6 +109,7 @@
 def _run_seeded(seeds: Sequence[int], size: RunSize) -> dict[str, float]:
     return {
         **bench_cascades(seeds, size.trace_requests),
+        **bench_escalations(seeds, size.trace_requests),
         **bench_rollouts(seeds, size.rollouts),
         **bench_placements(seeds, size.placement_s),
         **bench_limits(seeds, size.retry_requests),
