Prefer one replica for each prefix, also where this node never sent it there

Cause: a node knows only its own requests, a seventh or a seventy-ninth of all; without a known cache it chose among three replicas of the ring and two others by load alone, so that shared prompts were read at many replicas. Change: the first usable replica after the prefix on the hash ring, which all nodes compute alike, counts as holding it.

--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -234,9 +234,12 @@
         if not candidates:
             return None
         batch = priority is Priority.BATCH
+        home = self._home_replica(replica_group, prefix, excluded)
         replica = min(
             candidates,
-            key=lambda item: self._score(item, work_tokens, prefix, priority),
+            key=lambda item: self._score(
+                item, work_tokens, prefix, priority, item.name == home
+            ),
         )
         state = self._states[replica.name]
         now = self._clock.monotonic()
@@ -420,17 +423,34 @@
         usable = usable or [i for i in group.replicas if self._usable(i, excluded)]
         return usable or [i for i in group.replicas if i.name not in excluded]
 
+    def _home_replica(self, group: _Group, prefix: str, excluded: Sequence[str]) -> str:
+        """Return the name of the replica that all nodes prefer for a prefix, or "".
+
+        It is likely to have the prefix cached, also if this node never sent it there.
+        """
+        if not prefix:
+            return ""
+        for replica in group.ring_successors(prefix, AFFINITY_CANDIDATES):
+            if self._usable(replica, excluded):
+                return replica.name
+        return ""
+
     def _usable(self, replica: Replica, excluded: Sequence[str]) -> bool:
         if replica.name in excluded:
             return False
         return self._states[replica.name].ejected_until <= self._clock.monotonic()
 
     def _score(
-        self, replica: Replica, work_tokens: float, prefix: str, priority: Priority
+        self,
+        replica: Replica,
+        work_tokens: float,
+        prefix: str,
+        priority: Priority,
+        is_home: bool,
     ) -> float:
         state = self._states[replica.name]
         load = self._estimated_load(state)
-        if prefix and prefix not in state.cached_prefixes:
+        if prefix and not is_home and prefix not in state.cached_prefixes:
             load += work_tokens
         if priority is Priority.BATCH:
             load += state.batch_in_flight * TOKENS_PER_BATCH_REQUEST
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -17,8 +17,8 @@
     return FakeClock()
 
 
-def create_placement(clock, names=("a", "b"), data_centre=""):
-    placement = Placement("n", clock, random.Random(1), data_centre)
+def create_placement(clock, names=("a", "b"), data_centre="", seed=1):
+    placement = Placement("n", clock, random.Random(seed), data_centre)
     placement.update(
         Replica(name, "forward", Address("10.0.0.1", 1), f"dc-{name}", ("g",))
         for name in names
@@ -60,6 +60,45 @@
     assert chosen_replicas(placement) == {"a", "b"}
 
 
+def test_nodes_that_know_nothing_of_each_other_send_a_prefix_to_one_replica(clock):
+    """Each of many nodes sees a prefix once; the replicas still get it cached."""
+    names = [f"r{number:02d}" for number in range(40)]
+    chosen = set()
+    for seed in range(30):
+        placement = create_placement(clock, names, seed=seed)
+        chosen.add(placement.choose("g", 10.0, "model/subject-7").replica.name)
+    assert len(chosen) == 1
+
+
+def test_different_prefixes_are_spread_over_the_replicas(clock):
+    names = [f"r{number:02d}" for number in range(40)]
+    placement = create_placement(clock, names)
+    chosen = {
+        placement.choose("g", 10.0, f"model/subject-{number}").replica.name
+        for number in range(200)
+    }
+    assert len(chosen) > 30
+
+
+def test_a_loaded_replica_is_not_preferred_for_its_prefixes(clock):
+    placement = create_placement(clock, [f"r{number:02d}" for number in range(40)])
+    home = placement.choose("g", 10.0, "model/subject-7").replica.name
+    assert placement.choose("g", 10.0, "model/subject-7").replica.name == home
+    assert placement.choose("g", 10.0, "model/subject-7").replica.name != home
+
+
+def test_the_next_replica_on_the_ring_replaces_one_that_is_ejected(clock):
+    names = [f"r{number:02d}" for number in range(40)]
+    chosen = set()
+    for seed in range(10):
+        placement = create_placement(clock, names, seed=seed)
+        lease = placement.choose("g", 10.0, "model/subject-7")
+        placement.release(lease, True, unreachable=True)
+        chosen.add(placement.choose("g", 10.0, "model/subject-7").replica.name)
+    assert len(chosen) == 1
+    assert lease.replica.name not in chosen
+
+
 def test_a_timeout_does_not_shorten_the_ejection_for_failures(clock):
     placement = create_placement(clock)
     leases = [take_lease(placement, "a") for _ in range(6)]
