--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -17,8 +17,10 @@
 # The first list follows when gateways that started together have registered.
 FIRST_LIST_DELAY_S = 2.0
 LIST_INTERVAL_S = 20.0
-# A gateway that did not answer is not asked again for this time.
+# A gateway that did not answer is not asked again for this time, which doubles with each
+# further failure: entries of instances that were removed stay in the store.
 FAILED_PEER_PAUSE_S = 3.0
+MAX_FAILED_PEER_PAUSE_S = 60.0
 # A gateway asks this many others in turn before it calls the store itself.
 MAX_PEERS_ASKED = 2
 
@@ -53,6 +55,7 @@
         self._preferred: list[GatewayEntry] = []
         self._registered = False
         self._paused_until: dict[str, float] = {}
+        self._consecutive_failures: dict[str, int] = {}
 
     def peers_to_ask(self, limit: int = MAX_PEERS_ASKED) -> list[GatewayEntry]:
         """Return the gateways to ask instead of the store, best first.
@@ -70,7 +73,17 @@
     def record_failure(self, peer: GatewayEntry) -> None:
         """Record that a gateway did not answer, or knows less than this one."""
         self._metrics.count("relay.peer_failed")
-        self._paused_until[peer.name] = self._clock.monotonic() + FAILED_PEER_PAUSE_S
+        failures = self._consecutive_failures.get(peer.name, 0)
+        self._consecutive_failures[peer.name] = failures + 1
+        # The exponent is bounded, since the power is.
+        pause_s = FAILED_PEER_PAUSE_S * 2 ** min(failures, 16)
+        self._paused_until[peer.name] = self._clock.monotonic() + min(
+            MAX_FAILED_PEER_PAUSE_S, pause_s
+        )
+
+    def record_answer(self, peer: GatewayEntry) -> None:
+        """Record that a gateway has answered."""
+        self._consecutive_failures.pop(peer.name, None)
 
     async def run(self) -> None:
         """Register this gateway and keep the list up to date until cancelled."""
@@ -98,10 +111,9 @@
         ordered = sorted(nearby, key=lambda entry: (_rank(entry), entry.name))
         own_rank = (_rank(self._own), self._own.name)
         self._preferred = [e for e in ordered if (_rank(e), e.name) < own_rank]
-        known = {entry.name for entry in entries}
-        self._paused_until = {
-            name: until for name, until in self._paused_until.items() if name in known
-        }
+        for name in self._paused_until.keys() - {entry.name for entry in entries}:
+            del self._paused_until[name]
+            self._consecutive_failures.pop(name, None)
 
 
 def _rank(entry: GatewayEntry) -> float:
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -182,6 +182,7 @@
             if answer is None or not 0.0 <= answer.age_s <= max_age_s:
                 self._directory.record_failure(peer)
                 continue
+            self._directory.record_answer(peer)
             self._metrics.count("relay.answered")
             yield answer
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -22,6 +22,7 @@
 from lentilshore_node.clients.http_client import CallTimedOutError, HttpAnswer
 from lentilshore_node.peers.gateway_directory import (
     FAILED_PEER_PAUSE_S,
+    MAX_FAILED_PEER_PAUSE_S,
     MAX_PEERS_ASKED,
     GatewayDirectory,
 )
@@ -346,6 +347,25 @@
     assert directory.peers_to_ask() == [first, second]
 
 
+def test_a_removed_peer_is_asked_ever_more_rarely():
+    fleet = Fleet()
+    directory = fleet.directories[fleet.last]
+    first, second = directory.peers_to_ask()
+    for _ in range(60):
+        directory.record_failure(first)
+    fleet.clock.advance(MAX_FAILED_PEER_PAUSE_S - 0.1)
+    assert directory.peers_to_ask() == [second]
+    fleet.clock.advance(0.2)
+    directory.record_answer(first)
+    directory.record_failure(first)
+    fleet.clock.advance(FAILED_PEER_PAUSE_S)
+    assert directory.peers_to_ask() == [first, second]
+    directory.record_failure(first)
+    directory.update([entry(second.name)])
+    directory.update(fleet.store.entries)
+    assert directory.peers_to_ask() == [first, second]
+
+
 def test_few_peers_are_asked_before_the_store():
     fleet = Fleet()
     directory = fleet.directories[fleet.last]
