--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -17,8 +17,8 @@
 # The first list follows when gateways that started together have registered.
 FIRST_LIST_DELAY_S = 2.0
 LIST_INTERVAL_S = 20.0
-# A gateway that did not answer is not asked again for this time, which doubles with each
-# further failure: entries of instances that were removed stay in the store.
+# A gateway that did not answer is not asked again for this time. It doubles with each
+# further failure, since entries of removed instances stay in the store.
 FAILED_PEER_PAUSE_S = 3.0
 MAX_FAILED_PEER_PAUSE_S = 60.0
 # A gateway asks this many others in turn before it calls the store itself.
