Split roll-outs' progress and replicas' departures off the fleet view

Change: rollout_progress.py and replica_record.py; no behaviour is changed. Result: 346 tests of the modules concerned pass.

--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -28,7 +28,6 @@
     TableReading,
 )
 from ..clients.http_client import CallBrokenError, CallNotSentError, HttpClient
-from ..state.fleet_view import ReplicaRecord
 from ..state.fleet_view_updater import READ_INTERVAL_SHARE, WATCH_WAIT_S
 from ..state.gateway_context import (
     REPLICAS_PART,
@@ -36,6 +35,7 @@
     GatewayBounds,
     GatewayContext,
 )
+from ..state.replica_record import ReplicaRecord
 from .gateway_directory import MAX_PEERS_ASKED, GatewayDirectory
 
 T = TypeVar("T")
--- a/packages/node/src/lentilshore_node/state/fleet_view.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view.py
@@ -2,55 +2,21 @@
 
 from __future__ import annotations
 
-import math
-from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from functools import partial
-from typing import NamedTuple
 
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.metrics import Metrics, record_state_change
 from lentilshore_kernel.types import StateChange
-from lentilshore_routing.observations import merge_observations
-from lentilshore_routing.placement import Placement, Replica
+from lentilshore_routing.placement import Placement
 from lentilshore_routing.rollout_record import Rollout, allowed_versions
 from lentilshore_routing.routes import RouteTable
 
+from .replica_record import DepartureLog, ReplicaRecord
+from .rollout_progress import RolloutProgress
+
 # A replica that a restored store no longer lists registers again within two seconds.
 RESTORED_REPLICA_GRACE_S = 2.5
-# A restored store may lack a roll-out until the operators' system orders it again.
-KEPT_ROLLOUT_S = 10.0
-# Replicas that have left are remembered, since a restored store may list them again.
-DEPARTED_REPLICAS_LIMIT = 1024
-
-
-class KeptRollout(NamedTuple):
-    """A roll-out that a restored store lacks and that stays in force for a while.
-
-    :param until: monotonic time at which the store's record takes its place, seconds.
-    :param stored: the store's record for the same service, None if there is none.
-    """
-
-    until: float
-    stored: Rollout | None
-
-
-class ReplicaRecord(NamedTuple):
-    """A replica as registered in the store.
-
-    :param identity: identifier of the process.
-    :param started_ms: start of the process, milliseconds since the Unix epoch;
-        distinguishes restarts under the same identifier. 0 if not known.
-    :param service: service that the process serves.
-    :param version: version of the process's software.
-    :param replica: the replica as passed to placement.
-    """
-
-    identity: str
-    started_ms: int
-    service: str
-    version: str
-    replica: Replica
 
 
 class FleetView:
@@ -78,17 +44,10 @@
         self._records: dict[str, ReplicaRecord] = {}
         # Monotonic time until which each vanished replica is kept, by identity.
         self._vanished_until: dict[str, float] = {}
-        self._rollouts: dict[str, Rollout] = {}
+        self._rollouts = RolloutProgress(clock, metrics)
         # Era of the store in which the replicas were listed last.
         self._replica_era = 0
-        # Era in which each replica began to leave, by identity and start time.
-        self._departure_eras: OrderedDict[tuple[str, int], int] = OrderedDict()
-        self._kept_rollouts: dict[str, KeptRollout] = {}
-        # Era into which a roll-out's progress was carried over, by service. In that
-        # era its progress does not go back.
-        self._carried_eras: dict[str, int] = {}
-        # Services whose stored roll-out lacks progress that this view has.
-        self._unwritten: set[str] = set()
+        self._departures = DepartureLog()
         self._replicas_read = False
         self._started_at = clock.monotonic()
         # Number of non-draining replicas by service and version.
@@ -105,7 +64,7 @@
     @property
     def rollouts(self) -> Mapping[str, Rollout]:
         """Roll-outs by service."""
-        return self._rollouts
+        return self._rollouts.by_service
 
     @property
     def complete(self) -> bool:
@@ -176,7 +135,7 @@
         """
         restored = self._replicas_read and era > self._replica_era
         self._replica_era = era
-        listed = {r.identity: self._apply_departure(r, era) for r in records}
+        listed = {r.identity: self._departures.apply(r, era) for r in records}
         grace_s = self._vanished_grace_s
         if restored:
             grace_s = max(grace_s, RESTORED_REPLICA_GRACE_S)
@@ -190,9 +149,9 @@
     def update_replica(self, record: ReplicaRecord) -> None:
         """Add or replace one replica after a change of its record in the store."""
         if record.replica.draining:
-            self._record_departure(record, self._replica_era)
+            self._departures.record(record, self._replica_era)
         else:
-            self._departure_eras.pop((record.identity, record.started_ms), None)
+            self._departures.forget(record)
         self._store_record(record)
         self._update_placement()
 
@@ -206,70 +165,31 @@
             self._update_placement()
 
     def replace_rollouts(self, rollouts: Iterable[Rollout], era: int = 0) -> None:
-        """Replace all roll-outs; a known one at a newer revision is kept.
-
-        A roll-out of an earlier era that the store lacks, or has another order for, is
-        kept for :data:`KEPT_ROLLOUT_S`: without it, its version would be allowed again.
+        """Replace all roll-outs, see :meth:`RolloutProgress.replace`.
 
         :param era: era of the store in which the roll-outs were listed.
         """
-        listed = {rollout.service: rollout for rollout in rollouts}
-        for known in list(self._rollouts.values()):
-            stored = listed.get(known.service)
-            if stored is not None and stored.same_order(known):
-                continue
-            if era > known.revision.era:
-                self._keep_rollout(known, stored)
-                listed.pop(known.service, None)
-            elif stored is None:
-                self.remove_rollout(known.service)
-        for rollout in listed.values():
-            self.update_rollout(rollout)
+        self._rollouts.replace(rollouts, era)
+        self._update_placement()
 
     def update_rollout(self, rollout: Rollout) -> None:
-        """Add or replace one roll-out unless the known one is at least as new.
-
-        The progress of an order that was known in an earlier era is carried over.
-        """
-        known = self._rollouts.get(rollout.service)
-        if known is not None and known.revision >= rollout.revision:
-            return
-        self._kept_rollouts.pop(rollout.service, None)
-        rollout = self._carry_over(known, rollout)
-        self._rollouts[rollout.service] = rollout
-        self._log_change(
-            StateChange.ROLLOUT_SEEN,
-            service=rollout.service,
-            candidate=rollout.candidate,
-            state=rollout.state or "ordered",
-            stage=rollout.stage,
-            revision=rollout.revision,
-            **_evidence_fields(rollout),
-        )
-        self._update_placement()
+        """Add or replace one roll-out unless the known one is at least as new."""
+        if self._rollouts.update(rollout):
+            self._update_placement()
 
     def remove_rollout(self, service: str) -> None:
         """Remove the roll-out of a service, if one is known."""
-        self._kept_rollouts.pop(service, None)
-        self._carried_eras.pop(service, None)
-        self._unwritten.discard(service)
-        if self._rollouts.pop(service, None) is not None:
-            self._log_change(StateChange.ROLLOUT_GONE, service=service)
+        if self._rollouts.remove(service):
             self._update_placement()
 
     def has_unwritten_progress(self, service: str) -> bool:
         """Return whether the store lacks progress of a service's roll-out."""
-        return service in self._unwritten and service not in self._kept_rollouts
+        return self._rollouts.has_unwritten_progress(service)
 
     def expire_kept_rollouts(self) -> None:
         """Replace kept roll-outs by the store's records once their time has passed."""
-        now = self._clock.monotonic()
-        for service, kept in list(self._kept_rollouts.items()):
-            if kept.until > now:
-                continue
-            self.remove_rollout(service)
-            if kept.stored is not None:
-                self.update_rollout(kept.stored)
+        if self._rollouts.expire_kept():
+            self._update_placement()
 
     def expire_vanished_replicas(self) -> None:
         """Remove replicas whose grace period after vanishing has ended."""
@@ -282,7 +202,7 @@
         for identity in expired:
             del self._vanished_until[identity]
             record = self._records.pop(identity)
-            self._record_departure(record, self._replica_era)
+            self._departures.record(record, self._replica_era)
             self._log_change(
                 StateChange.REPLICA_GONE, replica=identity, service=record.service
             )
@@ -328,56 +248,10 @@
         )
         if record.replica.draining:
             del self._records[identity]
-            self._record_departure(record, self._replica_era)
+            self._departures.record(record, self._replica_era)
             return
         self._vanished_until[identity] = self._clock.monotonic() + grace_s
 
-    def _record_departure(self, record: ReplicaRecord, era: int) -> None:
-        self._departure_eras[record.identity, record.started_ms] = era
-        if len(self._departure_eras) > DEPARTED_REPLICAS_LIMIT:
-            self._departure_eras.popitem(last=False)
-
-    def _apply_departure(self, record: ReplicaRecord, era: int) -> ReplicaRecord:
-        """Return a listed replica, as draining if it left in an earlier era."""
-        if record.replica.draining:
-            self._record_departure(record, era)
-            return record
-        key = record.identity, record.started_ms
-        if self._departure_eras.get(key, era) >= era:
-            self._departure_eras.pop(key, None)
-            return record
-        return record._replace(replica=record.replica._replace(draining=True))
-
-    def _keep_rollout(self, known: Rollout, stored: Rollout | None) -> None:
-        kept = self._kept_rollouts.get(known.service)
-        until = self._clock.monotonic() + KEPT_ROLLOUT_S
-        if kept is None:
-            self._log_change(
-                StateChange.ROLLOUT_KEPT,
-                service=known.service,
-                candidate=known.candidate,
-                stored=stored.candidate if stored else "-",
-            )
-        self._kept_rollouts[known.service] = KeptRollout(
-            kept.until if kept else until, stored
-        )
-
-    def _carry_over(self, known: Rollout | None, stored: Rollout) -> Rollout:
-        """Return a stored roll-out with the progress made in an earlier era."""
-        service = stored.service
-        self._unwritten.discard(service)
-        if known is None or not stored.same_order(known):
-            self._carried_eras.pop(service, None)
-            return stored
-        if stored.revision.era > known.revision.era:
-            self._carried_eras[service] = stored.revision.era
-        if self._carried_eras.get(service) != stored.revision.era:
-            return stored
-        if stored.progress >= known.progress:
-            return stored
-        self._unwritten.add(service)
-        return known._replace(revision=stored.revision)
-
     def _update_placement(self) -> None:
         self._placement.update(record.replica for record in self._records.values())
         versions: dict[str, dict[str, int]] = {}
@@ -394,20 +268,6 @@
         }
 
     def _is_version_allowed(self, record: ReplicaRecord) -> bool:
-        rollout = self._rollouts.get(record.service)
+        rollout = self.rollouts.get(record.service)
         versions = self._version_counts[record.service]
         return record.version in allowed_versions(rollout, versions)
-
-
-def _evidence_fields(rollout: Rollout) -> dict[str, str]:
-    """Return the evidence of a roll-out as fields of a log line."""
-    sums = merge_observations(rollout.observations.values())
-    excess = sums.log_latencies.mean - sums.base_log_latencies.mean
-    return {
-        "errors": f"{sums.errors.bad}/{sums.errors.total}",
-        "base_errors": f"{sums.base_errors.bad}/{sums.base_errors.total}",
-        "times_as_long": f"{math.exp(excess):.2f}",
-        "spread": f"{sums.log_latencies.variance**0.5:.2f}/"
-        f"{sums.base_log_latencies.variance**0.5:.2f}",
-        "timed": f"{sums.log_latencies.count}/{sums.base_log_latencies.count}",
-    }
--- a/packages/node/src/lentilshore_node/state/fleet_view_updater.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view_updater.py
@@ -14,8 +14,8 @@
 from lentilshore_routing.rollout_record import Rollout
 
 from ..clients.fleet_source import Collection, FleetSource
-from .fleet_view import ReplicaRecord
 from .gateway_context import REPLICAS_PART, ROLLOUTS_PART, GatewayContext
+from .replica_record import ReplicaRecord
 
 # Interval between configuration reads, as a share of the time within which a new
 # configuration must be in force. It is below one half, so that the limit is met even if
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -5,7 +5,8 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address, StoreRevision
-from lentilshore_node.state.fleet_view import FleetView, ReplicaRecord
+from lentilshore_node.state.fleet_view import FleetView
+from lentilshore_node.state.replica_record import ReplicaRecord
 from lentilshore_routing.placement import Placement, Replica
 from lentilshore_routing.rollout_record import Rollout, RolloutState
 from lentilshore_routing.routes import CallerLimits, RouteTable
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,8 +13,8 @@
 from lentilshore_node.callers.gateway import GatewayApplication
 from lentilshore_node.clients.http_client import CallTimedOutError, HttpClient
 from lentilshore_node.programs.gateway_assembly import create_gateway
-from lentilshore_node.state.fleet_view import ReplicaRecord
 from lentilshore_node.state.gateway_context import GatewayBounds
+from lentilshore_node.state.replica_record import ReplicaRecord
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing.placement import Replica
 from lentilshore_routing.routes import (
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -13,13 +13,10 @@
 from lentilshore_kernel.types import Address, StoreRevision
 from lentilshore_node.clients.http_client import HttpAnswer
 from lentilshore_node.programs.gateway_assembly import create_gateway
-from lentilshore_node.state.fleet_view import (
-    KEPT_ROLLOUT_S,
-    RESTORED_REPLICA_GRACE_S,
-    FleetView,
-)
+from lentilshore_node.state.fleet_view import RESTORED_REPLICA_GRACE_S, FleetView
 from lentilshore_node.state.fleet_view_updater import FleetViewUpdater
 from lentilshore_node.state.rollout_controller import RolloutController
+from lentilshore_node.state.rollout_progress import KEPT_ROLLOUT_S, RolloutProgress
 from lentilshore_platform.store import ObjectStoreSource, StoreClient
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.rollout_record import RolloutState
@@ -172,7 +169,7 @@
     ),
     (
         writes_an_ended_roll_out_again,
-        FleetView,
+        RolloutProgress,
         "_carry_over",
         lambda self, known, stored: stored,
     ),
