Split one HTTP connection off the client

Change: http_connection.py carries one call at a time, http_client.py keeps idle connections; renames only.

--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -17,7 +17,7 @@
 from lentilshore_routing.routes import CallerLimits
 
 from ..clients.forwarding import ForwardRequest
-from ..clients.http_client import HeaderFields
+from ..clients.http_connection import HeaderFields
 from ..delivery.delivery import Outcome
 from ..delivery.responder import (
     CLOSE_CONNECTION,
--- a/packages/node/src/lentilshore_node/clients/engine.py
+++ b/packages/node/src/lentilshore_node/clients/engine.py
@@ -14,11 +14,11 @@
 from lentilshore_routing.placement import Replica
 
 from .events import EventReader, read_usage
-from .http_client import (
+from .http_client import HttpClient
+from .http_connection import (
     CallBrokenError,
     CallNotSentError,
     CallTimedOutError,
-    HttpClient,
     Response,
 )
 from .upstreams import (
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -9,7 +9,7 @@
 from lentilshore_routing.placement import Replica
 from lentilshore_routing.routes import KeyOwner, PromptPart
 
-from .http_client import HeaderFields
+from .http_connection import HeaderFields
 
 
 class ForwardRequest(NamedTuple):
--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -1,77 +1,32 @@
-"""HTTP client with kept-alive connections.
-
-Its errors tell whether a request may have been sent.
-"""
+"""HTTP client with kept-alive connections."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
-from collections import deque
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
 
-import httptools
-
-from lentilshore_kernel.exceptions import LentilshoreError
 from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Address
 
+from .http_connection import (
+    KEEP_ALIVE_TIMEOUT_S,
+    AnswerFilter,
+    CallNotSentError,
+    Connection,
+    HeaderFields,
+    Response,
+    TimeoutExtension,
+)
+
 CONNECT_TIMEOUT_S = 1.0
-# Below the keep-alive timeouts of common servers, which start at 5 s.
-KEEP_ALIVE_TIMEOUT_S = 4.0
-# Closes a connection this long before the server would; covers the usual spread of
-# delays.
-KEEP_ALIVE_MARGIN_S = 1.0
 # Limit per server.
 MAX_IDLE_CONNECTIONS = 64
-ANSWER_LIMIT_BYTES = 16_777_216
-# Pauses reading from the socket while more than this of an answer is buffered.
-READ_BUFFER_LIMIT_BYTES = 262_144
-# Starts probing after 1 s without a byte, and ends the connection after two lost
-# probes or when bytes stay unacknowledged for 2 s. A replica that leaves must be
-# detected within 2 s.
-DEAD_PEER_OPTIONS = {
-    socket.TCP_KEEPIDLE: 1,
-    socket.TCP_KEEPINTVL: 1,
-    socket.TCP_KEEPCNT: 2,
-    socket.TCP_USER_TIMEOUT: 2000,  # milliseconds; the times above are in seconds
-}
-BODILESS_STATUSES = (204, 304)
 FORBIDDEN_HEADER_BYTES = b"\r\n\0"
 
-HeaderFields = Sequence[tuple[bytes, bytes]]
-# Tells from an answer's headers, names in lower case, whether it belongs to the call.
-AnswerFilter = Callable[[dict[str, str]], bool]
 # Returns the whole request, or raises an error so that nothing is sent.
 RequestEncoder = Callable[[], bytes]
-# Called at a timeout; returns for how many more seconds to wait, 0 to give up.
-TimeoutExtension = Callable[[], float]
-
-
-class CallNotSentError(LentilshoreError):
-    """The connection failed to open, so no byte of the request was sent."""
-
-    exit_code = 3
-
-
-class CallBrokenError(LentilshoreError):
-    """The call failed after bytes may have been sent."""
-
-    exit_code = 3
-
-
-class CallTimedOutError(CallBrokenError):
-    """The timeout passed without an answer; bytes may have been sent."""
-
-
-class CallGarbledError(CallBrokenError):
-    """The received bytes are not a valid HTTP answer."""
-
-
-class AnswerTooLargeError(CallBrokenError):
-    """The answer exceeds :data:`ANSWER_LIMIT_BYTES`."""
 
 
 class HttpAnswer(NamedTuple):
@@ -94,300 +49,11 @@
         return decode_json(self.body)
 
 
-class _Connection(asyncio.Protocol):
-    """One connection, which carries one call at a time."""
-
-    def __init__(self) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._transport: Any = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._wakeup: asyncio.Future[None] | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._error: CallBrokenError | None = None
-        self._closed = False
-        self._busy = False
-        self._reusable = True
-        self._belongs_to_call: AnswerFilter | None = None
-        self._extend_timeout: TimeoutExtension | None = None
-        self._idle_since = 0.0
-        self._keep_alive_s = KEEP_ALIVE_TIMEOUT_S
-        self._reset_answer()
-
-    @property
-    def idle_s(self) -> float:
-        """Seconds since the last call ended."""
-        return self._loop.time() - self._idle_since
-
-    @property
-    def usable(self) -> bool:
-        """Whether another call may be sent on this connection."""
-        if self._closed or not self._reusable or self._busy:
-            return False
-        return self.idle_s < self._keep_alive_s
-
-    def _reset_answer(self) -> None:
-        self._status = 0
-        self._headers: dict[str, str] = {}
-        self._fields: list[tuple[bytes, bytes]] = []
-        self._body_parts: deque[bytes] = deque()
-        self._buffered_bytes = 0
-        self._headers_done = False
-        self._answer_complete = False
-        # Whether the headers of the answer tell where its body ends.
-        self._framed = False
-        self._skipping_answer = False
-        # Whether bytes of another answer follow the complete one.
-        self._extra_answer = False
-
-    def connection_made(self, transport: Any) -> None:
-        """Store the transport and enable the detection of a dead peer."""
-        self._transport = transport
-        _enable_dead_peer_detection(transport.get_extra_info("socket"))
-
-    def data_received(self, data: bytes) -> None:
-        """Parse bytes of the answer; bytes outside an answer prevent reuse."""
-        if not self._busy or self._answer_complete:
-            self._reusable = False
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(CallGarbledError("the server switched to another protocol"))
-        except httptools.HttpParserError as error:
-            self._fail(CallGarbledError(f"not an HTTP answer: {error}"))
-        self._wake_reader()
-
-    def eof_received(self) -> bool:
-        """End an answer that has neither a length nor chunks."""
-        unframed = self._headers_done and not self._framed
-        if unframed and not self._skipping_answer:
-            self._answer_complete = True
-        return False
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Fail an unfinished call and wake its reader."""
-        self._closed = True
-        if not self._answer_complete:
-            self._fail(CallBrokenError(f"connection lost: {error or 'closed'}"))
-        self._writable.set()
-        self._wake_reader()
-
-    def pause_writing(self) -> None:
-        """Record that the write buffer is full."""
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        """Record that the write buffer has space again."""
-        self._writable.set()
-
-    def on_message_begin(self) -> None:
-        """Detect an extra answer that follows the one to the request."""
-        if self._answer_complete:
-            self._extra_answer, self._reusable = True, False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        if not self._extra_answer:
-            self._fields.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Read the status and headers of an answer, and decide whether to skip it."""
-        if self._extra_answer:
-            return
-        self._status = self._parser.get_status_code()
-        self._headers = {
-            k.decode("latin-1").lower(): v.decode("latin-1") for k, v in self._fields
-        }
-        if 100 <= self._status < 200:
-            self._fields = []
-            return
-        headers = self._headers
-        self._framed = (
-            "content-length" in headers
-            or "chunked" in headers.get("transfer-encoding", "").lower()
-            or self._status in BODILESS_STATUSES
-        )
-        if not self._framed or not self._parser.should_keep_alive():
-            self._reusable = False
-        self._apply_keep_alive(headers.get("keep-alive", ""))
-        if self._belongs_to_call is not None and not self._belongs_to_call(headers):
-            self._skipping_answer, self._reusable = True, False
-            return
-        self._headers_done = True
-
-    def on_body(self, data: bytes) -> None:
-        """Buffer a part of the body; a full buffer pauses reading."""
-        if self._skipping_answer or self._extra_answer:
-            return
-        self._body_parts.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > READ_BUFFER_LIMIT_BYTES and not self._closed:
-            self._transport.pause_reading()
-
-    def on_message_complete(self) -> None:
-        """Mark the answer as complete; one that was skipped is discarded."""
-        if self._extra_answer or 100 <= self._status < 200:
-            return
-        if self._skipping_answer:
-            self._reset_answer()
-            return
-        self._answer_complete = True
-
-    def send(
-        self,
-        data: bytes,
-        belongs_to_call: AnswerFilter | None,
-        extend_timeout: TimeoutExtension | None,
-    ) -> None:
-        """Begin a call.
-
-        :param data: the whole request.
-        :param belongs_to_call: tells from its headers whether an answer belongs to
-            the call.
-        :param extend_timeout: called at a timeout; returns how much longer to wait.
-        """
-        self._reset_answer()
-        self._parser = httptools.HttpResponseParser(self)
-        self._belongs_to_call, self._extend_timeout, self._busy = (
-            belongs_to_call,
-            extend_timeout,
-            True,
-        )
-        self._transport.write(data)
-
-    async def wait_for_head(self, timeout_s: float) -> None:
-        """Wait for the status and headers of the answer.
-
-        :raises CallBrokenError: if the connection fails or the timeout passes.
-        """
-        deadline = self._loop.time() + timeout_s
-        while not self._headers_done:
-            if self._error is not None:
-                raise self._error
-            deadline = await self._wait_for_data(deadline)
-
-    async def read_part(self, timeout_s: float) -> bytes:
-        """Return the next part of the body, empty at the end.
-
-        :raises CallBrokenError: if the connection fails or the timeout passes before
-            the end.
-        """
-        deadline = self._loop.time() + timeout_s
-        while not self._body_parts:
-            if self._answer_complete:
-                return b""
-            if self._error is not None:
-                raise self._error
-            deadline = await self._wait_for_data(deadline)
-        data = (
-            self._body_parts.popleft()
-            if len(self._body_parts) == 1
-            else b"".join(self._body_parts)
-        )
-        self._body_parts.clear()
-        self._buffered_bytes = 0
-        if not self._closed:
-            self._transport.resume_reading()
-        return data
-
-    def end_call(self) -> None:
-        """End the call; an incomplete request or answer prevents reuse."""
-        answer_consumed = (
-            self._answer_complete and not self._body_parts and self._error is None
-        )
-        self._busy = False
-        self._idle_since = self._loop.time()
-        # Until the write buffer has space again, part of the request is unsent.
-        if not answer_consumed or not self._writable.is_set():
-            self._reusable = False
-
-    def close(self) -> None:
-        """Close the connection at once."""
-        self._reusable = False
-        if self._transport is not None and not self._closed:
-            self._transport.abort()
-
-    async def _wait_for_data(self, deadline: float) -> float:
-        """Wait for data, and return the deadline, which may have been extended.
-
-        :raises CallTimedOutError: if the deadline has passed and is not extended.
-        """
-        now = self._loop.time()
-        if now >= deadline:
-            extension_s = (
-                self._extend_timeout() if self._extend_timeout is not None else 0.0
-            )
-            if extension_s <= 0:
-                self._reusable = False
-                raise CallTimedOutError("no data from the server before the timeout")
-            deadline = now + extension_s
-        self._wakeup = self._loop.create_future()
-        timer = self._loop.call_at(deadline, self._wake_reader)
-        try:
-            await self._wakeup
-        finally:
-            timer.cancel()
-            self._wakeup = None
-        return deadline
-
-    def _wake_reader(self) -> None:
-        if self._wakeup is not None and not self._wakeup.done():
-            self._wakeup.set_result(None)
-
-    def _fail(self, error: CallBrokenError) -> None:
-        self._reusable = False
-        if self._error is None:
-            self._error = error
-
-    def _apply_keep_alive(self, text: str) -> None:
-        for item in text.split(","):
-            name, _, value = item.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                limit_s = float(value) - KEEP_ALIVE_MARGIN_S
-                self._keep_alive_s = min(KEEP_ALIVE_TIMEOUT_S, max(0.0, limit_s))
-
-
-class Response:
-    """Answer whose body is read while it arrives.
-
-    :param connection: connection that receives it.
-    :param timeout_s: longest time without data from the server, seconds.
-    """
-
-    def __init__(self, connection: _Connection, timeout_s: float) -> None:
-        self._connection = connection
-        self.timeout_s = timeout_s
-        self.status = connection._status
-        self.headers = connection._headers
-        # The headers as received, in order and with those that are repeated.
-        self.fields: HeaderFields = connection._fields
-
-    async def aiter_stream(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body as they arrive."""
-        while data := await self._connection.read_part(self.timeout_s):
-            yield data
-
-    async def read(self) -> bytes:
-        """Return the whole body.
-
-        :raises AnswerTooLargeError: if it exceeds :data:`ANSWER_LIMIT_BYTES`.
-        """
-        parts = []
-        size = 0
-        async for data in self.aiter_stream():
-            size += len(data)
-            if size > ANSWER_LIMIT_BYTES:
-                raise AnswerTooLargeError(f"answer exceeds the limit at {size} bytes")
-            parts.append(data)
-        return b"".join(parts)
-
-
 class HttpClient:
     """Client for servers given by IP address and port."""
 
     def __init__(self) -> None:
-        self._idle_connections: dict[Address, list[_Connection]] = {}
+        self._idle_connections: dict[Address, list[Connection]] = {}
         self._connections_opened = 0
 
     @property
@@ -486,7 +152,7 @@
             connection.end_call()
             self._return_connection(address, connection)
 
-    def _take_idle(self, address: Address, max_idle_s: float) -> _Connection | None:
+    def _take_idle(self, address: Address, max_idle_s: float) -> Connection | None:
         idle = self._idle_connections.get(address, [])
         while idle:
             connection = idle.pop()
@@ -495,20 +161,20 @@
             connection.close()
         return None
 
-    def _return_connection(self, address: Address, connection: _Connection) -> None:
+    def _return_connection(self, address: Address, connection: Connection) -> None:
         idle = self._idle_connections.setdefault(address, [])
         if not connection.usable or len(idle) >= MAX_IDLE_CONNECTIONS:
             connection.close()
             return
         idle.append(connection)
 
-    async def _connect(self, address: Address, timeout_s: float) -> _Connection:
+    async def _connect(self, address: Address, timeout_s: float) -> Connection:
         loop = asyncio.get_running_loop()
         self._connections_opened += 1
         try:
             async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
                 _, connection = await loop.create_connection(
-                    _Connection, address.host, address.port
+                    Connection, address.host, address.port
                 )
         except TimeoutError as error:
             raise CallNotSentError(f"{address}: connection timed out") from error
@@ -517,13 +183,6 @@
         return connection
 
 
-def _enable_dead_peer_detection(tcp_socket: socket.socket) -> None:
-    """Enable the detection of a peer that vanished without closing the connection."""
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for name, value in DEAD_PEER_OPTIONS.items():
-        tcp_socket.setsockopt(socket.IPPROTO_TCP, name, value)
-
-
 def encode_request(
     method: bytes, target: bytes, fields: HeaderFields, body: bytes | None
 ) -> bytes:
--- a/packages/node/src/lentilshore_node/clients/platform.py
+++ b/packages/node/src/lentilshore_node/clients/platform.py
@@ -17,7 +17,8 @@
 from lentilshore_kernel.registry import plugin
 from lentilshore_kernel.types import Address
 
-from .http_client import CallBrokenError, CallNotSentError, HttpAnswer, HttpClient
+from .http_client import HttpAnswer, HttpClient
+from .http_connection import CallBrokenError, CallNotSentError
 
 WATCH_TIMEOUT_S = 25.0
 
--- a/packages/node/src/lentilshore_node/delivery/answers.py
+++ b/packages/node/src/lentilshore_node/delivery/answers.py
@@ -9,7 +9,7 @@
 
 from ..clients.event_splitter import EventPace, EventSplitter
 from ..clients.forwarding import AnswerHead
-from ..clients.http_client import Response
+from ..clients.http_connection import Response
 from ..state.gateway_context import GatewayContext
 from .responder import Responder
 
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -24,7 +24,7 @@
 from ..clients.engine import raising_upstream_errors
 from ..clients.event_splitter import EventPace
 from ..clients.forwarding import AnswerHead, Attempt, ForwardRequest
-from ..clients.http_client import Response
+from ..clients.http_connection import Response
 from ..state.gateway_context import GatewayContext
 from .answers import Answer, AnswerRelay, check_answer_head
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -27,7 +27,8 @@
     Listing,
     TableReading,
 )
-from ..clients.http_client import CallBrokenError, CallNotSentError, HttpClient
+from ..clients.http_client import HttpClient
+from ..clients.http_connection import CallBrokenError, CallNotSentError
 from ..state.fleet_view_updater import READ_INTERVAL_SHARE, WATCH_WAIT_S
 from ..state.gateway_context import (
     REPLICAS_PART,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,12 +23,8 @@
 
 from lentilshore_ctl import connect
 from lentilshore_kernel.types import Address
-from lentilshore_node.clients.http_client import (
-    CallBrokenError,
-    CallNotSentError,
-    HttpAnswer,
-    HttpClient,
-)
+from lentilshore_node.clients.http_client import HttpAnswer, HttpClient
+from lentilshore_node.clients.http_connection import CallBrokenError, CallNotSentError
 from lentilshore_routing import hash_key
 
 NODE_COUNT = 7
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,7 +11,8 @@
 from lentilshore_kernel.types import Address
 from lentilshore_node.callers.forwarder import FIRST_READ_TIMEOUT_S
 from lentilshore_node.callers.gateway import GatewayApplication
-from lentilshore_node.clients.http_client import CallTimedOutError, HttpClient
+from lentilshore_node.clients.http_client import HttpClient
+from lentilshore_node.clients.http_connection import CallTimedOutError
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_node.state.gateway_context import GatewayBounds
 from lentilshore_node.state.replica_record import ReplicaRecord
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,13 +2,12 @@
 import pytest
 
 from lentilshore_kernel.types import Address
-from lentilshore_node.clients.http_client import (
+from lentilshore_node.clients.http_client import HttpClient, encode_request
+from lentilshore_node.clients.http_connection import (
     CallBrokenError,
     CallGarbledError,
     CallNotSentError,
     CallTimedOutError,
-    HttpClient,
-    encode_request,
 )
 from tests.scripted import ScriptedServer, answer
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,7 +19,8 @@
     Listing,
     TableReading,
 )
-from lentilshore_node.clients.http_client import CallTimedOutError, HttpAnswer
+from lentilshore_node.clients.http_client import HttpAnswer
+from lentilshore_node.clients.http_connection import CallTimedOutError
 from lentilshore_node.peers.gateway_directory import (
     FAILED_PEER_PAUSE_S,
     MAX_FAILED_PEER_PAUSE_S,
