--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -76,10 +76,12 @@
         failures = self._consecutive_failures.get(peer.name, 0)
         self._consecutive_failures[peer.name] = failures + 1
         # The exponent is bounded, since the power is.
-        pause_s = FAILED_PEER_PAUSE_S * 2 ** min(failures, 16)
-        self._paused_until[peer.name] = self._clock.monotonic() + min(
-            MAX_FAILED_PEER_PAUSE_S, pause_s
+        pause_s = min(
+            MAX_FAILED_PEER_PAUSE_S, FAILED_PEER_PAUSE_S * 2 ** min(failures, 16)
         )
+        self._paused_until[peer.name] = self._clock.monotonic() + pause_s
+        # At most one line a pause and peer.
+        log_event("peer_unusable", peer=peer.name, pause_s=f"{pause_s:g}")
 
     def record_answer(self, peer: GatewayEntry) -> None:
         """Record that a gateway has answered."""
