--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from typing import Any, Generic, TypeVar
 from urllib.parse import parse_qs, urlencode
 
@@ -161,15 +160,15 @@
         self._http = http
         self._metrics = metrics
 
-    async def answers(
+    async def first_answer(
         self,
         path: str,
         answer_type: Any,
         max_age_s: float,
         wait_s: float = 0.0,
         max_peers: int = MAX_PEERS_ASKED,
-    ) -> AsyncIterator[Any]:
-        """Yield the usable answers of the gateways to ask, one after the other.
+    ) -> Any:
+        """Return the first usable answer of the gateways to ask, None if there is none.
 
         :param path: path of the call, with its query.
         :param answer_type: type of the answer, which has an ``age_s``.
@@ -185,7 +184,8 @@
                 continue
             self._directory.record_answer(peer)
             self._metrics.count("relay.answered")
-            yield answer
+            return answer
+        return None
 
     async def _ask(
         self, peer: GatewayEntry, path: str, answer_type: Any, wait_s: float
@@ -235,23 +235,26 @@
         A call that may not wait goes to the store: it is made to find out whether the
         store answers.
         """
-        if wait_s > 0.0:
-            peer_wait_s = min(wait_s, PEER_WAIT_S)
-            query = urlencode(
-                {
-                    "part": self._part,
-                    "era": after.era,
-                    "number": after.number,
-                    "timeout_ms": int(peer_wait_s * 1000),
-                }
-            )
-            path = f"{CHANGES_PATH}?{query}"
-            async for answer in self._peers.answers(
-                path, self._answer_type, CHANGES_MAX_AGE_S, peer_wait_s, 1
-            ):
-                revision = StoreRevision(after.era, max(after.number, answer.number))
-                return Changes(answer.changes, revision, answer.age_s)
-        return await self._collection.watch(after, wait_s)
+        if wait_s <= 0.0:
+            return await self._collection.watch(after, wait_s)
+        peer_wait_s = min(wait_s, PEER_WAIT_S)
+        fields = {
+            "part": self._part,
+            "era": after.era,
+            "number": after.number,
+            "timeout_ms": int(peer_wait_s * 1000),
+        }
+        answer: RelayedChanges[T] | None = await self._peers.first_answer(
+            f"{CHANGES_PATH}?{urlencode(fields)}",
+            self._answer_type,
+            CHANGES_MAX_AGE_S,
+            peer_wait_s,
+            max_peers=1,
+        )
+        if answer is None:
+            return await self._collection.watch(after, wait_s)
+        revision = StoreRevision(after.era, max(after.number, answer.number))
+        return Changes(answer.changes, revision, answer.age_s)
 
 
 class RelayedSource:
@@ -297,15 +300,17 @@
         store.
         """
         table = self._context.view.table
-        if table is not None:
-            max_age_s = configuration_max_age_s(self._context.bounds)
-            async for state in self._peers.answers(
-                CONFIGURATION_PATH, ConfigurationState, max_age_s
-            ):
-                if (state.era, state.version) != (self._source.era, table.version):
-                    break
-                return TableReading(table, state.age_s)
-        return await self._source.read_table()
+        if table is None:
+            return await self._source.read_table()
+        state: ConfigurationState | None = await self._peers.first_answer(
+            CONFIGURATION_PATH,
+            ConfigurationState,
+            configuration_max_age_s(self._context.bounds),
+        )
+        known = (self._source.era, table.version)
+        if state is None or (state.era, state.version) != known:
+            return await self._source.read_table()
+        return TableReading(table, state.age_s)
 
     async def write_rollout(self, rollout: Rollout) -> Rollout:
         """Write a roll-out to the store, see :class:`FleetSource`."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -525,12 +525,12 @@
     async def drop_age(self):
         return (await read_table(self))._replace(age_s=1e-9)
 
-    answers = PeerClient.answers
+    first_answer = PeerClient.first_answer
 
-    def accept_any_age(self, path, answer_type, max_age_s, *args):
-        return answers(self, path, answer_type, 1e9, *args)
+    def accept_any_age(self, path, answer_type, max_age_s, *args, **kwargs):
+        return first_answer(self, path, answer_type, 1e9, *args, **kwargs)
 
     monkeypatch.setattr(RelayedSource, "read_table", drop_age)
     monkeypatch.setattr(RelayServer, "_reaches_store", True)
-    monkeypatch.setattr(PeerClient, "answers", accept_any_age)
+    monkeypatch.setattr(PeerClient, "first_answer", accept_any_age)
     assert withdrawn_version_is_accepted_late(CUT_AND_SLOW)
