--- a/packages/node/src/lentilshore_node/clients/engine.py
+++ b/packages/node/src/lentilshore_node/clients/engine.py
@@ -11,7 +11,7 @@
 from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_kernel.registry import plugin
 from lentilshore_kernel.types import Execution, RefusalReason
-from lentilshore_routing.placement import Replica
+from lentilshore_routing.replicas import Replica
 
 from .events import EventReader, read_usage
 from .http_client import HttpClient
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from lentilshore_kernel.exceptions import RefusalError
-from lentilshore_routing.placement import Replica
+from lentilshore_routing.replicas import Replica
 from lentilshore_routing.routes import KeyOwner, PromptPart
 
 from .http_connection import HeaderFields
--- a/packages/node/src/lentilshore_node/clients/service.py
+++ b/packages/node/src/lentilshore_node/clients/service.py
@@ -5,7 +5,7 @@
 from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_kernel.registry import plugin
 from lentilshore_kernel.types import Execution, RefusalReason
-from lentilshore_routing.placement import Replica
+from lentilshore_routing.replicas import Replica
 
 from .engine import raising_upstream_errors
 from .http_client import HttpClient
--- a/packages/node/src/lentilshore_node/clients/upstreams.py
+++ b/packages/node/src/lentilshore_node/clients/upstreams.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple, Protocol, TypedDict
 
 from lentilshore_kernel.types import Priority
-from lentilshore_routing.placement import Replica
+from lentilshore_routing.replicas import Replica
 
 
 class Usage(NamedTuple):
--- a/packages/node/src/lentilshore_node/state/replica_record.py
+++ b/packages/node/src/lentilshore_node/state/replica_record.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from lentilshore_routing.placement import Replica
+from lentilshore_routing.replicas import Replica
 
 # Replicas that have left are remembered, since a restored store may list them again.
 DEPARTED_REPLICAS_LIMIT = 1024
--- a/packages/routing/src/lentilshore_routing/__init__.py
+++ b/packages/routing/src/lentilshore_routing/__init__.py
@@ -17,7 +17,8 @@
     confidence_class,
     length_class,
 )
-from .placement import Placement, Replica, ReplicaLease, prefix_hash
+from .placement import Placement, ReplicaLease
+from .replicas import Replica, prefix_hash
 from .retries import RetryPolicy
 
 __all__ = [
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -2,24 +2,20 @@
 
 from __future__ import annotations
 
-import bisect
-import hashlib
 import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from lentilshore_kernel.clock import Clock
-from lentilshore_kernel.types import Address, Priority
+from lentilshore_kernel.types import Priority
+
+from .replicas import Replica, ReplicaGroup, choose_subset
 
-# A node chooses its random candidates among at most this many replicas of a group.
-SUBSET_SIZE = 24
-RING_POINTS_PER_REPLICA = 16
 # Candidate replicas for a request: the first on the hash ring, for prefix cache hits,
 # and random ones, for load balancing.
 AFFINITY_CANDIDATES = 3
 RANDOM_CANDIDATES = 2
-MIN_PREFIX_TOKENS = 128
 PREFIXES_PER_REPLICA_LIMIT = 64
 # Older load reports are ignored.
 LOAD_REPORT_AGE_LIMIT_S = 5.0
@@ -43,27 +39,6 @@
 TOKENS_PER_BATCH_REQUEST = 256.0
 
 
-class Replica(NamedTuple):
-    """One process of an upstream.
-
-    :param name: name of the instance.
-    :param kind: upstream plug-in, such as ``engine`` or ``service``.
-    :param address: address that it listens at.
-    :param data_centre: data centre that it runs in.
-    :param groups: versions or services that it serves.
-    :param draining: whether it takes no new requests.
-    :param identity: identifier that the process itself uses, empty if it is the name.
-    """
-
-    name: str
-    kind: str
-    address: Address
-    data_centre: str
-    groups: tuple[str, ...]
-    draining: bool = False
-    identity: str = ""
-
-
 class LoadReport(NamedTuple):
     """Load that a replica has reported.
 
@@ -95,33 +70,6 @@
         self.cached_prefixes: OrderedDict[str, None] = OrderedDict()
 
 
-class _Group:
-    """Replicas of one version or service, and the hash ring over them."""
-
-    def __init__(self, replicas: Sequence[Replica], subset: Sequence[Replica]) -> None:
-        self.replicas = replicas
-        self.subset = subset
-        points = sorted(
-            (_hash(f"{replica.name}/{point}"), index)
-            for index, replica in enumerate(replicas)
-            for point in range(RING_POINTS_PER_REPLICA)
-        )
-        self._keys = [key for key, _ in points]
-        self._indexes = [index for _, index in points]
-
-    def ring_successors(self, prefix: str, count: int) -> list[Replica]:
-        """Return the first distinct replicas that follow a prefix on the ring."""
-        start = bisect.bisect(self._keys, _hash(prefix))
-        successors: list[int] = []
-        for step in range(len(self._indexes)):
-            index = self._indexes[(start + step) % len(self._indexes)]
-            if index not in successors:
-                successors.append(index)
-            if len(successors) == count:
-                break
-        return [self.replicas[index] for index in successors]
-
-
 class ReplicaLease(NamedTuple):
     """Capacity of a replica taken for one attempt, until :meth:`Placement.release`.
 
@@ -166,7 +114,7 @@
         self._clock = clock
         self._random = random_source
         self._states: dict[str, _ReplicaState] = {}
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, ReplicaGroup] = {}
         self._node_count = 1
 
     @property
@@ -400,16 +348,16 @@
 
     def _updated_group(
         self, name: str, node_names: Sequence[str], replicas: list[Replica]
-    ) -> _Group:
+    ) -> ReplicaGroup:
         previous = self._groups.get(name)
         subset = choose_subset(node_names, self._node, replicas)
         if previous is not None and previous.replicas == replicas:
             previous.subset = subset
             return previous
-        return _Group(replicas, subset)
+        return ReplicaGroup(replicas, subset)
 
     def _candidates(
-        self, group: _Group, prefix: str, excluded: Sequence[str]
+        self, group: ReplicaGroup, prefix: str, excluded: Sequence[str]
     ) -> list[Replica]:
         candidates = (
             group.ring_successors(prefix, AFFINITY_CANDIDATES) if prefix else []
@@ -423,7 +371,9 @@
         usable = usable or [i for i in group.replicas if self._usable(i, excluded)]
         return usable or [i for i in group.replicas if i.name not in excluded]
 
-    def _home_replica(self, group: _Group, prefix: str, excluded: Sequence[str]) -> str:
+    def _home_replica(
+        self, group: ReplicaGroup, prefix: str, excluded: Sequence[str]
+    ) -> str:
         """Return the name of the replica that all nodes prefer for a prefix, or "".
 
         It is likely to have the prefix cached, also if this node never sent it there.
@@ -479,43 +429,3 @@
     def _may_eject(self) -> bool:
         limit = EJECTED_SHARE_LIMIT * len(self._states)
         return len(self.ejected()) + 1 <= max(1.0, limit) and len(self._states) > 1
-
-
-def choose_subset(
-    nodes: Sequence[str], node: str, replicas: Sequence[Replica]
-) -> list[Replica]:
-    """Return the subset of the replicas that a node uses.
-
-    Deterministic subsetting: nodes are grouped into rounds. The nodes of a round divide
-    the replicas among them, in an order shuffled for that round, so that each replica
-    is in about as many subsets as any other. Few replicas are all used by every node.
-
-    :param nodes: names of all nodes, sorted.
-    :param node: name of the node, one of them.
-    :param replicas: all replicas, sorted.
-    """
-    if len(replicas) <= SUBSET_SIZE:
-        return list(replicas)
-    subset_count = len(replicas) // SUBSET_SIZE
-    rank = list(nodes).index(node)
-    shuffled = list(replicas)
-    random.Random(rank // subset_count).shuffle(shuffled)
-    start = (rank % subset_count) * SUBSET_SIZE
-    return shuffled[start : start + SUBSET_SIZE]
-
-
-def prefix_hash(text: str, tokens: int) -> str:
-    """Return the hash of a prompt's shared prefix.
-
-    :param text: the text that later prompts may begin with.
-    :param tokens: length of the text, tokens.
-    :returns: empty if the text is shorter than :data:`MIN_PREFIX_TOKENS`.
-    """
-    if tokens < MIN_PREFIX_TOKENS:
-        return ""
-    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
-
-
-def _hash(text: str) -> int:
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -13,8 +13,8 @@
     "ctl": {"kernel", "protocol"},
     "standins": {"kernel", "protocol", "routing", "fleet", "node", "ctl"},
 }
-# Rooms of the node package: which other rooms each may import.
-ALLOWED_ROOM_IMPORTS = {
+# Folders of the node package: which other folders each may import.
+ALLOWED_FOLDER_IMPORTS = {
     "clients": set(),
     "state": {"clients"},
     "delivery": {"clients", "state"},
@@ -74,24 +74,24 @@
                 )
 
 
-def imported_rooms(path):
+def imported_folders(path):
     for item in ast.walk(ast.parse(path.read_text())):
         if isinstance(item, ast.ImportFrom) and item.level > 1 and item.module:
             yield item.module.partition(".")[0]
 
 
-@pytest.mark.parametrize("room", ALLOWED_ROOM_IMPORTS)
-def test_room_of_the_node_imports_only_allowed_rooms(room):
-    for path in (NODE / room).glob("*.py"):
+@pytest.mark.parametrize("folder", ALLOWED_FOLDER_IMPORTS)
+def test_folder_of_the_node_imports_only_allowed_folders(folder):
+    for path in (NODE / folder).glob("*.py"):
         absolute = [m for m in imported_modules(path) if m.startswith("lentilshore_n")]
         assert not absolute, path
-        assert set(imported_rooms(path)) <= ALLOWED_ROOM_IMPORTS[room], path
+        assert set(imported_folders(path)) <= ALLOWED_FOLDER_IMPORTS[folder], path
 
 
-def test_every_module_of_the_node_is_in_a_room():
+def test_every_module_of_the_node_is_in_a_folder():
     assert {path.name for path in NODE.glob("*.py")} == {"__init__.py"}
-    rooms = {path.parent.name for path in NODE.glob("*/__init__.py")}
-    assert rooms == set(ALLOWED_ROOM_IMPORTS)
+    folders = {path.parent.name for path in NODE.glob("*/__init__.py")}
+    assert folders == set(ALLOWED_FOLDER_IMPORTS)
 
 
 def test_platform_does_not_import_decision_modules():
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -9,7 +9,8 @@
 from lentilshore_kernel.types import Address, Execution, RefusalReason, RetryReason
 from lentilshore_node.delivery.attempts import AttemptLoop, ExecutionProof, RetryScope
 from lentilshore_node.programs.gateway_assembly import create_retry_budget
-from lentilshore_routing.placement import Placement, Replica
+from lentilshore_routing.placement import Placement
+from lentilshore_routing.replicas import Replica
 from lentilshore_routing.retries import RetryPolicy
 from tests.test_gateway import BOUNDS
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -7,7 +7,8 @@
 from lentilshore_kernel.types import Address, StoreRevision
 from lentilshore_node.state.fleet_view import FleetView
 from lentilshore_node.state.replica_record import ReplicaRecord
-from lentilshore_routing.placement import Placement, Replica
+from lentilshore_routing.placement import Placement
+from lentilshore_routing.replicas import Replica
 from lentilshore_routing.rollout_record import Rollout, RolloutState
 from lentilshore_routing.routes import CallerLimits, RouteTable
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -17,7 +17,7 @@
 from lentilshore_node.state.gateway_context import GatewayBounds
 from lentilshore_node.state.replica_record import ReplicaRecord
 from lentilshore_platform.translator import HeaderTranslator
-from lentilshore_routing.placement import Replica
+from lentilshore_routing.replicas import Replica
 from lentilshore_routing.routes import (
     CallerLimits,
     DeliveryMode,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,8 +8,8 @@
     EJECTION_CONSECUTIVE_FAILURES,
     UNREACHABLE_EJECTION_S,
     Placement,
-    Replica,
 )
+from lentilshore_routing.replicas import Replica
 
 
 @pytest.fixture
