--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from lentilshore_kernel.exceptions import StoreUnavailableError
+from lentilshore_kernel.exceptions import StoreHistoryGoneError, StoreUnavailableError
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import Address, StoreRevision
@@ -104,6 +104,8 @@
         await self._source.call()
         waited_s = 0.0
         while True:
+            if self._store.era != after.era:
+                raise StoreHistoryGoneError("another era")
             found = [c for n, c in self._store.events if n > after.number]
             if found or waited_s >= wait_s or self._source.cut:
                 break
@@ -225,6 +227,31 @@
     assert Fleet().run(steps).view(name).table.version == 2
 
 
+def test_a_store_restored_in_the_middle_of_a_relay_is_followed_by_all():
+    """Its revisions go back; what was relayed in the old era is not mixed with it."""
+
+    async def steps(fleet):
+        store = fleet.store
+        await wait(fleet, 5.0)
+        store.number += 20
+        store.events.append((store.number, Change("i-2", record("i-2"))))
+        await wait(fleet, 1.0)
+        store.era, store.number, store.events = 2, 12, []
+        store.version = 2
+        await wait(fleet, 2.0)
+        store.number += 1
+        store.events.append((store.number, Change("i-3", record("i-3"))))
+        await wait(fleet, 6.0)
+        for name in NAMES:
+            view = fleet.view(name)
+            assert view.table.version == 2
+            assert fleet.sources[name].era == 2
+            assert view.usable("i-1.0") and view.usable("i-3.0")
+            assert not view.usable("i-2.0")
+
+    Fleet().run(steps)
+
+
 def test_changes_of_replicas_are_relayed_within_their_bound():
     async def steps(fleet):
         await wait(fleet, 5.0)
