--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -21,6 +21,7 @@
 # further failure, since entries of removed instances stay in the store.
 FAILED_PEER_PAUSE_S = 3.0
 MAX_FAILED_PEER_PAUSE_S = 60.0
+MAX_DOUBLINGS = 16  # keeps the power small; the pause reaches its limit before
 # A gateway asks this many others in turn before it calls the store itself.
 MAX_PEERS_ASKED = 2
 
@@ -75,10 +76,8 @@
         self._metrics.count("relay.peer_failed")
         failures = self._consecutive_failures.get(peer.name, 0)
         self._consecutive_failures[peer.name] = failures + 1
-        # The exponent is bounded, since the power is.
-        pause_s = min(
-            MAX_FAILED_PEER_PAUSE_S, FAILED_PEER_PAUSE_S * 2 ** min(failures, 16)
-        )
+        doublings = min(failures, MAX_DOUBLINGS)
+        pause_s = min(MAX_FAILED_PEER_PAUSE_S, FAILED_PEER_PAUSE_S * 2**doublings)
         self._paused_until[peer.name] = self._clock.monotonic() + pause_s
         # At most one line a pause and peer.
         log_event("peer_unusable", peer=peer.name, pause_s=f"{pause_s:g}")
@@ -109,14 +108,20 @@
         """
         # A store that was restored from a copy may have lost this gateway's entry.
         self._registered = self._own in entries
-        nearby = [e for e in entries if e.data_centre == self._own.data_centre]
-        ordered = sorted(nearby, key=lambda entry: (_rank(entry), entry.name))
-        own_rank = (_rank(self._own), self._own.name)
-        self._preferred = [e for e in ordered if (_rank(e), e.name) < own_rank]
+        self._preferred = sorted(
+            (
+                entry
+                for entry in entries
+                if entry.data_centre == self._own.data_centre
+                and _rank(entry) < _rank(self._own)
+            ),
+            key=_rank,
+        )
         for name in self._paused_until.keys() - {entry.name for entry in entries}:
             del self._paused_until[name]
             self._consecutive_failures.pop(name, None)
 
 
-def _rank(entry: GatewayEntry) -> float:
-    return hash_fraction(f"reader/{entry.name}")
+def _rank(entry: GatewayEntry) -> tuple[float, str]:
+    """Return the sort key by which all gateways order one another alike."""
+    return hash_fraction(f"reader/{entry.name}"), entry.name
