--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
 )
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.types import Address, StoreRevision
+from lentilshore_node.clients.fleet_source import GatewayEntry
 from lentilshore_node.clients.http_client import HttpClient
 from lentilshore_platform.documents import (
     StoreObject,
@@ -324,3 +325,53 @@
     assert decode_rollout(decoded_object(ROLLOUT_ORDER, status)).observations == {
         "n1": OBSERVATIONS
     }
+
+
+GATEWAY = GatewayEntry("front-1", Address("10.0.0.1", 7340), "z1")
+
+
+@pytest.mark.parametrize(
+    ("stored_spec", "lines"),
+    [
+        (None, ["POST /lentilshore/objects/gateways HTTP/1.1"]),
+        (
+            {"address": "10.0.0.1:7340", "zone": "z1"},
+            [
+                "POST /lentilshore/objects/gateways HTTP/1.1",
+                "GET /lentilshore/objects/gateways/front-1 HTTP/1.1",
+            ],
+        ),
+        *(
+            (
+                spec,
+                [
+                    "POST /lentilshore/objects/gateways HTTP/1.1",
+                    "GET /lentilshore/objects/gateways/front-1 HTTP/1.1",
+                    "PUT /lentilshore/objects/gateways/front-1 HTTP/1.1",
+                ],
+            )
+            for spec in ({"address": "10.0.0.7:1", "zone": "z1"}, {"address": 7})
+        ),
+    ],
+)
+def test_a_gateway_registers_itself_once(stored_spec, lines):
+    stored = msgspec.json.encode(stored_object(stored_spec, name="front-1"))
+    scripts = [[answer(stored, "409 Conflict")], [answer(stored)], [answer(stored)]]
+    if stored_spec is None:
+        scripts = [[answer(stored)]]
+    _, sent = call_source(scripts, lambda s: s.register_gateway(GATEWAY))
+    assert sent == lines
+
+
+def test_gateways_are_listed_from_data_that_may_be_stale():
+    page = {
+        "items": [
+            stored_object({"address": "10.0.0.1:7340", "zone": "z1"}, name="front-1"),
+            stored_object({"address": "nowhere", "zone": "z1"}, name="front-2"),
+            stored_object({"zone": 1}, name="front-3"),
+        ],
+        "as_of": 5,
+    }
+    entries, lines = call_source([json_script(page)], lambda s: s.list_gateways())
+    assert entries == [GATEWAY]
+    assert lines == ["GET /lentilshore/objects/gateways?stale_ok=1 HTTP/1.1"]
