--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -25,14 +25,17 @@
     encode_refusal,
     send_json,
 )
-from ..state.gateway_context import CALLER_BODY_TIMEOUT_S, GatewayContext
+from ..state.gateway_context import (
+    CALLER_BODY_TIMEOUT_S,
+    PEER_PATH_PREFIX,
+    GatewayContext,
+)
 from .edge import Receive, Send, read_body, serve_until_disconnect
 from .forwarder import Forwarder
 
 # Statuses that tell the caller that the request did not run and will not run.
 NOT_RUN_STATUSES = (400, 401, 403, 404, 408, 413, 421, 429, 431, 503)
 UNAVAILABLE_STATUS = 503
-PEER_PREFIX = "/relay/"  # paths of other gateways' calls
 BAD_GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 
@@ -90,7 +93,7 @@
         await send_json(responder, status, b"{}")
 
     async def _serve_internal(self, scope: Any, responder: AsgiResponder) -> None:
-        if self._answer_peer is None or not scope["path"].startswith(PEER_PREFIX):
+        if self._answer_peer is None or not scope["path"].startswith(PEER_PATH_PREFIX):
             await self._send_metrics(responder)
             return
         body = await self._answer_peer(scope["path"], scope["query_string"])
