--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -27,7 +27,7 @@
 )
 from ..state.gateway_context import (
     CALLER_BODY_TIMEOUT_S,
-    PEER_PATH_PREFIX,
+    PEER_PATHS,
     GatewayContext,
 )
 from .edge import Receive, Send, read_body, serve_until_disconnect
@@ -93,7 +93,7 @@
         await send_json(responder, status, b"{}")
 
     async def _serve_internal(self, scope: Any, responder: AsgiResponder) -> None:
-        if self._answer_peer is None or not scope["path"].startswith(PEER_PATH_PREFIX):
+        if self._answer_peer is None or not scope["path"].startswith(PEER_PATHS):
             await self._send_metrics(responder)
             return
         body = await self._answer_peer(scope["path"], scope["query_string"])
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -30,7 +30,7 @@
 from ..clients.http_connection import CallBrokenError, CallNotSentError
 from ..state.fleet_view_updater import READ_INTERVAL_SHARE, WATCH_WAIT_S
 from ..state.gateway_context import (
-    PEER_PATH_PREFIX,
+    PEER_PATHS,
     REPLICAS_PART,
     ROLLOUTS_PART,
     GatewayBounds,
@@ -41,8 +41,8 @@
 
 T = TypeVar("T")
 
-CONFIGURATION_PATH = PEER_PATH_PREFIX + "configuration"
-CHANGES_PATH = PEER_PATH_PREFIX + "changes"
+CONFIGURATION_PATH = PEER_PATHS + "configuration"
+CHANGES_PATH = PEER_PATHS + "changes"
 # A gateway in the same data centre answers in a few milliseconds.
 PEER_TIMEOUT_S = 0.3
 # Longest time for which a peer waits for a change. A peer may lose the store meanwhile;
@@ -105,7 +105,7 @@
     async def answer(self, path: str, query: bytes) -> bytes | None:
         """Return the body of an answer, None if this gateway cannot tell.
 
-        :param path: path of the call, which begins with :data:`PEER_PATH_PREFIX`.
+        :param path: path of the call, which begins with :data:`PEER_PATHS`.
         :param query: query string of the call.
         """
         if path == CONFIGURATION_PATH:
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -32,8 +32,8 @@
 BALANCER_REMOVAL_S = 2.6
 
 
-# Paths of other gateways' calls, on the port at which metrics are served.
-PEER_PATH_PREFIX = "/relay/"
+# Beginning of the paths of other gateways' calls, on the port that serves metrics.
+PEER_PATHS = "/relay/"
 # Parts of the store that are listed and watched.
 REPLICAS_PART = "replicas"
 ROLLOUTS_PART = "rollouts"
