Remove the slow start of new replicas

Cause: a replica that returned after a crash, or that a release brought in, got a tenth of its share at first, just when others were lost; nothing observed said that it was slow. Change: no weight by age; its constants are gone.

--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -20,10 +20,6 @@
 # Older load reports are ignored.
 LOAD_REPORT_AGE_LIMIT_S = 5.0
 WORK_CHANGES_PER_REPLICA_LIMIT = 256
-# The weight of a new replica, by which its load is divided when replicas are compared,
-# rises from the minimum to 1 over this time.
-SLOW_START_S = 20.0
-MIN_SLOW_START_WEIGHT = 0.1
 # Outlier ejection: a replica gets no requests for a while after this many consecutive
 # failures, unless too large a share of the replicas would be ejected.
 EJECTION_CONSECUTIVE_FAILURES = 5
@@ -54,8 +50,7 @@
 class _ReplicaState:
     """What a node knows of a replica beyond its entry in the instance list."""
 
-    def __init__(self, first_seen_at: float) -> None:
-        self.first_seen_at = first_seen_at
+    def __init__(self) -> None:
         self.in_flight = 0
         self.batch_in_flight = 0
         self.local_work_tokens = 0.0
@@ -138,13 +133,9 @@
         :param replicas: all replicas, including draining ones.
         :param nodes: names of the live nodes, among which replicas are divided.
         """
-        now = self._clock.monotonic()
-        first_update = not self._states
         active = [replica for replica in replicas if not replica.draining]
-        # The replicas of the first update get no slow start.
-        first_seen_at = now - SLOW_START_S if first_update else now
         self._states = {
-            replica.name: self._states.get(replica.name) or _ReplicaState(first_seen_at)
+            replica.name: self._states.get(replica.name) or _ReplicaState()
             for replica in active
         }
         groups: dict[str, list[Replica]] = {}
@@ -406,7 +397,7 @@
             load += state.batch_in_flight * TOKENS_PER_BATCH_REQUEST
         if self._data_centre not in ("", replica.data_centre):
             load += work_tokens * REMOTE_WORK_SHARE
-        return load / self._slow_start_weight(state)
+        return load
 
     def _estimated_load(self, state: _ReplicaState) -> float:
         """Return the estimated load of a replica, in tokens.
@@ -422,10 +413,6 @@
         estimate = state.load_report.work_tokens + change * self._node_count
         return max(state.local_work_tokens, estimate)
 
-    def _slow_start_weight(self, state: _ReplicaState) -> float:
-        age_s = self._clock.monotonic() - state.first_seen_at
-        return min(1.0, max(MIN_SLOW_START_WEIGHT, age_s / SLOW_START_S))
-
     def _may_eject(self) -> bool:
         limit = EJECTED_SHARE_LIMIT * len(self._states)
         return len(self.ejected()) + 1 <= max(1.0, limit) and len(self._states) > 1
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -121,3 +121,15 @@
     lease = placement.choose("g", 10.0)
     assert lease.replica.name == "b"
     assert placement.choose("g", 10.0).replica.name == "a"
+
+
+def test_a_replica_that_returns_takes_its_share_at_once(clock):
+    """Two of three replicas were lost; the third is loaded when they come back."""
+    placement = create_placement(clock, ["a"])
+    leases = [placement.choose("g", 10.0) for _ in range(6)]
+    placement.update(
+        Replica(name, "forward", Address("10.0.0.1", 1), "dc", ("g",)) for name in "abc"
+    )
+    chosen = [placement.choose("g", 10.0).replica.name for _ in range(10)]
+    assert len(leases) == 6
+    assert "a" not in chosen
