Log the answer and the connection that an attempt was judged by

Callers were refused though their requests ran, and the logs could not tell why: an attempt that was taken for one that did not run left neither the status nor the identifier of the answer it was judged by, nor whether its connection had carried other calls. attempt_failed now says all three, a skipped answer is logged and counted.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -38,6 +38,12 @@
     MetricFamily(
         "attempt", "lentilshore_failed_attempts", "reason", "Failed attempts, by reason"
     ),
+    MetricFamily(
+        "answer.skipped",
+        "lentilshore_skipped_answers",
+        "cause",
+        "Answers of replicas that were not taken for the request in flight, by cause",
+    ),
     MetricFamily(
         "belief",
         "lentilshore_belief_changes",
--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -78,6 +78,7 @@
         self._error: CallBrokenError | None = None
         self._closed = False
         self._busy = False
+        self._calls = 0
         self._reusable = True
         self._belongs_to_call: AnswerFilter | None = None
         self._extend_timeout: TimeoutExtension | None = None
@@ -90,6 +91,11 @@
         """Seconds since the last call ended."""
         return self._loop.time() - self._idle_since
 
+    @property
+    def calls(self) -> int:
+        """Number of calls that were sent, the current one included."""
+        return self._calls
+
     @property
     def usable(self) -> bool:
         """Whether another call may be sent on this connection."""
@@ -219,6 +225,7 @@
         :param extend_timeout: called at a timeout; returns how much longer to wait.
         """
         self._reset_answer()
+        self._calls += 1
         self._parser = httptools.HttpResponseParser(self)
         self._belongs_to_call, self._extend_timeout, self._busy = (
             belongs_to_call,
@@ -324,6 +331,9 @@
 
     :param connection: connection that receives it.
     :param timeout_s: longest time without data from the server, seconds.
+
+    The attribute ``connection_calls`` holds the number of calls that were sent on the
+    connection, this one included.
     """
 
     def __init__(self, connection: Connection, timeout_s: float) -> None:
@@ -331,6 +341,7 @@
         self.timeout_s = timeout_s
         self.status = connection._status
         self.headers = connection._headers
+        self.connection_calls = connection.calls
         # The headers as received, in order and with those that are repeated.
         self.fields: HeaderFields = connection._fields
 
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -57,6 +57,8 @@
 # may not be repeated, so that the server does not close the connection meanwhile.
 UNREPEATABLE_IDLE_LIMIT_S = 1.0
 REPEATABLE_IDLE_LIMIT_S = 4.0
+# Characters of an answer's identifier that are logged; a replica may send any.
+LOGGED_ID_LIMIT = 64
 
 
 class Outcome(NamedTuple):
@@ -120,6 +122,8 @@
         self._possible_runs = 0
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
+        # Log fields of the answer to the current attempt, empty before its head.
+        self._answer_log_fields: dict[str, str | int] = {}
         # When the current wait for data from the replica began, on the node's clock.
         self._waiting_since = received_at
         self._proof = ExecutionProof()
@@ -254,6 +258,7 @@
         """
         self._attempts += 1
         self._lease = lease
+        self._answer_log_fields = {}
         self._attempt_started_at = self._context.clock.monotonic()
         self._measurements.begin(
             self._rollout, (self._service, self._version), lease, self._model
@@ -275,6 +280,11 @@
                 head = self._context.translator.read_head(
                     response.status, response.headers
                 )
+                self._answer_log_fields = {
+                    "answer_status": response.status,
+                    "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
+                    "connection_calls": response.connection_calls,
+                }
                 if head.misdirected:
                     raise UpstreamError(
                         RefusalReason.UPSTREAM_REPLACED,
@@ -318,15 +328,6 @@
     def _open(
         self, lease: ReplicaLease, timeout_s: float
     ) -> AbstractAsyncContextManager[Response]:
-        read_head, request_id = (
-            self._context.translator.read_head,
-            self._request.request_id,
-        )
-
-        def is_own_answer(headers: dict[str, str]) -> bool:
-            # The identifier does not depend on the status: 0 stands for any.
-            return read_head(0, headers).request_id in ("", request_id)
-
         unrepeatable = not self._route.delivery_mode.repeatable
         max_idle_s = (
             UNREPEATABLE_IDLE_LIMIT_S if unrepeatable else REPEATABLE_IDLE_LIMIT_S
@@ -339,11 +340,26 @@
             lease.replica.address,
             partial(self._encode, lease),
             timeout_s,
-            is_own_answer,
+            self._is_own_answer,
             max_idle_s,
             extend_timeout,
         )
 
+    def _is_own_answer(self, headers: dict[str, str]) -> bool:
+        # The identifier does not depend on the status: 0 stands for any.
+        answer_id = self._context.translator.read_head(0, headers).request_id
+        if answer_id in ("", self._request.request_id):
+            return True
+        self._context.metrics.count("answer.skipped.other_request")
+        log_event(
+            "answer_skipped",
+            request=self._request.request_id,
+            attempt=self._attempts,
+            replica=self._replica_name,
+            answer_id=answer_id[:LOGGED_ID_LIMIT],
+        )
+        return False
+
     def _timeout_extension_s(self, replica_name: str) -> float:
         """Return by how many seconds to extend a timeout, 0 to let it end the attempt.
 
@@ -492,6 +508,7 @@
             execution=error.execution.value,
             detail=error.detail,
             elapsed_ms=f"{elapsed_s * 1000:.1f}",
+            **self._answer_log_fields,
         )
 
     def _outcome(self, status: int) -> Outcome:
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -4,19 +4,29 @@
 import socket
 import struct
 from contextlib import asynccontextmanager
+from typing import NamedTuple
 
 from lentilshore_kernel.types import Address
 
 RESET_LINGER = struct.pack("ii", 1, 0)
 
 
+class Late(NamedTuple):
+    """Bytes that are held back until the next request on the same connection.
+
+    They are sent right before the answer to that request.
+    """
+
+    data: bytes
+
+
 class ScriptedServer:
     """Answers the n-th request with the n-th script; the last one repeats.
 
     A script is a list of bytes to send and numbers of seconds to wait, or a function
-    that returns one for the headers of the request. It may end with ``"close"``,
-    ``"reset"`` or ``"hang"``, which waits until the client closes the connection;
-    otherwise the connection stays open for the next request.
+    that returns one for the headers of the request. It may hold :class:`Late` bytes.
+    It may end with ``"close"``, ``"reset"`` or ``"hang"``, which waits until the client
+    closes the connection; otherwise the connection stays open for the next request.
     """
 
     def __init__(self, scripts):
@@ -36,15 +46,16 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        held_back = []
         try:
-            while await self._serve_request(reader, writer):
+            while await self._serve_request(reader, writer, held_back):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
-    async def _serve_request(self, reader, writer):
+    async def _serve_request(self, reader, writer, held_back):
         head = await reader.readuntil(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
         fields = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
@@ -53,8 +64,12 @@
         self.requests.append((lines[0], fields, body))
         if callable(script):
             script = script(fields)
-        for step in script:
-            if isinstance(step, bytes):
+        due = [late.data for late in held_back]
+        held_back.clear()
+        for step in [*due, *script]:
+            if isinstance(step, Late):
+                held_back.append(step)
+            elif isinstance(step, bytes):
                 writer.write(step)
                 await writer.drain()
             elif step == "reset":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -85,10 +85,17 @@
 class Caller:
     """Sends one request to an application and collects its answer."""
 
-    def __init__(self, fields=(), body=b"", path="/p/x", disconnected=None):
+    def __init__(
+        self,
+        fields=(),
+        body=b"",
+        path="/p/x",
+        disconnected=None,
+        request_id=b"a1",
+    ):
         self._fields = [
             (b"host", b"h.example"),
-            (b"x-attempt-id", b"a1"),
+            *([(b"x-attempt-id", request_id)] if request_id else []),
             (b"x-deadline-ms", b"1500"),
             (b"authorization", b"Bearer " + KEY.encode()),
             *fields,
