--- a/tests/test_answer_attribution.py
+++ b/tests/test_answer_attribution.py
@@ -8,12 +8,15 @@
 from lentilshore_kernel.logs import start_logging
 from tests.scripted import Late, answer
 from tests.test_gateway import (
+    IDEMPOTENT_ROUTE,
     ONCE_ROUTE,
+    SIGNED,
     Caller,
     GatewayHarness,
     signed,
 )
 
+RETRIES_PER_REQUEST = 5
 BUSY = "503 Service Unavailable"
 
 
@@ -73,3 +76,70 @@
     assert callers[1].status == 200
     skipped = logged(lines, "answer_skipped")
     assert [(f["request"], f["answer_id"]) for f in skipped] == [("a1", "a0")]
+
+
+def requests_with(server, request_id):
+    return [f for _, f, _ in server.requests if f.get("x-attempt-id", "") == request_id]
+
+
+def extra_answer(extra):
+    """Return a script: an answer, and an extra one before that to the next request."""
+    return lambda fields: [*signed()(fields), Late(extra)]
+
+
+def slowly(script):
+    return lambda fields: [0.05, *script(fields)]
+
+
+# TWICE: a request that may run once ran at two replicas, because an extra answer to an
+# earlier request on the connection was taken for its own.
+@pytest.mark.parametrize("status", [BUSY, "421 Misdirected Request"])
+@pytest.mark.parametrize("request_id", ["a1", ""])
+def test_extra_answer_without_identifier_does_not_repeat_a_running_request(
+    status, request_id
+):
+    scripts = [extra_answer(not_run(status=status)), slowly(signed(b"own"))]
+    if not request_id:
+        scripts[1] = [0.05, answer(b"own", fields=[SIGNED])]
+    callers, server, _ = serve(scripts, ONCE_ROUTE, (b"a0", request_id.encode()))
+    assert len(requests_with(server, request_id)) == 1
+    assert (callers[1].status, callers[1].body) == (200, b"own")
+
+
+# TWICE: as above, by an extra answer to an earlier attempt of the same request.
+def test_extra_answer_to_an_earlier_attempt_does_not_repeat_a_running_request():
+    first = [not_run("a1"), Late(not_run("a1"))]
+    scripts = [first, slowly(signed(b"own")), signed()]
+    callers, server, _ = serve(scripts, ONCE_ROUTE, (b"a1",))
+    assert len(requests_with(server, "a1")) == 2
+    assert callers[0].body == b"own"
+
+
+# REFUSED: a caller was promised that its request did not run, while it was running.
+def test_extra_answer_does_not_refuse_a_running_request():
+    last_but_one = [not_run("a1"), Late(not_run("a1"))]
+    rejections = [[not_run("a1")]] * (RETRIES_PER_REQUEST - 1)
+    scripts = [*rejections, last_but_one, slowly(signed(b"own"))]
+    callers, _, _ = serve(scripts, ONCE_ROUTE, (b"a1",))
+    assert (callers[0].status, callers[0].body) == (200, b"own")
+
+
+# MIXED: a caller got the answer to another request.
+def test_extra_success_without_identifier_is_not_relayed():
+    extra = answer(b"other", fields=[SIGNED])
+    scripts = [extra_answer(extra), slowly(signed(b"own"))]
+    callers, _, _ = serve(scripts, ONCE_ROUTE)
+    assert callers[1].body == b"own"
+
+
+# REFUSED: a refusal between two attempts promised that the request did not run, though
+# the first attempt may have run.
+def test_refusal_after_an_attempt_that_may_have_run_does_not_deny_it():
+    harness = GatewayHarness([], IDEMPOTENT_ROUTE)
+
+    def lose_proof_of_keys(fields):
+        harness.context.view._confirmed_at -= 4.9
+        return ["reset"]
+
+    harness.server._scripts.append(lose_proof_of_keys)
+    assert harness.run(Caller()).status == 502
