Take an answer on a used connection only if it bears the request's identifier

What callers saw: requests that may run once ran twice, were refused with 503 while they ran, or were answered with another request's answer.

Cause: on a kept connection, an extra answer to an earlier call arrives where the next answer is due. One without an identifier, or with that of an earlier attempt of the same request, was taken for the answer in flight, and its 'not run' was believed.

Why this works: on a connection with one call, whatever comes answers that call. On one with more, only the identifier tells; so an answer without it is skipped, and a request without an identifier, or one that was sent to this address before and whose earlier attempt bears the same identifier, goes out on a fresh connection.

--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -126,6 +126,7 @@
         belongs_to_call: AnswerFilter | None = None,
         max_idle_s: float = KEEP_ALIVE_TIMEOUT_S,
         extend_timeout: TimeoutExtension | None = None,
+        reuse: bool = True,
     ) -> AsyncIterator[Response]:
         """Send an encoded request and yield the answer, its body unread.
 
@@ -134,14 +135,15 @@
         :param encode: returns the request; called when a connection is open, right
             before the bytes are sent, so that what it checks still holds.
         :param timeout_s: longest time without data from the server, seconds.
-        :param belongs_to_call: tells from its headers whether an answer belongs to
-            the call; others are skipped.
+        :param belongs_to_call: tells whether an answer belongs to the call; others are
+            skipped.
         :param max_idle_s: longest idle time of a connection that is used, seconds.
         :param extend_timeout: called at a timeout; returns how much longer to wait.
+        :param reuse: whether a connection that has carried other calls will do.
         :raises CallNotSentError: if no connection was made, so nothing was sent.
         :raises CallBrokenError: if the call failed after bytes may have been sent.
         """
-        connection = self._take_idle(address, max_idle_s)
+        connection = self._take_idle(address, max_idle_s) if reuse else None
         if connection is None:
             connection = await self._connect(address, timeout_s)
         try:
--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -35,8 +35,9 @@
 BODILESS_STATUSES = (204, 304)
 
 HeaderFields = Sequence[tuple[bytes, bytes]]
-# Tells from an answer's headers, names in lower case, whether it belongs to the call.
-AnswerFilter = Callable[[dict[str, str]], bool]
+# Tells whether an answer belongs to the call, from its headers, names in lower case, and
+# from whether its connection has carried other calls.
+AnswerFilter = Callable[[dict[str, str], bool], bool]
 # Called at a timeout; returns for how many more seconds to wait, 0 to give up.
 TimeoutExtension = Callable[[], float]
 
@@ -188,7 +189,9 @@
         if not self._framed or not self._parser.should_keep_alive():
             self._reusable = False
         self._apply_keep_alive(headers.get("keep-alive", ""))
-        if self._belongs_to_call is not None and not self._belongs_to_call(headers):
+        if self._belongs_to_call is not None and not self._belongs_to_call(
+            headers, self._calls > 1
+        ):
             self._skipping_answer, self._reusable = True, False
             return
         self._headers_done = True
@@ -220,8 +223,7 @@
         """Begin a call.
 
         :param data: the whole request.
-        :param belongs_to_call: tells from its headers whether an answer belongs to
-            the call.
+        :param belongs_to_call: tells whether an answer belongs to the call.
         :param extend_timeout: called at a timeout; returns how much longer to wait.
         """
         self._reset_answer()
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -10,7 +10,7 @@
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.metrics import retry_counter
-from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
+from lentilshore_kernel.types import Address, Execution, RefusalReason, RetryReason
 from lentilshore_routing.model_choice import first_model, larger_model, should_escalate
 from lentilshore_routing.placement import ReplicaLease
 from lentilshore_routing.rollout_record import Rollout
@@ -120,6 +120,8 @@
         self._attempt_started_at = received_at
         # Number of ended attempts that ran or may have run.
         self._possible_runs = 0
+        # Addresses that the request was sent to.
+        self._sent_to: set[Address] = set()
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
         # Log fields of the answer to the current attempt, empty before its head.
@@ -323,6 +325,7 @@
         )
         data = self._context.translator.encode_attempt(self._request, attempt)
         self._proof.begin()
+        self._sent_to.add(lease.replica.address)
         return data
 
     def _open(
@@ -343,20 +346,31 @@
             self._is_own_answer,
             max_idle_s,
             extend_timeout,
+            self._may_reuse_connection(lease.replica.address),
         )
 
-    def _is_own_answer(self, headers: dict[str, str]) -> bool:
+    def _may_reuse_connection(self, address: Address) -> bool:
+        """Return whether this request may go out on a connection that carried others.
+
+        Its answer must be told from an extra one to an earlier call by the identifier.
+        """
+        return bool(self._request.request_id) and address not in self._sent_to
+
+    def _is_own_answer(self, headers: dict[str, str], connection_reused: bool) -> bool:
         # The identifier does not depend on the status: 0 stands for any.
         answer_id = self._context.translator.read_head(0, headers).request_id
-        if answer_id in ("", self._request.request_id):
+        if answer_id == self._request.request_id:
+            return True
+        if not answer_id and not connection_reused:
             return True
-        self._context.metrics.count("answer.skipped.other_request")
+        cause = "other_request" if answer_id else "unidentified"
+        self._context.metrics.count(f"answer.skipped.{cause}")
         log_event(
             "answer_skipped",
             request=self._request.request_id,
             attempt=self._attempts,
             replica=self._replica_name,
-            answer_id=answer_id[:LOGGED_ID_LIMIT],
+            answer_id=answer_id[:LOGGED_ID_LIMIT] or "none",
         )
         return False
 
--- a/tests/test_answer_attribution.py
+++ b/tests/test_answer_attribution.py
@@ -78,6 +78,12 @@
     assert [(f["request"], f["answer_id"]) for f in skipped] == [("a1", "a0")]
 
 
+def test_connection_of_an_earlier_attempt_is_left_to_other_requests():
+    scripts = [[not_run("a1")], signed(), signed()]
+    _, server, _ = serve(scripts, ONCE_ROUTE, (b"a1", b"a2"))
+    assert server.connections == 2
+
+
 def requests_with(server, request_id):
     return [f for _, f, _ in server.requests if f.get("x-attempt-id", "") == request_id]
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -107,7 +107,7 @@
     late = answer(b"other", fields=["Request-Id: old"])
     own = answer(b"own", fields=["Request-Id: new"])
     results, connections_made = run_calls(
-        [[late, own]], calls=2, belongs_to_call=lambda h: h["request-id"] == "new"
+        [[late, own]], calls=2, belongs_to_call=lambda h, _: h["request-id"] == "new"
     )
     assert results == [(200, b"own")] * 2
     assert connections_made == 2
