Let no refusal deny an attempt that may have run

What callers saw: a request whose first attempt was reset was refused with 503, which promises that it did not run, once the proof of its key was lost before the second attempt. On the users' platform only requests that may be repeated come to a second attempt that way, so that this is not the reported fault; it is of the same class.

Cause: RefusalError says not run unless its raiser says otherwise, and what raises it between two attempts (keys, quotas, versions) does not know of the first.

Why this works: every refusal of a request that may have been sent passes Delivery.run or Job.serving, and both correct it by what the attempts prove.

--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -35,8 +35,8 @@
 BODILESS_STATUSES = (204, 304)
 
 HeaderFields = Sequence[tuple[bytes, bytes]]
-# Tells whether an answer belongs to the call, from its headers, names in lower case, and
-# from whether its connection has carried other calls.
+# Tells whether an answer belongs to the call, from its headers, names in lower case,
+# and from whether its connection has carried other calls.
 AnswerFilter = Callable[[dict[str, str], bool], bool]
 # Called at a timeout; returns for how many more seconds to wait, 0 to give up.
 TimeoutExtension = Callable[[], float]
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol, TypeVar
 
-from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.metrics import Metrics, record_state_change
 from lentilshore_kernel.types import (
     Execution,
@@ -48,6 +48,14 @@
         if _EXECUTION_RANK[execution] > _EXECUTION_RANK[self._ended_execution]:
             self._ended_execution = execution
 
+    def apply_to(self, refusal: RefusalError) -> None:
+        """Correct a refusal that denies more than is proved.
+
+        What refuses a request does not always know of its attempts.
+        """
+        if _EXECUTION_RANK[self.execution] > _EXECUTION_RANK[refusal.execution]:
+            refusal.execution = self.execution
+
 
 class AttemptContext(Protocol):
     """Components of a node that its requests share."""
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -164,8 +164,12 @@
         remaining_s = self._remaining_s
         if remaining_s <= 0:
             raise RefusalError(RefusalReason.DEADLINE_EXCEEDED)
-        with self._context.clock.timeout(remaining_s):
-            return await self._run()
+        try:
+            with self._context.clock.timeout(remaining_s):
+                return await self._run()
+        except RefusalError as refusal:
+            self._proof.apply_to(refusal)
+            raise
         # Reached at the timeout, which ends the block above without an exception.
         raise RefusalError(
             RefusalReason.DEADLINE_EXCEEDED,
--- a/packages/node/src/lentilshore_node/delivery/jobs.py
+++ b/packages/node/src/lentilshore_node/delivery/jobs.py
@@ -210,6 +210,7 @@
             yield
             outcome, execution = "served", Execution.RAN
         except RefusalError as refusal:
+            self._proof.apply_to(refusal)
             outcome, execution = refusal.reason.value, refusal.execution
             refusal.request_id = self.request_id
             raise
--- a/tests/faults/mutants.py
+++ b/tests/faults/mutants.py
@@ -11,7 +11,8 @@
 from unittest.mock import patch
 
 from lentilshore_fleet import claims, configuration, leases, ledger, sessions
-from lentilshore_node.delivery import completion_runner, jobs
+from lentilshore_kernel.types import Execution
+from lentilshore_node.delivery import attempts, completion_runner
 from lentilshore_node.peers import peer_messages, rollout_driver
 from lentilshore_node.programs import background
 from lentilshore_routing import catalog, placement, retries
@@ -138,7 +139,13 @@
     Mutant(
         "every refusal states not_run",
         "not_run",
-        ((jobs.Job, "execution", property(lambda self: jobs.Execution.NOT_RUN)),),
+        (
+            (
+                attempts.ExecutionProof,
+                "execution",
+                property(lambda self: Execution.NOT_RUN),
+            ),
+        ),
         (Cell("single_run", "service.call", "lost"),),
     ),
     Mutant(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from lentilshore_kernel.exceptions import UpstreamError
+from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.metrics import MetricsRecorder
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address, Execution, RefusalReason, RetryReason
@@ -184,3 +184,30 @@
 def test_a_node_that_has_just_started_may_repeat_a_request():
     budget = create_retry_budget(BOUNDS, FakeClock())
     assert [budget.try_spend() for _ in range(5)] == [True] * 4 + [False]
+
+
+# REFUSED: a refusal that does not know of the attempts denied one that ran.
+@pytest.mark.parametrize(
+    ("ended", "in_flight", "claimed", "expected"),
+    [
+        ([], False, NOT_RUN, NOT_RUN),
+        ([NOT_RUN], False, NOT_RUN, NOT_RUN),
+        ([NOT_RUN], True, NOT_RUN, UNKNOWN),
+        ([UNKNOWN], False, NOT_RUN, UNKNOWN),
+        ([RAN, NOT_RUN], False, UNKNOWN, RAN),
+        ([], False, UNKNOWN, UNKNOWN),
+        ([NOT_RUN], False, RAN, RAN),
+    ],
+)
+def test_refusal_denies_no_more_than_the_attempts_prove(
+    ended, in_flight, claimed, expected
+):
+    proof = ExecutionProof()
+    for execution in ended:
+        proof.begin()
+        proof.end(execution)
+    if in_flight:
+        proof.begin()
+    refusal = RefusalError(RefusalReason.KEY_UNPROVED, claimed)
+    proof.apply_to(refusal)
+    assert refusal.execution is expected
