Call a replica that sends no identifiers on fresh connections for 10 s

Change: after an unidentified answer on a used connection, requests to that address go out on fresh connections for 10 s, on which whatever comes is the answer. One request waits, the next is told at once that it did not run and is retried.

Evidence: test_replica_that_sends_no_identifiers_holds_up_one_request_only fails without the change (504 for the second request too).

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -358,7 +358,9 @@
 
         Its answer must be told from an extra one to an earlier call by the identifier.
         """
-        return bool(self._request.request_id) and address not in self._sent_to
+        if not self._request.request_id or address in self._sent_to:
+            return False
+        return self._context.may_reuse_connections(address)
 
     def _is_own_answer(self, headers: dict[str, str], connection_reused: bool) -> bool:
         # The identifier does not depend on the status: 0 stands for any.
@@ -367,7 +369,10 @@
             return True
         if not answer_id and not connection_reused:
             return True
-        cause = "other_request" if answer_id else "unidentified"
+        cause = "other_request"
+        if not answer_id and self._lease is not None:
+            cause = "unidentified"
+            self._context.require_fresh_connections(self._lease.replica.address)
         self._context.metrics.count(f"answer.skipped.{cause}")
         log_event(
             "answer_skipped",
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -9,6 +9,7 @@
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.logs import RequestSampler
 from lentilshore_kernel.served_metrics import ServedMetrics
+from lentilshore_kernel.types import Address
 from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.retries import RetryPolicy
@@ -28,6 +29,9 @@
 # Age of the last confirmed configuration at which this node stops being ready. By then
 # two reads have failed; the balancer needs about two more seconds to notice.
 READY_MAX_CONFIG_AGE_S = 2.5
+# A replica that has sent an answer without an identifier on a used connection is called
+# on fresh connections for this time, on which no answer can be mistaken.
+FRESH_CONNECTIONS_S = 10.0
 # The balancer probes every second and removes a node after two failed probes.
 BALANCER_REMOVAL_S = 2.6
 
@@ -102,6 +106,7 @@
     change_logs: dict[str, ChangeLog] = field(init=False)
     draining: bool = False
     in_flight: int = 0
+    _fresh_connections_until: dict[Address, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.change_logs = {
@@ -125,6 +130,21 @@
             READY_MAX_CONFIG_AGE_S, self.bounds.key_max_config_age_s
         )
 
+    def require_fresh_connections(self, address: Address) -> None:
+        """Send no request on a used connection to an address for a while."""
+        now = self.clock.monotonic()
+        self._fresh_connections_until = {
+            known: until
+            for known, until in self._fresh_connections_until.items()
+            if until > now
+        }
+        self._fresh_connections_until[address] = now + FRESH_CONNECTIONS_S
+
+    def may_reuse_connections(self, address: Address) -> bool:
+        """Return whether requests may go out on used connections to an address."""
+        until = self._fresh_connections_until.get(address, 0.0)
+        return until <= self.clock.monotonic()
+
     def update_bounds(self, bounds: GatewayBounds) -> None:
         """Replace the bounds."""
         self.bounds = bounds
--- a/tests/test_answer_attribution.py
+++ b/tests/test_answer_attribution.py
@@ -3,6 +3,7 @@
 import io
 import shlex
 
+import anyio
 import pytest
 
 from lentilshore_kernel.logs import start_logging
@@ -130,6 +131,27 @@
     assert (callers[0].status, callers[0].body) == (200, b"own")
 
 
+def test_replica_that_sends_no_identifiers_holds_up_one_request_only():
+    callers = [Caller(request_id=name) for name in (b"a0", b"b0", b"a1", b"a2")]
+
+    async def act(harness, application, _):
+        # The first two are served at once, so that two connections are kept.
+        async with anyio.create_task_group() as group:
+            group.start_soon(callers[0].send_to, application)
+            group.start_soon(callers[1].send_to, application)
+            await anyio.sleep(0.2)
+            group.start_soon(callers[2].send_to, application)
+            await anyio.sleep(0.2)
+            await callers[3].send_to(application)
+
+    rejections = [[not_run()], [not_run()]]
+    scripts = [slowly(signed()), slowly(signed()), *rejections, signed(b"own")]
+    harness = GatewayHarness(scripts, ONCE_ROUTE)
+    harness.run(callers[0], act)
+    assert [caller.status for caller in callers] == [200, 200, 504, 200]
+    assert callers[3].body == b"own"
+
+
 # MIXED: a caller got the answer to another request.
 def test_extra_success_without_identifier_is_not_relayed():
     extra = answer(b"other", fields=[SIGNED])
