A fault soak of real gateways, replicas and store, behind a loopback proxy

It drives the real gateway program as processes between callers that keep their connections and stand-ins of the users' replicas and store, with a proxy on every link. Faults come from outside, in series and overlapping: SIGTERM, SIGKILL, SIGSTOP and SIGHUP; replicas that are killed and reborn, leave, or whose address is used again; replicas that reject, fail, lose answers, hang, or send extra answers; links that delay, silence, cut one way, refuse or reset; a store that refuses, hangs, loses answers or comes back from a copy; configurations in quick succession and keys withdrawn for good. Runs are recorded by the replicas when they begin, promises by the callers.

Clocks are not stepped: that needs rights that the soak does not have.

--- a/Makefile
+++ b/Makefile
@@ -50,4 +50,4 @@
 
 .PHONY: soak
 soak: $(STAMP)
-	$(PYTHON) -m tests.soak
+	$(PYTHON) -m tests.soak --seeds 1-3
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,109 @@
+"""Runs the fault soak: ``python -m tests.soak --seeds 1-50``."""
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from tests.soak.callers import Callers
+from tests.soak.checks import Checks
+from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
+from tests.soak.plan import Plan
+
+WARM_UP_S = 3.0
+CALM_S = 5.0
+SHOWN_PROBLEMS = 12
+
+
+class Size(NamedTuple):
+    """Number of processes and callers of a run."""
+
+    gateways: int
+    services: dict[str, int]
+    callers: int
+    pause_s: float
+
+
+SIZES = {
+    "small": Size(3, {"register": 3, "pool": 2}, 24, 0.05),
+    "usual": Size(8, {"register": 4, "pool": 8}, 60, 0.15),
+    "large": Size(60, {"register": 20, "pool": 70}, 200, 0.8),
+}
+
+
+async def run_seed(seed, size, lasts_s, directory, code):
+    """Run the soak with a seed; return the problems and the outcomes."""
+    # One source of randomness each, so that the faults of a seed do not depend on how
+    # many requests were sent meanwhile.
+    plan_random, fleet_random, load_random = (
+        random.Random(f"{seed} {part}") for part in ("plan", "fleet", "load")
+    )
+    started_at = time.monotonic()
+    directory.mkdir(parents=True)
+    log = open(directory / "faults.log", "w", buffering=1)  # noqa: SIM115
+    host = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
+    fleet = Fleet(directory, host, code, fleet_random)
+    keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
+    callers = Callers(fleet, keys, load_random, f"r{seed}")
+
+    def write_log(text):
+        log.write(f"{time.time():.3f} {time.monotonic() - started_at:.1f} {text}\n")
+
+    plan = Plan(fleet, keys, plan_random, write_log)
+    try:
+        await fleet.start(size.gateways, size.services)
+        await plan.write_config()
+        load = asyncio.create_task(callers.run(size.callers, size.pause_s))
+        await asyncio.sleep(WARM_UP_S)
+        await plan.run(lasts_s)
+        calm_since = time.time() + AFTERMATH_S
+        await asyncio.sleep(AFTERMATH_S + CALM_S)
+        callers.stopping = True
+        await load
+    finally:
+        await fleet.stop()
+        log.close()
+    checks = Checks(callers, fleet, plan.withdrawn)
+    return checks.problems(calm_since), checks.outcomes()
+
+
+def main():
+    """Run the seeds one after the other; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-3", help="first and last seed")
+    parser.add_argument("--size", choices=SIZES, default="usual")
+    parser.add_argument("--seconds", type=float, default=15.0, help="time of faults")
+    parser.add_argument("--logs", type=Path, default=ROOT / "target" / "soak")
+    parser.add_argument(
+        "--code", type=Path, default=ROOT, help="checkout whose gateways run"
+    )
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    broken = []
+    for seed in range(int(first), int(last or first) + 1):
+        directory = options.logs / f"{options.size}-{seed}"
+        shutil.rmtree(directory, ignore_errors=True)
+        size = SIZES[options.size]
+        problems, outcomes = asyncio.run(
+            run_seed(seed, size, options.seconds, directory, options.code)
+        )
+        shown = ", ".join(f"{name} {n}" for name, n in sorted(outcomes.items()))
+        print(f"seed {seed}: {len(problems)} problems; {shown}", flush=True)
+        for problem in problems[:SHOWN_PROBLEMS]:
+            print(f"  {problem}", flush=True)
+        if problems:
+            broken.append(seed)
+            (directory / "problems.txt").write_text("\n".join(problems))
+        else:
+            shutil.rmtree(directory)
+    print(f"soak: {len(broken)} seeds with problems: {broken}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,154 @@
+"""Promises of the users' pages, checked from what callers and replicas saw."""
+
+import hashlib
+import json
+from collections import Counter, defaultdict
+
+from tests.soak.callers import KINDS, PROMISE_STATUSES
+from tests.soak.fleet import GRACE_S, REVOKE_MS
+from tests.soak.replica import expected_events
+
+STOP_SLACK_S = 2.0
+# A run that goes on at another replica must have ended at the one before by then.
+OVERLAP_LIMIT_S = 0.4
+RECOVERED_SHARE = 0.25
+
+
+def read_runs(path):
+    """Return the runs by request, and the time of the end of each run."""
+    runs, ends = defaultdict(list), {}
+    for line in path.read_text().splitlines() if path.exists() else ():
+        entry = json.loads(line)
+        if entry["event"] == "run":
+            runs[entry["id"]].append(entry)
+        else:
+            ends[entry["run"]] = entry["time"]
+    return runs, ends
+
+
+class Checks:
+    """Checks of one run.
+
+    :param callers: what callers sent and saw.
+    :param fleet: the processes and when they were disturbed.
+    :param withdrawn: times at which the withdrawal of a key was acknowledged, by key.
+    """
+
+    def __init__(self, callers, fleet, withdrawn):
+        self._callers = callers
+        self._fleet = fleet
+        self._withdrawn = withdrawn
+        self._runs, self._ends = read_runs(fleet.runs_file)
+
+    def problems(self, calm_since):
+        """Return a line for each broken promise.
+
+        :param calm_since: since when nothing is disturbed, with the aftermath.
+        """
+        found = []
+        for name, runs in self._runs.items():
+            found += self._check_runs(name, runs)
+        for name, seen in self._callers.seen.items():
+            found += self._check_answer(self._callers.sent[name], seen)
+        found += self._check_recovery(calm_since)
+        return found + list(self._check_stops())
+
+    def outcomes(self):
+        """Return how many requests ended how."""
+        counted = Counter()
+        for name, seen in self._callers.seen.items():
+            end = "left" if seen.left else seen.status or "closed"
+            counted[f"{self._callers.sent[name].kind} {end}"] += 1
+        return counted
+
+    def _check_runs(self, name, runs):
+        sent = self._callers.sent.get(name)
+        if sent is None:
+            yield f"UNASKED {name}: no caller sent it"
+            return
+        _, repeatable, _ = KINDS[sent.kind]
+        where = ", ".join(f"{r['replica']} at {r['time']:.3f}" for r in runs)
+        if len(runs) > 1 and not repeatable:
+            yield f"TWICE {name} ({sent.kind}) by {sent.gateway}: {where}"
+        for run in runs:
+            if " ".join(run["line"]) != sent.line or run["body"] != sent.body_hash:
+                yield f"UNASKED {name}: method, path, query or body changed"
+            if run["customer"] != sent.customer or run["key"]:
+                yield f"UNASKED {name}: customer {run['customer']!r}, key passed on"
+        withdrawn_at = self._withdrawn.get(sent.key)
+        if withdrawn_at and sent.at > withdrawn_at + REVOKE_MS / 1000:
+            yield f"CONFIG {name}: its key was withdrawn {sent.at - withdrawn_at:.1f} s"
+        yield from self._check_overlap(sent, runs)
+
+    def _check_overlap(self, sent, runs):
+        for before, after in zip(runs, runs[1:], strict=False):
+            # Until its end is recorded: a killed replica records none.
+            ended = self._ends.get(before["run"], before["time"])
+            subjects = {sent.gateway, before["replica"], after["replica"]}
+            late_s = ended - after["time"]
+            if late_s > OVERLAP_LIMIT_S and not self._fleet.disturbances.touch(
+                subjects, before["time"], ended
+            ):
+                yield (
+                    f"TWICE {sent.name} ({sent.kind}) by {sent.gateway}: "
+                    f"{before['replica']} works on for {late_s:.2f} s"
+                )
+
+    def _check_answer(self, sent, seen):
+        runs = self._runs.get(sent.name, [])
+        repeatable = KINDS[sent.kind][1]
+        if seen.status in PROMISE_STATUSES and runs and not repeatable:
+            where = ", ".join(r["replica"] for r in runs)
+            refused = f"{sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
+            yield f"REFUSED {refused}: ran at {where}"
+        if seen.status == 200:
+            yield from self._check_success(sent, seen)
+        if seen.status is None and not seen.left and runs:
+            yield from self._check_lost(sent, seen, runs)
+
+    def _check_success(self, sent, seen):
+        bearer = seen.fields.get("x-attempt-id")
+        if bearer != sent.name:
+            yield f"MIXED {sent.name}: answer bears {bearer!r}"
+        if sent.kind in ("stream", "tail"):
+            events = expected_events(sent.name)
+            whole = seen.body == events
+            if seen.complete and not whole or not events.startswith(seen.body):
+                yield f"ORDER {sent.name}: {len(seen.body)} of {len(events)} bytes"
+            return
+        signature = seen.fields.get("x-response-signature")
+        if seen.complete and signature != hashlib.sha256(seen.body).hexdigest():
+            yield f"MIXED {sent.name}: body is not the replica's"
+
+    def _check_lost(self, sent, seen, runs):
+        subjects = {sent.gateway, (sent.gateway, "store"), "store"}
+        subjects |= {run["replica"] for run in runs}
+        if not self._fleet.disturbances.touch(subjects, sent.at - 3.0, seen.at):
+            yield f"LOST {sent.name} ({sent.kind}) by {sent.gateway}: no answer"
+
+    def _check_recovery(self, calm_since):
+        seen = [
+            self._callers.seen[name]
+            for name, sent in self._callers.sent.items()
+            if sent.at > calm_since
+            and sent.key not in self._withdrawn
+            and name in self._callers.seen
+        ]
+        served = sum(s.status == 200 and s.complete for s in seen)
+        asked = sum(not s.left for s in seen)
+        if served < RECOVERED_SHARE * asked or not asked:
+            yield f"RECOVER: {served} of {asked} served after the last fault"
+
+    def _check_stops(self):
+        for gateway in self._fleet.gateways:
+            for status, asked_at, ended_at in gateway.ends:
+                if asked_at is None and status >= 0:
+                    yield f"ENDED {gateway.name}: by itself with status {status}"
+                if asked_at is None or status == -9:
+                    continue
+                took_s = ended_at - asked_at
+                undisturbed = not self._fleet.disturbances.touch(
+                    {gateway.name}, asked_at, ended_at
+                )
+                if undisturbed and (status != 0 or took_s > GRACE_S + STOP_SLACK_S):
+                    yield f"STOP {gateway.name}: status {status} after {took_s:.1f} s"
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,323 @@
+"""Processes of one soak run, and the links between them."""
+
+import asyncio
+import json
+import os
+import sys
+import time
+from itertools import count
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGTERM
+
+from tests.soak.proxy import Link
+from tests.soak.replica import FAULT_PATH
+from tests.soak.store import CONTROL_PATH
+from tests.soak.wire import encode, read_message
+
+ROOT = Path(__file__).parents[2]
+GRACE_S = 6.0
+RESTART_DELAY_S = 0.3
+CALL_TIMEOUT_S = 5.0
+# After a fault ends, its traces may last this long.
+AFTERMATH_S = 3.0
+SETTINGS = """\
+node_name = "{name}"
+zone = "dc-1"
+internal_ports = [{metrics_port}, {metrics_port}]
+[listen]
+front = "{host}:{port}"
+ready = "{host}:{ready_port}"
+[bounds]
+drain_ms = 2000
+revoke_ms = {revoke_ms}
+config_apply_ms = 2000
+session_s = 5
+grace_s = {grace_s}
+retry_budget_ratio = 0.9
+budget_extra = 52
+budget_window_s = 10
+expose_share = 0.15
+[provider]
+address = "{store}"
+value_bytes = 1048576
+"""
+REVOKE_MS = 5000
+GATEWAY_PORT, READY_PORT, METRICS_PORT = 7301, 7302, 7340
+
+
+class Disturbances:
+    """Times at which something was disturbed by the soak."""
+
+    def __init__(self):
+        self._spans = []
+
+    def add(self, subject, lasts_s=0.0):
+        """Record a fault of a subject that begins now."""
+        now = time.time()
+        self._spans.append((subject, now, now + lasts_s + AFTERMATH_S))
+
+    def touch(self, subjects, begin, end):
+        """Return whether a subject was disturbed in a span of time."""
+        return any(
+            subject in subjects and first <= end and last >= begin
+            for subject, first, last in self._spans
+        )
+
+
+class Child:
+    """A process that is started again when it ends.
+
+    :param name: name, also that of its log.
+    :param command: program and arguments; called before each start.
+    """
+
+    def __init__(self, name, command, log, environment):
+        self.name = name
+        self._command = command
+        self._log = log
+        self._environment = environment
+        self._process = None
+        self._wanted = True
+        self.address = ""
+        self.started = asyncio.Event()
+        # Exit status and whether a stop was asked for, for each end.
+        self.ends = []
+        self.stop_asked_at = None
+        # Set while the process must stay down.
+        self.held_down_until = 0.0
+
+    @property
+    def running(self):
+        """Whether the process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    async def supervise(self):
+        """Start the process, and again whenever it has ended."""
+        while self._wanted:
+            await asyncio.sleep(max(0.0, self.held_down_until - time.monotonic()))
+            if not self._wanted:
+                return
+            with open(self._log, "ab") as log:
+                self._process = await asyncio.create_subprocess_exec(
+                    *self._command(),
+                    stdout=asyncio.subprocess.PIPE if not self._logs_out else log,
+                    stderr=log,
+                    cwd=ROOT,
+                    env=self._environment,
+                )
+            self.stop_asked_at = None
+            if not self._logs_out:
+                line = (await self._process.stdout.readline()).decode()
+                # Empty if the process ended before it listened.
+                self.address = line.split()[-1] if line else self.address
+            self.started.set()
+            status = await self._process.wait()
+            self.ends.append((status, self.stop_asked_at, time.time()))
+            self.started.clear()
+            await asyncio.sleep(RESTART_DELAY_S)
+
+    # Gateways log to standard output; stand-ins print their address there.
+    _logs_out = False
+
+    def send_signal(self, number):
+        """Send a signal to the process if it runs."""
+        if not self.running:
+            return
+        if number == SIGTERM:
+            self.stop_asked_at = time.time()
+        self._process.send_signal(number)
+
+    async def end(self, number=SIGKILL):
+        """End the process for good."""
+        self._wanted = False
+        if self.running:
+            self.send_signal(SIGCONT)
+            self.send_signal(number)
+            try:
+                async with asyncio.timeout(GRACE_S + 4):
+                    await self._process.wait()
+            except TimeoutError:
+                self._process.kill()
+
+
+class LoggingChild(Child):
+    """A process whose standard output is its log."""
+
+    _logs_out = True
+
+
+class Fleet:
+    """Gateways, replicas and the store of one run, all behind links.
+
+    :param directory: directory of logs, settings and runs.
+    :param host: prefix of the loopback addresses, three numbers with dots.
+    :param code: root of the checkout whose gateways run.
+    """
+
+    def __init__(self, directory, host, code, random):
+        self.directory = directory
+        self._host = host
+        self._code = code
+        self._random = random
+        self._numbers = count(2)
+        self._replica_numbers = count(1)
+        self._group = None
+        self.disturbances = Disturbances()
+        self.gateways = []
+        self.replicas = {}
+        # By name of a gateway or replica, and (gateway, "store") and ("peer", gateway).
+        self.links = {}
+        self.store = None
+        self.runs_file = directory / "runs.jsonl"
+
+    async def start(self, gateway_count, services):
+        """Start all processes.
+
+        :param services: number of replicas by service.
+        """
+        self._group = asyncio.TaskGroup()
+        await self._group.__aenter__()
+        self.store = self._child(
+            Child, "store", lambda: [*self._python("store"), f"{self._host}.1"]
+        )
+        await self.store.started.wait()
+        for service, number in services.items():
+            for _ in range(number):
+                await self.add_replica(service)
+        for _ in range(gateway_count):
+            await self._add_gateway()
+
+    async def stop(self):
+        """Stop the gateways by SIGTERM and end the rest."""
+        await asyncio.gather(*(g.end(SIGTERM) for g in self.gateways))
+        rest = [self.store, *(r.child for r in self.replicas.values())]
+        await asyncio.gather(*(child.end() for child in rest))
+        for link in self.links.values():
+            await link.close()
+        await self._group.__aexit__(None, None, None)
+
+    def _python(self, module):
+        return [sys.executable, "-m", f"tests.soak.{module}"]
+
+    def _child(self, kind, name, command, environment=None):
+        log = self.directory / f"{name}.log"
+        child = kind(name, command, log, environment or os.environ.copy())
+        self._group.create_task(child.supervise())
+        return child
+
+    async def _link(self, key, target):
+        link = self.links[key] = Link(f"{self._host}.1")
+        await link.open()
+        link.target = target
+        return link
+
+    async def add_replica(self, service):
+        """Start a replica under a new name."""
+        name = f"i-{next(self._replica_numbers)}"
+        link = await self._link(name, None)
+        store_link = await self._link((name, "store"), self.store.address)
+        replica = ReplicaProcess(name, service, link)
+        host = f"{self._host}.{next(self._numbers)}"
+
+        def command():
+            # The port of its first start, so that it comes back where it was.
+            port = replica.child.address.rpartition(":")[2]
+            options = {
+                "id": name,
+                "service": service,
+                "streams": service == "pool",
+                "slots": 16 if service == "pool" else 3,
+                "queue": 4,
+                "seed": self._random.randrange(1 << 30),
+                "runs": str(self.runs_file),
+                "store": store_link.address,
+                "advertised": link.address,
+                "host": host,
+                "port": int(port or 0),
+            }
+            return [*self._python("replica"), json.dumps(options)]
+
+        replica.child = self._child(Child, name, command)
+        self.replicas[name] = replica
+        await replica.child.started.wait()
+        link.target = replica.child.address
+        return replica
+
+    async def remove_replica(self, name):
+        """End a replica for good; its address refuses connections."""
+        replica = self.replicas[name]
+        await replica.child.end()
+        self.links[name].reset()
+
+    async def _add_gateway(self):
+        name = f"g-{len(self.gateways) + 1}"
+        host = f"{self._host}.{next(self._numbers)}"
+        store_link = await self._link((name, "store"), self.store.address)
+        await self._link(name, f"{host}:{GATEWAY_PORT}")
+        peer_link = await self._link(("peer", name), f"{host}:{METRICS_PORT}")
+        await self.control_store(
+            {"links": {f"{host}:{METRICS_PORT}": peer_link.address}}
+        )
+        settings = self.directory / f"{name}.toml"
+        self.write_settings(name, host, store_link.address)
+        paths = sorted((self._code / "packages").glob("*/src"))
+        environment = os.environ | {
+            "LENTILSHORE_CONFIG": str(settings),
+            "PYTHONPATH": ":".join(map(str, [*paths, self._code / "platform" / "src"])),
+        }
+        command = [sys.executable, "-m", "lentilshore_platform"]
+        child = self._child(LoggingChild, name, lambda: command, environment)
+        child.host, child.store_address = host, store_link.address
+        self.gateways.append(child)
+
+    def write_settings(self, name, host, store, grace_s=GRACE_S):
+        """Write the settings file of a gateway."""
+        text = SETTINGS.format(
+            name=name,
+            host=host,
+            port=GATEWAY_PORT,
+            ready_port=READY_PORT,
+            metrics_port=METRICS_PORT,
+            store=store,
+            revoke_ms=REVOKE_MS,
+            grace_s=grace_s,
+        )
+        (self.directory / f"{name}.toml").write_text(text)
+
+    async def control_store(self, command):
+        """Send a command to the store's stand-in."""
+        await self._call(self.store.address, CONTROL_PATH, command)
+
+    async def write_config(self, config):
+        """Write the operators' configuration; return when it was acknowledged."""
+        value = {"metadata": {"name": "main"}, "spec": config}
+        path = "/lentilshore/objects/config/main"
+        await self._call(self.store.address, path, value, "PUT")
+        return time.time()
+
+    async def set_faults(self, replica, faults, state="ready"):
+        """Set the faults and the reported state of a replica."""
+        command = {"faults": faults, "state": state}
+        await self._call(replica.child.address, FAULT_PATH, command)
+
+    async def _call(self, address, path, value, method="POST"):
+        host, port = address.split(":")
+        line = f"{method} {path} HTTP/1.1"
+        data = encode(line, {"Connection": "close"}, json.dumps(value).encode())
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            answer = await read_message(reader)
+            writer.close()
+        return answer
+
+
+class ReplicaProcess:
+    """A replica, its service and the link to it."""
+
+    def __init__(self, name, service, link):
+        self.name = name
+        self.service = service
+        self.link = link
+        self.child = None
+        self.leaving = False
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,250 @@
+"""Faults of one run, drawn from its seed; they come in series and overlap."""
+
+import asyncio
+import time
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
+
+from tests.soak.callers import HOST_HEADER
+from tests.soak.fleet import REVOKE_MS
+from tests.soak.proxy import LinkFault
+
+MODELS = ("m-small", "m-large")
+GAP_S = 0.6
+REPLICA_FAULTS = ("shed", "error", "lose", "hang", "extra", "unnamed")
+
+
+class Plan:
+    """Draws faults and applies them until it is stopped.
+
+    :param fleet: the processes.
+    :param keys: customers by key; withdrawn keys are removed.
+    """
+
+    def __init__(self, fleet, keys, random, log):
+        self._fleet = fleet
+        self._keys = keys
+        self._valid = dict(keys)
+        self._random = random
+        self._log = log
+        self._version = 0
+        self._timeout_ms = 800
+        self.withdrawn = {}
+        self._actions = {
+            self.stop_gateways: 3,
+            self.kill_gateways: 3,
+            self.pause_processes: 3,
+            self.reload_settings: 1,
+            self.kill_replica: 3,
+            self.drain_replica: 2,
+            self.reuse_address: 2,
+            self.break_replicas: 6,
+            self.disturb_links: 4,
+            self.reset_links: 3,
+            self.disturb_store: 3,
+            self.change_config: 3,
+            self.withdraw_key: 1,
+        }
+
+    async def run(self, lasts_s):
+        """Begin faults for a time, then wait until each has ended."""
+        end = time.monotonic() + lasts_s
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end:
+                names, weights = zip(*self._actions.items(), strict=True)
+                action = self._random.choices(names, weights)[0]
+                group.create_task(self._apply(action, end))
+                await asyncio.sleep(self._random.expovariate(1 / GAP_S))
+
+    async def _apply(self, action, end):
+        remaining_s = max(0.1, end - time.monotonic())
+        lasts_s = min(self._random.uniform(0.3, 4.0), remaining_s)
+        self._log(f"{action.__name__} {lasts_s:.1f} s")
+        try:
+            await action(lasts_s)
+        except (OSError, EOFError, TimeoutError) as error:
+            self._log(f"{action.__name__} failed: {error!r}")
+
+    def _some(self, items, share):
+        items = list(items)
+        number = max(1, round(len(items) * self._random.uniform(0, share)))
+        return self._random.sample(items, min(number, len(items)))
+
+    def _note(self, subject, lasts_s=0.0):
+        self._fleet.disturbances.add(subject, lasts_s)
+
+    def _live_replicas(self):
+        return [
+            r
+            for r in self._fleet.replicas.values()
+            if not r.leaving and r.child.running and r.child.address
+        ]
+
+    async def stop_gateways(self, lasts_s):
+        """Stop gateways one after the other by SIGTERM."""
+        for gateway in self._some(self._fleet.gateways, 0.7):
+            gateway.send_signal(SIGTERM)
+            await asyncio.sleep(self._random.uniform(0.1, 1.0))
+
+    async def kill_gateways(self, lasts_s):
+        """Kill gateways at the same moment."""
+        for gateway in self._some(self._fleet.gateways, 0.5):
+            self._note(gateway.name, 1.0)
+            gateway.send_signal(SIGKILL)
+
+    async def pause_processes(self, lasts_s):
+        """Pause gateways or replicas and wake them again."""
+        children = [r.child for r in self._live_replicas()]
+        pool = self._fleet.gateways if self._random.random() < 0.5 else children
+        paused = self._some(pool, 0.3)
+        for child in paused:
+            self._note(child.name, lasts_s)
+            child.send_signal(SIGSTOP)
+        try:
+            await asyncio.sleep(lasts_s)
+        finally:
+            for child in paused:
+                child.send_signal(SIGCONT)
+
+    async def reload_settings(self, lasts_s):
+        """Change settings files, with a signal or without."""
+        for gateway in self._some(self._fleet.gateways, 1.0):
+            self._fleet.write_settings(
+                gateway.name, gateway.host, gateway.store_address
+            )
+            if self._random.random() < 0.5:
+                gateway.send_signal(SIGHUP)
+
+    async def kill_replica(self, lasts_s):
+        """Kill replicas; each starts again under its name at its address."""
+        for replica in self._some(self._live_replicas(), 0.3):
+            self._note(replica.name, lasts_s + 1.0)
+            replica.child.held_down_until = time.monotonic() + lasts_s
+            replica.child.send_signal(SIGKILL)
+
+    async def drain_replica(self, lasts_s):
+        """Have a replica leave as planned, while another one takes its place."""
+        replica = self._random.choice(self._live_replicas())
+        replica.leaving = True
+        await self._fleet.add_replica(replica.service)
+        await self._fleet.set_faults(replica, {}, "draining")
+        await asyncio.sleep(3.5)
+        self._note(replica.name, 60.0)
+        await self._fleet.remove_replica(replica.name)
+
+    async def reuse_address(self, lasts_s):
+        """Give the address of a replica that is gone to one of another service."""
+        replica = self._random.choice(self._live_replicas())
+        replica.leaving = True
+        self._note(replica.name, 60.0)
+        await self._fleet.remove_replica(replica.name)
+        other = "pool" if replica.service == "register" else "register"
+        heir = await self._fleet.add_replica(other)
+        await self._fleet.add_replica(replica.service)
+        replica.link.target = heir.child.address
+
+    async def break_replicas(self, lasts_s):
+        """Have replicas fail a share of their requests in several ways."""
+        broken = self._some(self._live_replicas(), 0.8)
+        kinds = self._random.sample(REPLICA_FAULTS, self._random.randint(1, 3))
+        faults = {kind: self._random.uniform(0.02, 0.5) for kind in kinds}
+        for replica in broken:
+            if "lose" in faults or "hang" in faults:
+                self._note(replica.name, lasts_s)
+            await self._fleet.set_faults(replica, faults)
+        await asyncio.sleep(lasts_s)
+        for replica in broken:
+            if replica.child.running and not replica.leaving:
+                await self._fleet.set_faults(replica, {})
+
+    async def disturb_links(self, lasts_s):
+        """Delay, silence or cut links one way, or refuse new connections on them."""
+        fault = self._random.choice(
+            (
+                LinkFault(delay_s=self._random.uniform(0.005, 0.3)),
+                LinkFault(holds=("up", "down")),
+                LinkFault(holds=("up",)),
+                LinkFault(holds=("down",)),
+                LinkFault(refuses=True),
+            )
+        )
+        chosen = self._some(self._fleet.links.items(), 0.3)
+        for key, link in chosen:
+            self._note_link(key, lasts_s)
+            link.fault = fault
+        await asyncio.sleep(lasts_s)
+        for _, link in chosen:
+            link.fault = LinkFault()
+
+    async def reset_links(self, lasts_s):
+        """Reset the connections of links."""
+        for key, link in self._some(self._fleet.links.items(), 0.3):
+            self._note_link(key, 0.0)
+            link.reset()
+
+    def _note_link(self, key, lasts_s):
+        self._note(key, lasts_s)
+        if isinstance(key, tuple):
+            self._note(key[0] if key[0] != "peer" else key[1], lasts_s)
+
+    async def disturb_store(self, lasts_s):
+        """Have the store refuse, hang or lose answers, or come back from a copy."""
+        self._note("store", lasts_s)
+        if self._random.random() < 0.25:
+            await self._fleet.control_store({"back_up": True})
+            await asyncio.sleep(min(1.0, lasts_s))
+            await self._fleet.control_store({"restore": True})
+            return
+        mode = self._random.choice(("busy", "silent", "slow", "lossy"))
+        await self._fleet.control_store({"mode": mode})
+        await asyncio.sleep(lasts_s)
+        await self._fleet.control_store({"mode": "ok"})
+
+    async def change_config(self, lasts_s):
+        """Write configurations in quick succession."""
+        for _ in range(self._random.randint(1, 4)):
+            self._timeout_ms = self._random.choice((600, 800, 1200))
+            await self.write_config()
+            await asyncio.sleep(0.2)
+
+    async def withdraw_key(self, lasts_s):
+        """Take a key away for good; callers go on to use it."""
+        if len(self._valid) > 2:
+            key = self._random.choice(list(self._valid))
+            del self._valid[key]
+            self.withdrawn[key] = await self.write_config()
+            await asyncio.sleep(REVOKE_MS / 1000)
+
+    async def write_config(self):
+        """Write the configuration; return when it was acknowledged."""
+        self._version += self._random.randint(1, 3)
+        base = {
+            "host": HOST_HEADER,
+            "public": False,
+            "target_latency_ms": 200,
+            "priority": 1,
+        }
+        plain = base | {"service": "register", "timeout_ms": self._timeout_ms}
+        stream = base | {"service": "pool", "timeout_ms": 5000, "kind": "streaming"}
+        routes = [
+            plain | {"name": "once", "path_prefix": "/once/", "max_attempts": 1},
+            plain | {"name": "safe", "path_prefix": "/safe/", "max_attempts": 3},
+            stream | {"name": "stream", "path_prefix": "/stream/", "max_attempts": 3},
+            stream | {"name": "tail", "path_prefix": "/tail/", "max_attempts": 1},
+        ]
+        routes[0]["kind"], routes[1]["kind"] = "non_idempotent", "idempotent"
+        routes[2] |= {"resumable": True, "sizes": list(MODELS)}
+        customers = {}
+        for key, customer in self._valid.items():
+            customers.setdefault(customer, []).append(key)
+        return await self._fleet.write_config(
+            {
+                "version": self._version,
+                "routes": routes,
+                "services": [{"name": "register"}, {"name": "pool"}],
+                "limits": {"max_body_bytes": 1_000_000, "idle_timeout_ms": 15_000},
+                "tenants": [
+                    {"name": name, "api_keys": keys, "priority": 1}
+                    for name, keys in customers.items()
+                ],
+            }
+        )
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,93 @@
+"""Loopback proxy of one link, which delays, resets, silences or cuts one way."""
+
+import asyncio
+from typing import NamedTuple
+
+from tests.soak.wire import reset
+
+BLOCK_BYTES = 65_536
+POLL_S = 0.02
+
+
+class LinkFault(NamedTuple):
+    """What a link does to the bytes of its connections.
+
+    :param delay_s: time by which bytes are delayed, seconds.
+    :param holds: directions in which bytes are held until the fault ends: ``up``
+        towards the server, ``down`` towards the client.
+    :param refuses: whether new connections are reset.
+    """
+
+    delay_s: float = 0.0
+    holds: tuple[str, ...] = ()
+    refuses: bool = False
+
+
+class Link:
+    """Forwards the connections to one address.
+
+    :param host: address on which the link listens, at a port that the kernel chooses.
+    """
+
+    def __init__(self, host):
+        self._host = host
+        self._server = None
+        self._writers = set()
+        self.target = None
+        self.fault = LinkFault()
+        # Times at which the link was disturbed, for the checks.
+        self.address = ""
+
+    async def open(self):
+        """Start to listen."""
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
+        self.address = f"{self._host}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self):
+        """Stop to listen and end all connections."""
+        self._server.close()
+        self.reset()
+
+    def reset(self):
+        """Reset all connections."""
+        for writer in list(self._writers):
+            reset(writer)
+
+    async def _serve(self, reader, writer):
+        if self.fault.refuses or self.target is None:
+            reset(writer)
+            return
+        host, port = self.target.rsplit(":", 1)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            reset(writer)
+            return
+        ends = {writer, far_writer}
+        self._writers |= ends
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, "up"),
+                self._pump(far_reader, writer, "down"),
+            )
+        except (ConnectionError, asyncio.CancelledError):
+            for end in ends:
+                reset(end)
+        finally:
+            self._writers -= ends
+            for end in ends:
+                end.close()
+
+    async def _pump(self, reader, writer, direction):
+        while data := await reader.read(BLOCK_BYTES):
+            if self.fault.delay_s:
+                await asyncio.sleep(self.fault.delay_s)
+            while direction in self.fault.holds:
+                await asyncio.sleep(POLL_S)
+            writer.write(data)
+            await writer.drain()
+        while direction in self.fault.holds:
+            await asyncio.sleep(POLL_S)
+        # A half-closed connection stays open in the other direction only while a
+        # caller reads; these peers close both at once.
+        writer.close()
--- /dev/null
+++ b/tests/soak/replica.py
@@ -0,0 +1,274 @@
+"""Stand-in of a replica of the users' platform, run as a process.
+
+It appends a line to a file when a request begins to run and when its run ends, so that
+runs are counted where they happen, also if the process is killed.
+"""
+
+import asyncio
+import hashlib
+import json
+import os
+import random
+import sys
+import time
+
+from tests.soak.wire import encode, encode_chunk, read_message, reset
+
+BEAT_INTERVAL_S = 1.0
+STREAM_STEP_S = 0.03
+FAULT_PATH = "/soak/faults"
+KEEP_ALIVE_S = 5
+NOT_RUN = {"X-Not-Executed": "1"}
+
+
+class Replica:
+    """One replica.
+
+    :param options: ``id``, ``service``, ``streams``, ``slots``, ``queue``, ``seed``,
+        ``runs`` (file), ``store`` and ``advertised`` (addresses), ``port``.
+    """
+
+    def __init__(self, options):
+        self._options = options
+        self._random = random.Random(options["seed"])
+        self._runs = os.open(
+            options["runs"], os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
+        )
+        self._slots = asyncio.Semaphore(options["slots"])
+        self._waiting = 0
+        self._born = int(time.time() * 1000)
+        # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed.
+        self._faults = {}
+        self._state = "ready"
+        self._run_count = 0
+
+    async def run(self):
+        """Serve until the process is ended."""
+        host, port = self._options["host"], self._options["port"]
+        server = await asyncio.start_server(self._serve_connection, host, port)
+        print(f"listening {host}:{server.sockets[0].getsockname()[1]}", flush=True)
+        await self._beat()
+
+    def _hit(self, fault):
+        return self._random.random() < self._faults.get(fault, 0.0)
+
+    def _record(self, event, request, **values):
+        line = {
+            "event": event,
+            "id": request.fields.get("x-attempt-id", ""),
+            "replica": self._options["id"],
+            "service": self._options["service"],
+            "time": time.time(),
+            **values,
+        }
+        os.write(self._runs, json.dumps(line).encode() + b"\n")
+
+    async def _serve_connection(self, reader, writer):
+        # Answers sent again right before the next answer on this connection.
+        late = []
+        try:
+            while True:
+                request = await read_message(reader)
+                if not request.complete:
+                    return
+                if not await self._serve(request, reader, writer, late):
+                    return
+        except (EOFError, ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+    async def _serve(self, request, reader, writer, late):
+        """Serve a request; return whether the connection stays open."""
+        if request.start[1] == FAULT_PATH:
+            command = json.loads(request.body)
+            self._faults, self._state = command["faults"], command["state"]
+            writer.write(encode("HTTP/1.1 200 OK", {}, b""))
+            return True
+        echo = {"X-Attempt-Id": request.fields.get("x-attempt-id", "")}
+        expected = request.fields.get("x-expect-instance", self._options["id"])
+        if expected != self._options["id"]:
+            fields = echo | {"X-Replica-Id": self._options["id"]}
+            return await self._reject("421 Misdirected Request", fields, writer, late)
+        if not echo["X-Attempt-Id"]:
+            return await self._reject("400 Bad Request", NOT_RUN, writer, late)
+        full = self._slots.locked() and self._waiting >= self._options["queue"]
+        if full or self._hit("shed"):
+            fields = echo | NOT_RUN
+            return await self._reject("503 Service Unavailable", fields, writer, late)
+        gone = asyncio.create_task(reader.read(1))
+        try:
+            return await self._queue_and_run(request, writer, late, gone)
+        finally:
+            gone.cancel()
+            await asyncio.wait({gone})
+
+    async def _queue_and_run(self, request, writer, late, gone):
+        deadline = time.monotonic() + int(request.fields["x-deadline-ms"]) / 1000
+        echo = {"X-Attempt-Id": request.fields["x-attempt-id"]}
+        self._waiting += 1
+        acquire = asyncio.create_task(self._slots.acquire())
+        try:
+            remaining_s = max(0.0, deadline - time.monotonic())
+            await asyncio.wait(
+                {acquire, gone}, timeout=remaining_s, return_when="FIRST_COMPLETED"
+            )
+        finally:
+            self._waiting -= 1
+        if not acquire.done():
+            acquire.cancel()
+            if gone.done():
+                return False
+            fields = echo | NOT_RUN
+            return await self._reject("503 Service Unavailable", fields, writer, late)
+        try:
+            if gone.done():
+                return False
+            return await self._run(request, writer, late, gone, deadline)
+        finally:
+            self._slots.release()
+
+    async def _run(self, request, writer, late, gone, deadline):
+        fields = request.fields
+        self._run_count += 1
+        run = f"{self._options['id']}.{self._born}.{self._run_count}"
+        self._record(
+            "run",
+            request,
+            run=run,
+            line=request.start,
+            body=hashlib.sha256(request.body).hexdigest(),
+            customer=fields.get("x-tenant", ""),
+            key="authorization" in fields,
+            resume=fields.get("last-event-id"),
+            stream=self._options["streams"],
+        )
+        # Extra answers to earlier requests arrive while this one runs.
+        await self._flush_late(writer, late)
+        how = "cut"
+        try:
+            work = self._stream if self._options["streams"] else self._answer
+            how = await work(request, writer, late, gone, deadline)
+        finally:
+            self._record("end", request, run=run, how=how)
+        return how == "answered" and not gone.done()
+
+    async def _answer(self, request, writer, late, gone, deadline):
+        if self._hit("hang"):
+            await asyncio.wait({gone}, timeout=deadline - time.monotonic())
+            return "hung"
+        work_s = self._random.uniform(0.005, 0.06)
+        await asyncio.wait({gone}, timeout=work_s)
+        if gone.done():
+            return "left"
+        if self._hit("lose"):
+            reset(writer)
+            return "lost"
+        name = request.fields["x-attempt-id"]
+        body = f"{name} by {self._options['id']}".encode()
+        status = "500 Error" if self._hit("error") else "200 OK"
+        fields = {
+            "X-Attempt-Id": name,
+            "X-Response-Signature": hashlib.sha256(body).hexdigest(),
+            "Keep-Alive": f"timeout={KEEP_ALIVE_S}",
+        }
+        await self._send(f"HTTP/1.1 {status}", fields, body, writer, late)
+        return "answered"
+
+    async def _stream(self, request, writer, late, gone, deadline):
+        name = request.fields["x-attempt-id"]
+        first = int(request.fields.get("last-event-id", 0)) + 1
+        fields = {
+            "X-Attempt-Id": name,
+            "X-Response-Signature": hashlib.sha256(name.encode()).hexdigest(),
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "X-Confidence": str(self._random.randrange(101)),
+        }
+        writer.write(encode("HTTP/1.1 200 OK", fields))
+        for number in range(first, event_count(name) + 1):
+            await asyncio.wait({gone}, timeout=STREAM_STEP_S)
+            if gone.done():
+                return "left"
+            if time.monotonic() > deadline or self._hit("hang"):
+                return "cut"
+            if self._hit("lose"):
+                reset(writer)
+                return "lost"
+            event = b"id: %d\ndata: %s/%d\n\n" % (number, name.encode(), number)
+            writer.write(encode_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return "answered"
+
+    async def _reject(self, status, fields, writer, late):
+        await self._send(f"HTTP/1.1 {status}", fields, b"", writer, late)
+        return True
+
+    async def _send(self, line, fields, body, writer, late):
+        await self._flush_late(writer, late)
+        writer.write(encode(line, fields, body))
+        await writer.drain()
+        if self._hit("extra"):
+            late.append(encode(line, fields, body))
+        if self._hit("unnamed"):
+            late.append(encode("HTTP/1.1 503 Service Unavailable", NOT_RUN, b""))
+
+    async def _flush_late(self, writer, late):
+        for data in late:
+            writer.write(data)
+        late.clear()
+        await writer.drain()
+
+    async def _beat(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            if self._state != "silent":
+                spec = {
+                    "service": self._options["service"],
+                    "address": self._options["advertised"],
+                    "zone": "dc-1",
+                    "version": "v1",
+                    "slots": self._options["slots"],
+                    "state": self._state,
+                    "cold_remaining_ms": 0,
+                    "sequence": sequence,
+                    "born": self._born,
+                }
+                await self._write_entry(spec)
+            await asyncio.sleep(BEAT_INTERVAL_S)
+
+    async def _write_entry(self, spec):
+        name = self._options["id"]
+        body = json.dumps({"metadata": {"name": name}, "spec": spec}).encode()
+        request = encode(
+            f"PUT /lentilshore/objects/servers/{name}", {"Connection": "close"}, body
+        ).replace(b"\r\n", b" HTTP/1.1\r\n", 1)
+        host, port = self._options["store"].split(":")
+        try:
+            async with asyncio.timeout(BEAT_INTERVAL_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(request)
+                await read_message(reader)
+                writer.close()
+        except (OSError, EOFError) as error:
+            print(f"no beat: {error!r}", file=sys.stderr, flush=True)
+
+
+def event_count(name):
+    """Return the number of events of the stream of a request."""
+    return 3 + int(hashlib.sha256(name.encode()).hexdigest(), 16) % 12
+
+
+def expected_events(name, first=1):
+    """Return the events of a stream, from a number on."""
+    return b"".join(
+        b"id: %d\ndata: %s/%d\n\n" % (n, name.encode(), n)
+        for n in range(first, event_count(name) + 1)
+    )
+
+
+if __name__ == "__main__":
+    asyncio.run(Replica(json.loads(sys.argv[1])).run())
