--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -308,6 +308,11 @@
     [
         (["reset"], StoreAmbiguousError),
         ([answer(b"{}", "503 Busy")], StoreUnavailableError),
+        ([answer(b"{}", "429 Slow")], StoreUnavailableError),
+        ([answer(b"{}", "400 Bad")], StoreUnavailableError),
+        # The store failed while it may have applied the write.
+        ([answer(b"{}", "500 Error")], StoreAmbiguousError),
+        ([answer(b"{}", "504 Late")], StoreAmbiguousError),
         ([answer(b"{}", "404 None")], StoreUnavailableError),
         (json_script(stored_object(ROLLOUT_ORDER, {"stage": "x"})), StoreError),
         (json_script(stored_object({"service": 7})), StoreError),
