--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -29,6 +29,7 @@
 
 BOUNDS = GatewayBounds(5.0, 2.0, 2.0, 5.0, 8.0, 0.9, 52.0, 10.0, 0.15)
 SIGNED = "X-Response-Signature: s1"
+REJECTED = "X-Not-Executed: 1"
 KEY = "secret"
 
 
@@ -245,6 +246,9 @@
         ([["close"], signed()], ONCE_ROUTE, 502, 1),
         ([[answer(b"", "503 Busy", [SIGNED])], signed()], ONCE_ROUTE, 502, 1),
         ([[answer(b"x")], signed()], ONCE_ROUTE, 502, 1),
+        # A rejection that bears the signature of a run proves nothing.
+        ([[answer(b"", "503 Busy", [SIGNED, REJECTED])], signed()], ONCE_ROUTE, 502, 1),
+        ([[answer(b"", "421 Wrong", [SIGNED])], signed()], ONCE_ROUTE, 502, 1),
         ([["hang"]], ONCE_ROUTE, 504, 1),
         ([signed(b"e", "500 Error")], ONCE_ROUTE, 500, 1),
         ([signed(b"e", extra=["Content-Encoding: gzip"])], ONCE_ROUTE, 502, 1),
