--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,9 @@
 capacity: $(STAMP)
 	$(PYTHON) -m bench.capacity
 
-.PHONY: soak
+.PHONY: soak soak-nodes
 soak: $(STAMP)
 	$(PYTHON) -m tests.soak --seeds 1-3
+
+soak-nodes: $(STAMP)
+	$(PYTHON) -m tests.soak_nodes
--- a/tests/soak_nodes.py
+++ b/tests/soak_nodes.py
@@ -1,6 +1,6 @@
 """Soak test: node processes are killed, stopped and replaced under load for a minute.
 
-``make soak`` runs it. No answer, bill or operation may be lost or duplicated.
+``make soak-nodes`` runs it. No answer, bill or operation may be lost or duplicated.
 """
 
 from __future__ import annotations
