--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -133,13 +133,18 @@
 
     async def _receive_signals(self) -> None:
         numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*numbers) as signals:
-            async for number in signals:
-                log_event("signal_received", signal=number.name)
-                if number is signal.SIGHUP:
-                    self._reload()
-                else:
-                    self._stop.set()
+        try:
+            with anyio.open_signal_receiver(*numbers) as signals:
+                async for number in signals:
+                    log_event("signal_received", signal=number.name)
+                    if number is signal.SIGHUP:
+                        self._reload()
+                    else:
+                        self._stop.set()
+        finally:
+            # Their default action would end the process before it has stopped.
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                signal.signal(number, signal.SIG_IGN)
 
     async def _apply_limits(self) -> None:
         """Apply the configured idle timeout of connections; log changed readiness."""
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -4,7 +4,7 @@
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_node.clients.http_client import HttpClient
 from lentilshore_node.programs.gateway_assembly import create_gateway
-from lentilshore_platform.__main__ import SettingsFile
+from lentilshore_platform.program import SettingsFile
 from lentilshore_platform.translator import HeaderTranslator
 from tests.test_platform_adapter import SETTINGS
 
