Soak: replicas that hang in a stream keep the connection; no excuse for lost answers

A stream that hangs now stays open until the gateway leaves it, and replicas that hang or lose answers no longer count as disturbed, so that the check of overlapping runs sees the gateway give up one replica for another.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -83,9 +83,13 @@
     """A process that is started again when it ends.
 
     :param name: name, also that of its log.
-    :param command: program and arguments; called before each start.
+    :param command: returns program and arguments; called before each start.
+    :param log: file that receives standard error.
     """
 
+    # Gateways log to standard output; stand-ins print their address there.
+    _logs_out = False
+
     def __init__(self, name, command, log, environment):
         self.name = name
         self._command = command
@@ -132,9 +136,6 @@
             self.started.clear()
             await asyncio.sleep(RESTART_DELAY_S)
 
-    # Gateways log to standard output; stand-ins print their address there.
-    _logs_out = False
-
     def send_signal(self, number):
         """Send a signal to the process if it runs."""
         if not self.running:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -153,8 +153,6 @@
         if self._rejections_only:
             faults = {"shed": 0.5, "extra": 0.5}
         for replica in broken:
-            if "lose" in faults or "hang" in faults:
-                self._note(replica.name, lasts_s)
             await self._fleet.set_faults(replica, faults)
         await asyncio.sleep(lasts_s)
         for replica in broken:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -33,10 +33,10 @@
         self._host = host
         self._server = None
         self._writers = set()
+        self.address = ""
+        # Address to which connections are forwarded; None refuses them.
         self.target = None
         self.fault = LinkFault()
-        # Times at which the link was disturbed, for the checks.
-        self.address = ""
 
     async def open(self):
         """Start to listen."""
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -190,7 +190,10 @@
             await asyncio.wait({gone}, timeout=STREAM_STEP_S)
             if gone.done():
                 return "left"
-            if time.monotonic() > deadline or self._hit("hang"):
+            if self._hit("hang"):
+                await asyncio.wait({gone}, timeout=deadline - time.monotonic())
+                return "hung"
+            if time.monotonic() > deadline:
                 return "cut"
             if self._hit("lose"):
                 reset(writer)
