Property test: no extra answer is taken for the one in flight

Forty drawn sequences of rejections and answers, with up to two extra answers after each (repeated, rejections with and without identifiers, successes without): no request runs twice, is denied although it ran, or gets another request's body.

--- a/tests/test_answer_attribution.py
+++ b/tests/test_answer_attribution.py
@@ -1,10 +1,14 @@
 """Tests of which request an answer of a replica belongs to, and what it proves."""
 
 import io
+import itertools
 import shlex
+from collections import Counter
 
 import anyio
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lentilshore_kernel.logs import start_logging
 from tests.scripted import Late, answer
@@ -171,3 +175,47 @@
 
     harness.server._scripts.append(lose_proof_of_keys)
     assert harness.run(Caller()).status == 502
+
+
+EXTRA_ANSWERS = {
+    "repeated": lambda name, own: own,
+    "rejection": lambda name, own: not_run(name),
+    "unidentified rejection": lambda name, own: not_run(),
+    "unidentified 421": lambda name, own: not_run(status="421 Misdirected Request"),
+    "unidentified success": lambda name, own: answer(b"other", fields=[SIGNED]),
+}
+
+
+# TWICE, REFUSED and MIXED: whatever extra answers follow whichever answers, no request
+# runs twice, is denied although it ran, or is answered with another one's answer.
+@settings(max_examples=40, deadline=None, derandomize=True, database=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.booleans(),
+            st.lists(st.sampled_from(sorted(EXTRA_ANSWERS)), max_size=2),
+        ),
+        min_size=2,
+        max_size=7,
+    )
+)
+def test_no_extra_answer_is_taken_for_the_one_in_flight(answers):
+    """An answer of the replicas is a rejection or not, and the extra ones after it."""
+    runs, upcoming = Counter(), itertools.cycle(answers)
+
+    def script(fields):
+        name = fields["x-attempt-id"]
+        rejects, extras = next(upcoming)
+        runs[name] += not rejects
+        own = not_run(name) if rejects else signed(name.encode())(fields)[0]
+        late = [Late(EXTRA_ANSWERS[extra](name, own)) for extra in extras]
+        return [0.002, own, *late]
+
+    callers, _, _ = serve([script], ONCE_ROUTE, (b"a0", b"a1", b"a2", b"a3"))
+    for number, caller in enumerate(callers):
+        name = f"a{number}"
+        assert runs[name] <= 1
+        if caller.status == 200:
+            assert caller.body == name.encode()
+        if caller.status == 503:
+            assert runs[name] == 0
