--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,8 +40,8 @@
     """Run the soak with a seed; return the problems and the outcomes."""
     # One source of randomness each, so that the faults of a seed do not depend on how
     # many requests were sent meanwhile.
-    plan_random, fleet_random, load_random = (
-        random.Random(f"{seed} {part}") for part in ("plan", "fleet", "load")
+    plan_random, fleet_random, load_random, rollout_random = (
+        random.Random(f"{seed} {part}") for part in ("plan", "fleet", "load", "rollout")
     )
     started_at = time.monotonic()
     directory.mkdir(parents=True)
@@ -60,7 +60,10 @@
         await plan.write_config()
         load = asyncio.create_task(callers.run(size.callers, size.pause_s))
         await asyncio.sleep(WARM_UP_S)
-        await plan.run(options.seconds)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(plan.run(options.seconds))
+            if options.rollouts:
+                group.create_task(plan.run_rollouts(rollout_random, options.seconds))
         calm_since = time.time() + AFTERMATH_S
         await asyncio.sleep(AFTERMATH_S + CALM_S)
         callers.stopping = True
@@ -87,6 +90,12 @@
         action="store_true",
         help="broken replicas only reject and repeat answers, but often",
     )
+    parser.add_argument(
+        "--rollouts", action="store_true", help="services are rolled out meanwhile"
+    )
+    parser.add_argument(
+        "--keep", action="store_true", help="keep the logs of seeds that broke nothing"
+    )
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     broken = []
@@ -102,7 +111,7 @@
         if problems:
             broken.append(seed)
             (directory / "problems.txt").write_text("\n".join(problems))
-        else:
+        elif not options.keep:
             shutil.rmtree(directory)
     print(f"soak: {len(broken)} seeds with problems: {broken}")
     return 1 if broken else 0
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -43,6 +43,7 @@
 value_bytes = 1048576
 """
 REVOKE_MS = 5000
+FIRST_VERSION = "v1"
 GATEWAY_PORT, READY_PORT, METRICS_PORT = 7301, 7302, 7340
 
 
@@ -228,12 +229,12 @@
         link.target = target
         return link
 
-    async def add_replica(self, service):
+    async def add_replica(self, service, version=FIRST_VERSION):
         """Start a replica under a new name."""
         name = f"i-{next(self._replica_numbers)}"
         link = await self._link(name, None)
         store_link = await self._link((name, "store"), self.store.address)
-        replica = ReplicaProcess(name, service, link)
+        replica = ReplicaProcess(name, service, version, link)
         host = f"{self._host}.{next(self._numbers)}"
 
         def command():
@@ -242,6 +243,7 @@
             options = {
                 "id": name,
                 "service": service,
+                "version": version,
                 "streams": service == "pool",
                 "slots": 16 if service == "pool" else 3,
                 "queue": 4,
@@ -307,15 +309,34 @@
 
     async def write_config(self, config):
         """Write the operators' configuration; return when it was acknowledged."""
-        value = {"metadata": {"name": "main"}, "spec": config}
-        path = "/lentilshore/objects/config/main"
+        await self._store_until_accepted("config/main", config)
+        return time.time()
+
+    async def order_rollout(self, service, target, duration_s):
+        """Order a roll-out of a service to a version."""
+        spec = {"service": service, "target": target, "duration_s": duration_s}
+        await self._store_until_accepted(f"rollouts/{service}", spec)
+
+    async def rollout_state(self, service, target):
+        """Return the state of a roll-out to a version, empty if it is not known."""
+        path = f"/lentilshore/objects/rollouts/{service}"
+        try:
+            answer = await self._call(self.store.address, path, None, "GET")
+            status = json.loads(answer.body)["status"]
+            return status["state"] if status["target"] == target else ""
+        except (OSError, EOFError, TimeoutError, KeyError, TypeError, ValueError):
+            return ""
+
+    async def _store_until_accepted(self, key, spec):
+        value = {"metadata": {"name": key.rpartition("/")[2]}, "spec": spec}
+        path = f"/lentilshore/objects/{key}"
         while True:
             try:
                 answer = await self._call(self.store.address, path, value, "PUT")
+                if answer.status == 200:
+                    return
             except (OSError, EOFError, TimeoutError):
-                continue
-            if answer.status == 200:
-                return time.time()
+                pass
             await asyncio.sleep(RESTART_DELAY_S)
 
     async def set_faults(self, replica, faults, state="ready"):
@@ -336,11 +357,12 @@
 
 
 class ReplicaProcess:
-    """A replica, its service and the link to it."""
+    """A replica, its service, its version and the link to it."""
 
-    def __init__(self, name, service, link):
+    def __init__(self, name, service, version, link):
         self.name = name
         self.service = service
+        self.version = version
         self.link = link
         self.child = None
         self.leaving = False
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,6 +1,7 @@
 """Faults of one run, drawn from its seed; they come in series and overlap."""
 
 import asyncio
+import itertools
 import time
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 
@@ -10,6 +11,10 @@
 
 MODELS = ("m-small", "m-large")
 GAP_S = 0.6
+# A draining replica goes on to serve for this time.
+DRAIN_S = 3.5
+ROLLOUT_S = 8.0
+ROLLOUT_POLL_S = 0.2
 REPLICA_FAULTS = ("shed", "error", "lose", "hang", "extra", "unnamed")
 
 
@@ -58,6 +63,42 @@
                 group.create_task(self._apply(action, end))
                 await asyncio.sleep(self._random.expovariate(1 / GAP_S))
 
+    async def run_rollouts(self, random, lasts_s):
+        """Roll services out to new versions, good and bad, one after the other."""
+        end, numbers = time.monotonic() + lasts_s, itertools.count(2)
+        while time.monotonic() < end:
+            service = random.choice(("register", "pool"))
+            version = f"v{next(numbers)}"
+            self._log(f"rollout of {service} to {version}")
+            old = [r for r in self._live_replicas() if r.service == service]
+            new = [await self._fleet.add_replica(service, version) for _ in old]
+            if random.random() < 0.4:
+                for replica in new:
+                    await self._fleet.set_faults(replica, {"error": 0.7})
+            await self._fleet.order_rollout(service, version, ROLLOUT_S)
+            state = await self._wait_for_rollout(service, version)
+            self._log(f"rollout of {service} to {version}: {state}")
+            # Completed: the old ones stop at once. Else the new ones drain.
+            leaving = [r for r in self._live_replicas() if r.service == service]
+            if state == "completed":
+                for replica in leaving:
+                    if replica.version != version:
+                        await self._remove(replica)
+                continue
+            for replica in leaving:
+                if replica.version == version:
+                    await self._drain(replica)
+
+    async def _wait_for_rollout(self, service, version):
+        deadline = time.monotonic() + 2 * ROLLOUT_S
+        state = ""
+        while state not in ("completed", "rolled_back"):
+            if time.monotonic() > deadline:
+                return "not done"
+            await asyncio.sleep(ROLLOUT_POLL_S)
+            state = await self._fleet.rollout_state(service, version)
+        return state
+
     async def _apply(self, action, end):
         remaining_s = max(0.1, end - time.monotonic())
         lasts_s = min(self._random.uniform(0.3, 4.0), remaining_s)
@@ -128,21 +169,27 @@
         """Have a replica leave as planned, while another one takes its place."""
         replica = self._random.choice(self._live_replicas())
         replica.leaving = True
-        await self._fleet.add_replica(replica.service)
+        await self._fleet.add_replica(replica.service, replica.version)
+        await self._drain(replica)
+
+    async def _drain(self, replica):
+        replica.leaving = True
         await self._fleet.set_faults(replica, {}, "draining")
-        await asyncio.sleep(3.5)
+        await asyncio.sleep(DRAIN_S)
+        await self._remove(replica)
+
+    async def _remove(self, replica):
+        replica.leaving = True
         self._note(replica.name, 60.0)
         await self._fleet.remove_replica(replica.name)
 
     async def reuse_address(self, lasts_s):
         """Give the address of a replica that is gone to one of another service."""
         replica = self._random.choice(self._live_replicas())
-        replica.leaving = True
-        self._note(replica.name, 60.0)
-        await self._fleet.remove_replica(replica.name)
+        await self._remove(replica)
         other = "pool" if replica.service == "register" else "register"
         heir = await self._fleet.add_replica(other)
-        await self._fleet.add_replica(replica.service)
+        await self._fleet.add_replica(replica.service, replica.version)
         replica.link.target = heir.child.address
 
     async def break_replicas(self, lasts_s):
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -24,8 +24,9 @@
 class Replica:
     """One replica.
 
-    :param options: ``id``, ``service``, ``streams``, ``slots``, ``queue``, ``seed``,
-        ``runs`` (file), ``store`` and ``advertised`` (addresses), ``port``.
+    :param options: ``id``, ``service``, ``version``, ``streams``, ``slots``, ``queue``,
+        ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses), ``host``,
+        ``port``.
     """
 
     def __init__(self, options):
@@ -233,7 +234,7 @@
                     "service": self._options["service"],
                     "address": self._options["advertised"],
                     "zone": "dc-1",
-                    "version": "v1",
+                    "version": self._options["version"],
                     "slots": self._options["slots"],
                     "state": self._state,
                     "cold_remaining_ms": 0,
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -16,6 +16,8 @@
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone"}
 # Kinds of object that are gone again after a restore unless they are written again.
 SYSTEM_KINDS = ("gateways",)
+# Kinds whose objects a write creates.
+CREATED_KINDS = ("config", "rollouts", *SYSTEM_KINDS)
 
 
 class Store:
@@ -109,7 +111,7 @@
             self._beats[name] = time.monotonic()
         elif method == "POST" and stored is not None:
             return 409, stored
-        elif method == "PUT" and stored is None and kind not in ("config",):
+        elif stored is None and (names[1:] or kind not in CREATED_KINDS):
             return 404, None
         expected = value["metadata"].get("revision")
         if expected and stored and expected != stored["metadata"]["revision"]:
