Keep together to the request rate that a replica names

Cause: no code read the limit. The class of fault is a quantity that belongs to the whole fleet and that no gateway alone can keep, so that reading it would not do: a bucket each gives as many times the limit as there are gateways, and a request each is too many from 79 on.

Change: the limit is divided into slots, int(limit) + 3 of them or one for each gateway where there are fewer. The registered gateways are ranked by a hash with the replica's name, so that all work out alike who holds a slot, without asking. A gateway spends a token bucket of its slots' rate for everything that it sends: first attempts, retries, escalations, resumed streams. Gateways ask one another once a second while they know of a limit, and so learn of limits, their end and the use of slots; a slot unused for 30 s passes on. A gateway that knows little (no list, just joined, heard from nobody for 12 s) takes its part of half the limit. What exceeds the limits goes to other replicas, or is refused at once with upstream_limited and a Retry-After as far from that of the last refusal as the slots allow. A used-up limit counts neither against the replica nor its version. Only a signed answer to a request sent after the naming ends a limit.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -68,6 +68,12 @@
         "outcome",
         "Calls between gateways, by outcome",
     ),
+    MetricFamily(
+        "limit",
+        "lentilshore_replica_limits",
+        "event",
+        "Limits in answers of replicas, by what could not be done with them",
+    ),
     MetricFamily(
         "task", "lentilshore_task_events", "event", "Errors of recurring tasks"
     ),
--- a/packages/node/src/lentilshore_node/clients/fleet_source.py
+++ b/packages/node/src/lentilshore_node/clients/fleet_source.py
@@ -116,9 +116,10 @@
             has begun another era since the record was read.
         """
 
-    async def register_gateway(self, entry: GatewayEntry) -> None:
+    async def register_gateway(self, entry: GatewayEntry) -> bool:
         """Write the entry of this gateway unless it stands there already.
 
+        :returns: whether there was no entry of this name.
         :raises StoreError: if the store fails; call again.
         """
 
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -79,6 +79,8 @@
     :param unaltered: whether the answer bears the replica's signature and no content
         encoding that was not requested.
     :param confidence: the model's confidence from 0 to 100, None if not stated.
+    :param limit_per_s: requests a second that the replica takes from all nodes
+        together; None if it names no limit, not a number if it can't be read.
     """
 
     request_id: str
@@ -86,6 +88,7 @@
     misdirected: bool
     unaltered: bool
     confidence: int | None
+    limit_per_s: float | None = None
 
 
 class Translator(Protocol):
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -186,6 +186,12 @@
                 status = await self._loop.run(self._attempt)
         except UpstreamError as error:
             status = await self._give_up(error)
+        except RefusalError as refusal:
+            if refusal.reason is not RefusalReason.UPSTREAM_LIMITED:
+                raise
+            status = await self._send_error_answer()
+            if status is None:
+                raise
         return self._outcome(status)
 
     def choose_replica(self, tried: Sequence[str]) -> ReplicaLease:
@@ -208,15 +214,31 @@
         lease = None
         if version is not None:
             self._version = version
-            lease = self._choose_replica(f"{self._service}@{version}", tried)
+            lease = self._choose_replica(self._group, tried)
         if lease is None:
-            raise RefusalError(
+            raise self._no_replica_refusal()
+        return lease
+
+    @property
+    def _group(self) -> str:
+        return f"{self._service}@{self._version}"
+
+    def _no_replica_refusal(self) -> RefusalError:
+        execution = self._proof.execution
+        limit_retry_after_s = self._context.placement.limit_retry_after_s(self._group)
+        if limit_retry_after_s is None:
+            return RefusalError(
                 RefusalReason.NO_UPSTREAM,
-                self._proof.execution,
+                execution,
                 f"no replica of {self._service} is available",
                 NO_UPSTREAM_RETRY_AFTER_S,
             )
-        return lease
+        return RefusalError(
+            RefusalReason.UPSTREAM_LIMITED,
+            execution,
+            f"all replicas of {self._group} have named limits, which are used up",
+            round(limit_retry_after_s, 2),
+        )
 
     def _choose_replica(self, group: str, tried: Sequence[str]) -> ReplicaLease | None:
         request = self._request
@@ -291,6 +313,7 @@
                     "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
                     "connection_calls": response.connection_calls,
                 }
+                self._record_limit(lease, head)
                 if head.misdirected:
                     raise UpstreamError(
                         RefusalReason.UPSTREAM_REPLACED,
@@ -309,6 +332,17 @@
                     return await self._relay_stream(response, head, started_at)
                 return await self._relay_buffered(response, head, started_at)
 
+    def _record_limit(self, lease: ReplicaLease, head: AnswerHead) -> None:
+        """Record whether the replica names a limit.
+
+        Only an answer that bears its signature proves that it names none.
+        """
+        if head.misdirected or (head.limit_per_s is None and not head.unaltered):
+            return
+        self._context.record_limit(
+            lease.replica.name, head.limit_per_s, self._attempt_started_at
+        )
+
     def _encode(self, lease: ReplicaLease) -> bytes:
         """Return the bytes for a replica, after checking that they may still be sent.
 
@@ -453,7 +487,7 @@
         if not self._route.delivery_mode.repeatable or self._is_last_attempt:
             return False
         larger = larger_model(self._route.models, self._model)
-        if larger is None:
+        if larger is None or not self._context.placement.has_capacity(self._group):
             return False
         expected_s = self._measurements.expected_first_event_s(larger)
         remaining_s = (
@@ -495,9 +529,9 @@
         self._proof.end(execution)
 
     async def _give_up(self, error: UpstreamError) -> int:
-        if self._error_answer is not None and not self._relay.started:
-            await self._relay.send_buffered(self._error_answer)
-            return self._error_answer.status
+        status = await self._send_error_answer()
+        if status is not None:
+            return status
         execution = self._proof.execution
         retry_after_s = (
             OVERLOAD_RETRY_AFTER_S if execution is Execution.NOT_RUN else None
@@ -506,6 +540,13 @@
             error.reason, execution, error.detail, retry_after_s
         ) from error
 
+    async def _send_error_answer(self) -> int | None:
+        """Send a replica's answer with an error; return its status, None for none."""
+        if self._error_answer is None or self._relay.started:
+            return None
+        await self._relay.send_buffered(self._error_answer)
+        return self._error_answer.status
+
     @property
     def _is_last_attempt(self) -> bool:
         """Whether no further attempt is allowed if the current one may have run."""
--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from lentilshore_kernel import log_event
@@ -17,6 +18,8 @@
 # The first list follows when gateways that started together have registered.
 FIRST_LIST_DELAY_S = 2.0
 LIST_INTERVAL_S = 20.0
+# Time within which each gateway reads the list again; the store's may be seconds old.
+LONGEST_LIST_INTERVAL_S = 1.5 * LIST_INTERVAL_S + 5.0
 # A gateway that did not answer is not asked again for this time. It doubles with each
 # further failure, since entries of removed instances stay in the store.
 FAILED_PEER_PAUSE_S = 3.0
@@ -54,7 +57,10 @@
         self._random = random_source
         self._metrics = metrics
         self._preferred: list[GatewayEntry] = []
+        self._others: list[GatewayEntry] = []
         self._registered = False
+        # From this time on, all others have had time to list this gateway.
+        self._listed_from = math.inf
         self._paused_until: dict[str, float] = {}
         self._consecutive_failures: dict[str, int] = {}
 
@@ -71,6 +77,28 @@
         ]
         return usable[:limit]
 
+    @property
+    def names(self) -> list[str]:
+        """Names of all gateways, this one included; empty before the first list."""
+        if not self._registered:
+            return []
+        return [self._own.name, *(entry.name for entry in self._others)]
+
+    @property
+    def listed_from(self) -> float:
+        """Time from which the others know of this gateway, on the node's clock."""
+        return self._listed_from
+
+    def random_peer(self) -> GatewayEntry | None:
+        """Return a random one of the other gateways that answer, None for none."""
+        now = self._clock.monotonic()
+        usable = [
+            entry
+            for entry in self._others
+            if self._paused_until.get(entry.name, 0.0) <= now
+        ]
+        return self._random.choice(usable) if usable else None
+
     def record_failure(self, peer: GatewayEntry) -> None:
         """Record that a gateway did not answer, or knows less than this one."""
         self._metrics.count("relay.peer_failed")
@@ -93,7 +121,7 @@
         while True:
             try:
                 if not self._registered:
-                    await self._source.register_gateway(self._own)
+                    await self._register()
                 await self._clock.sleep(delay_s * (0.5 + self._random.random()))
                 self.update(await self._source.list_gateways())
                 delay_s = LIST_INTERVAL_S
@@ -101,6 +129,12 @@
                 log_event("gateways_not_listed", detail=str(error))
                 await self._clock.sleep(FIRST_LIST_DELAY_S)
 
+    async def _register(self) -> None:
+        is_new = await self._source.register_gateway(self._own)
+        if self._listed_from == math.inf:
+            delay_s = LONGEST_LIST_INTERVAL_S if is_new else 0.0
+            self._listed_from = self._clock.monotonic() + delay_s
+
     def update(self, entries: list[GatewayEntry]) -> None:
         """Replace the known gateways.
 
@@ -108,6 +142,7 @@
         """
         # A store that was restored from a copy may have lost this gateway's entry.
         self._registered = self._own in entries
+        self._others = [entry for entry in entries if entry.name != self._own.name]
         self._preferred = sorted(
             (
                 entry
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -38,6 +38,7 @@
 )
 from ..state.replica_record import ReplicaRecord
 from .gateway_directory import MAX_PEERS_ASKED, GatewayDirectory
+from .limit_exchange import LIMITS_PATH, encode_limits
 
 T = TypeVar("T")
 
@@ -112,6 +113,8 @@
             return self._configuration()
         if path == CHANGES_PATH:
             return await self._changes(query)
+        if path == LIMITS_PATH:
+            return encode_limits(self._context.limits)
         return None
 
     def _configuration(self) -> bytes | None:
@@ -316,9 +319,9 @@
         """Write a roll-out to the store, see :class:`FleetSource`."""
         return await self._source.write_rollout(rollout)
 
-    async def register_gateway(self, entry: GatewayEntry) -> None:
+    async def register_gateway(self, entry: GatewayEntry) -> bool:
         """Write a gateway's entry to the store, see :class:`FleetSource`."""
-        await self._source.register_gateway(entry)
+        return await self._source.register_gateway(entry)
 
     async def list_gateways(self) -> list[GatewayEntry]:
         """Return the registered gateways, see :class:`FleetSource`."""
--- a/packages/node/src/lentilshore_node/programs/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_assembly.py
@@ -9,6 +9,7 @@
 from lentilshore_kernel.logs import RequestSampler
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_routing.placement import Placement
+from lentilshore_routing.replica_limits import ReplicaLimits
 from lentilshore_routing.retries import RetryPolicy, SlidingWindowBudget
 from lentilshore_routing.version_choice import VersionChooser
 
@@ -63,7 +64,8 @@
     :param http: client for requests to replicas.
     :param translator: reads and writes the deployment's headers.
     """
-    placement = Placement(node, clock, random_source, data_centre)
+    limits = ReplicaLimits(node, clock, random_source)
+    placement = Placement(node, clock, random_source, data_centre, limits)
     return GatewayContext(
         node_name=node,
         data_centre=data_centre,
@@ -75,6 +77,7 @@
             clock, placement, bounds.replica_drain_s * VANISHED_REPLICA_SHARE, metrics
         ),
         placement=placement,
+        limits=limits,
         retries=RetryPolicy(
             REQUEST_RETRY_LIMIT, partial(create_retry_budget, bounds, clock)
         ),
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -20,6 +20,7 @@
 from ..callers.gateway import GatewayApplication
 from ..clients.fleet_source import FleetSource, GatewayEntry
 from ..peers.gateway_directory import GatewayDirectory
+from ..peers.limit_exchange import LimitExchange
 from ..peers.relay import PeerClient, RelayedSource, RelayServer
 from ..state.fleet_view_updater import FleetViewUpdater
 from ..state.gateway_context import BALANCER_REMOVAL_S, GatewayContext
@@ -110,7 +111,8 @@
             controller = RolloutController(self._context, self._source)
             tasks = [controller.run, self._apply_limits, self._poll_settings]
             if self._directory is not None:
-                tasks.append(self._directory.run)
+                exchange = LimitExchange(self._context, self._directory)
+                tasks += [self._directory.run, exchange.run]
             for task in tasks:
                 group.start_soon(
                     keep_running, task, self._context.metrics, self._context.clock
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from lentilshore_kernel.clock import Clock
-from lentilshore_kernel.logs import RequestSampler
+from lentilshore_kernel.logs import RequestSampler, log_event
+from lentilshore_kernel.metrics import record_state_change
 from lentilshore_kernel.served_metrics import ServedMetrics
-from lentilshore_kernel.types import Address
+from lentilshore_kernel.types import Address, StateChange
 from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.placement import Placement
+from lentilshore_routing.replica_limits import ReplicaLimits
 from lentilshore_routing.retries import RetryPolicy
 from lentilshore_routing.version_choice import VersionChooser
 from lentilshore_routing.version_evidence import LatencyBaseline, VersionEvidence
@@ -83,6 +86,7 @@
     """Components and state of one gateway.
 
     :param node_name: name of this instance.
+    :param limits: limits that replicas name, which ``placement`` keeps to.
     :param version_chooser: chooses the version that serves each request.
     :param log_sampler: selects the requests whose routine lines are logged.
     """
@@ -95,6 +99,7 @@
     metrics: ServedMetrics
     view: FleetView
     placement: Placement
+    limits: ReplicaLimits
     retries: RetryPolicy
     version_chooser: VersionChooser
     translator: Translator
@@ -145,6 +150,42 @@
         until = self._fresh_connections_until.get(address, 0.0)
         return until <= self.clock.monotonic()
 
+    def record_limit(
+        self, replica: str, limit_per_s: float | None, sent_at: float
+    ) -> None:
+        """Record what an answer of a replica says of its limit.
+
+        :param limit_per_s: requests a second; None if it names no limit, not a number
+            if the limit can't be read.
+        :param sent_at: time at which the request was sent, on the node's clock,
+            seconds.
+        """
+        if limit_per_s is not None and math.isnan(limit_per_s):
+            self.metrics.count("limit.unreadable")
+            log_event("limit_unreadable", replica=replica)
+            return
+        if self.limits.observe(replica, limit_per_s, sent_at):
+            self.log_limit(replica, "answer")
+
+    def log_limit(self, replica: str, source: str) -> None:
+        """Log that the limit of a replica has changed.
+
+        :param source: whether an answer or a peer told of the change.
+        """
+        limit_per_s = self.limits.limit_per_s(replica)
+        if limit_per_s is None:
+            change = StateChange.REPLICA_LIMIT_ENDED
+            record_state_change(self.metrics, change, replica=replica, source=source)
+            return
+        record_state_change(
+            self.metrics,
+            StateChange.REPLICA_LIMITED,
+            replica=replica,
+            source=source,
+            limit_per_s=f"{limit_per_s:g}",
+            own_per_s=f"{self.limits.own_rate(replica):.3g}",
+        )
+
     def update_bounds(self, bounds: GatewayBounds) -> None:
         """Replace the bounds."""
         self.bounds = bounds
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -10,6 +10,7 @@
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.types import Priority
 
+from .replica_limits import ReplicaLimits
 from .replicas import Replica, ReplicaGroup, choose_subset
 
 # Candidate replicas for a request: the first on the hash ring, for prefix cache hits,
@@ -95,6 +96,7 @@
     :param random_source: source of random choices.
     :param data_centre: data centre of this node, whose replicas are preferred; empty
         for no preference.
+    :param limits: limits that replicas name; None where no replica names any.
     """
 
     def __init__(
@@ -103,7 +105,9 @@
         clock: Clock,
         random_source: random.Random,
         data_centre: str = "",
+        limits: ReplicaLimits | None = None,
     ) -> None:
+        self._limits = limits or ReplicaLimits(node, clock, random_source)
         self._node = node
         self._data_centre = data_centre
         self._clock = clock
@@ -138,6 +142,7 @@
             replica.name: self._states.get(replica.name) or _ReplicaState()
             for replica in active
         }
+        self._limits.set_replicas(self._states.keys())
         groups: dict[str, list[Replica]] = {}
         for replica in sorted(active):
             for group in replica.groups:
@@ -188,6 +193,7 @@
             state.load_report.made_at >= 0 and report_age_s <= LOAD_REPORT_AGE_LIMIT_S
         )
         cached = bool(prefix) and prefix in state.cached_prefixes
+        self._limits.take(replica.name)
         state.in_flight += 1
         state.batch_in_flight += batch
         state.local_work_tokens += work_tokens
@@ -223,6 +229,25 @@
             lease = self.choose(group, work_tokens, prefix, priority)
         return lease
 
+    def has_capacity(self, group: str) -> bool:
+        """Return whether a replica of a group may be sent a request now."""
+        replica_group = self._groups.get(group)
+        if replica_group is None:
+            return False
+        return any(self._limits.allows(r.name) for r in replica_group.replicas)
+
+    def limit_retry_after_s(self, group: str) -> float | None:
+        """Return when a caller may come back because replicas have named limits.
+
+        :param group: version or service.
+        :returns: seconds; None if no replica of the group has named a limit.
+        """
+        replica_group = self._groups.get(group)
+        limited = replica_group.named(self._limits.limited) if replica_group else []
+        if not limited:
+            return None
+        return self._limits.retry_after_s(replica.name for replica in limited)
+
     def release(
         self, lease: ReplicaLease, failed: bool, unreachable: bool = False
     ) -> bool:
@@ -350,17 +375,22 @@
     def _candidates(
         self, group: ReplicaGroup, prefix: str, excluded: Sequence[str]
     ) -> list[Replica]:
-        candidates = (
-            group.ring_successors(prefix, AFFINITY_CANDIDATES) if prefix else []
-        )
+        affine = group.ring_successors(prefix, AFFINITY_CANDIDATES) if prefix else []
         random_count = (
-            RANDOM_CANDIDATES if candidates else AFFINITY_CANDIDATES + RANDOM_CANDIDATES
+            RANDOM_CANDIDATES if affine else AFFINITY_CANDIDATES + RANDOM_CANDIDATES
         )
+        # Few nodes hold a part of a limit, so each takes every chance to use it: the
+        # first of equally loaded candidates is chosen.
+        candidates = group.named(self._limits.limited) + affine
         sample_size = min(random_count, len(group.subset))
         candidates += self._random.sample(group.subset, sample_size)
         usable = [item for item in candidates if self._usable(item, excluded)]
         usable = usable or [i for i in group.replicas if self._usable(i, excluded)]
-        return usable or [i for i in group.replicas if i.name not in excluded]
+        return usable or [
+            item
+            for item in group.replicas
+            if item.name not in excluded and self._limits.allows(item.name)
+        ]
 
     def _home_replica(
         self, group: ReplicaGroup, prefix: str, excluded: Sequence[str]
@@ -377,7 +407,7 @@
         return ""
 
     def _usable(self, replica: Replica, excluded: Sequence[str]) -> bool:
-        if replica.name in excluded:
+        if replica.name in excluded or not self._limits.allows(replica.name):
             return False
         return self._states[replica.name].ejected_until <= self._clock.monotonic()
 
--- a/packages/routing/src/lentilshore_routing/replicas.py
+++ b/packages/routing/src/lentilshore_routing/replicas.py
@@ -5,7 +5,7 @@
 import bisect
 import hashlib
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from lentilshore_kernel.types import Address
@@ -43,6 +43,7 @@
     def __init__(self, replicas: Sequence[Replica], subset: Sequence[Replica]) -> None:
         self.replicas = replicas
         self.subset = subset
+        self._by_name = {replica.name: replica for replica in replicas}
         points = sorted(
             (_hash(f"{replica.name}/{point}"), index)
             for index, replica in enumerate(replicas)
@@ -51,6 +52,10 @@
         self._keys = [key for key, _ in points]
         self._indexes = [index for _, index in points]
 
+    def named(self, names: Iterable[str]) -> list[Replica]:
+        """Return the replicas of the group that have one of these names."""
+        return [self._by_name[name] for name in names if name in self._by_name]
+
     def ring_successors(self, prefix: str, count: int) -> list[Replica]:
         """Return the first distinct replicas that follow a prefix on the ring."""
         start = bisect.bisect(self._keys, _hash(prefix))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -35,10 +35,12 @@
     "lentilshore_node.state.rollout_controller",
     "lentilshore_node.callers.gateway",
     "lentilshore_node.peers.gateway_directory",
+    "lentilshore_node.peers.limit_exchange",
     "lentilshore_node.peers.relay",
     "lentilshore_node.state.rollout_progress",
     "lentilshore_routing.first_event_times",
     "lentilshore_routing.model_choice",
+    "lentilshore_routing.replica_limits",
     "lentilshore_routing.retries",
     "lentilshore_routing.rollouts",
     "lentilshore_routing.staging",
@@ -48,7 +50,7 @@
 # Names that only the users' platform uses; the product must not depend on them.
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-response-signature|x-expect-instance|x-not-executed"
-    r"|x-prompt-prefix|x-token-usage|x-confidence|x-deadline-ms|x-tenant"
+    r"|server-limit|x-prompt-prefix|x-token-usage|x-confidence|x-deadline-ms|x-tenant"
     r"|/lentilshore/|traffic_split|gap_aim_ms|path_prefix|api_keys|as_of|wait_ms",
     re.IGNORECASE,
 )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -23,6 +23,7 @@
 from lentilshore_node.clients.http_connection import CallTimedOutError
 from lentilshore_node.peers.gateway_directory import (
     FAILED_PEER_PAUSE_S,
+    LIST_INTERVAL_S,
     MAX_FAILED_PEER_PAUSE_S,
     MAX_PEERS_ASKED,
     GatewayDirectory,
@@ -561,3 +562,38 @@
     monkeypatch.setattr(RelayServer, "_reaches_store", True)
     monkeypatch.setattr(PeerClient, "first_answer", accept_any_age)
     assert withdrawn_version_is_accepted_late(CUT_AND_SLOW)
+
+
+class RegistrationSource(StoreSource):
+    """Store in which a gateway's entry is new, or stands there already."""
+
+    def __init__(self, store, is_new):
+        super().__init__(store)
+        self._is_new = is_new
+
+    async def register_gateway(self, gateway):
+        await self.call()
+        return self._is_new
+
+
+@pytest.mark.parametrize("is_new", [True, False])
+def test_a_gateway_that_joins_waits_until_all_others_know_of_it(is_new):
+    clock = FakeClock()
+    source = RegistrationSource(SharedStore(clock), is_new)
+    directory = GatewayDirectory(
+        entry("n2"), source, clock, random.Random(1), ServedMetrics()
+    )
+    assert (directory.names, directory.random_peer()) == ([], None)
+    started_at = clock.monotonic()
+
+    async def run():
+        with clock.timeout(30.0):
+            await directory.run()
+
+    run_with_clock(clock, run)
+    assert sorted(directory.names) == ["n1", "n2", "n3"]
+    assert directory.random_peer().name in ("n1", "n3")
+    assert (directory.listed_from - started_at >= LIST_INTERVAL_S * 1.5) is is_new
+    for name in ("n1", "n3"):
+        directory.record_failure(entry(name))
+    assert directory.random_peer() is None
