Complete a roll-out only after answers under load were seen

Cause: the last steps went by the clock. The candidate got all traffic at 0.93 of the time, and was completed at 0.965, 0.6 s later in a roll-out of 15 s, with 34 to 40 answers seen, nearly all at little load, where a slow version seems as fast as its loaded base (0.77 to 1.04 times as long; a good one 0.39 to 0.55). Slow answers were counted when they ended, after the verdict.

Change: a candidate goes to the last stage at once only if its answers at little load were clearly faster than the base's. Else it is on trial with all traffic: it is completed or rolled back by the answers of the trial alone, after 2 s with 30 of them, 3 s with 8, at the latest after 10 s. An answer on trial that is overdue counts with its time so far. That also covers a gateway that comes back from a silent store after the deadline.

The measured values are the cases of tests/test_staging.py; the code before completed them.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -170,6 +170,8 @@
         except RefusalError as refusal:
             self._proof.apply_to(refusal)
             raise
+        finally:
+            self._measurements.end()
         # Reached at the timeout, which ends the block above without an exception.
         raise RefusalError(
             RefusalReason.DEADLINE_EXCEEDED,
@@ -525,6 +527,7 @@
 
     def _end_attempt(self, execution: Execution) -> None:
         self._streaming = False
+        self._measurements.end()
         self._possible_runs += execution is not Execution.NOT_RUN
         self._proof.end(execution)
 
--- a/packages/node/src/lentilshore_node/delivery/measurements.py
+++ b/packages/node/src/lentilshore_node/delivery/measurements.py
@@ -34,6 +34,7 @@
         self._source = ("", "", "-")
         self._model = ""
         self._tokens_to_read = request.prompt_tokens
+        self._wait: int | None = None
 
     def begin(
         self,
@@ -55,6 +56,20 @@
         _, shared_tokens = shared_prefix(self._request.parts, model)
         cached_tokens = shared_tokens if lease.cached else 0
         self._tokens_to_read = max(0, self._request.prompt_tokens - cached_tokens)
+        self.end()
+        streaming = self._route.delivery_mode.streaming
+        if not streaming or not self._cache_explains_latency:
+            self._wait = self._context.evidence.begin_wait(
+                rollout,
+                self._source,
+                self._latency_kind if streaming else self._route.name,
+                self._context.clock.monotonic(),
+            )
+
+    def end(self) -> None:
+        """Record that the attempt has ended or has begun to answer."""
+        self._context.evidence.end_wait(self._wait)
+        self._wait = None
 
     @property
     def typical_latency_s(self) -> float:
@@ -75,6 +90,7 @@
 
     def record_answer_time(self, seconds: float) -> None:
         """Record the time to a whole answer."""
+        self.end()
         self._context.typical_latencies.add(self._latency_kind, seconds)
         self._record_latency(self._route.name, seconds)
 
@@ -83,10 +99,10 @@
 
         It counts as evidence about the version only if a cold cache can't explain it.
         """
+        self.end()
         self._context.typical_latencies.add(self._latency_kind, seconds)
         self._record_first_event_time(seconds)
-        _, shared_tokens = shared_prefix(self._request.parts, self._model)
-        if shared_tokens <= self._request.prompt_tokens * SHARED_PREFIX_SHARE_LIMIT:
+        if not self._cache_explains_latency:
             self._record_latency(self._latency_kind, seconds)
 
     def record_stall(self, seconds: float, first_event_pending: bool) -> None:
@@ -104,6 +120,13 @@
         if pause_s is not None:
             self._record_latency(f"pace/{self._model}", pause_s)
 
+    @property
+    def _cache_explains_latency(self) -> bool:
+        """Whether a cold cache may lengthen the time to the first event."""
+        _, shared_tokens = shared_prefix(self._request.parts, self._model)
+        limit = self._request.prompt_tokens * SHARED_PREFIX_SHARE_LIMIT
+        return shared_tokens > limit
+
     @property
     def _latency_kind(self) -> str:
         return latency_kind(self._route.name, self._model, self._request.prompt_tokens)
--- a/packages/node/src/lentilshore_node/state/rollout_controller.py
+++ b/packages/node/src/lentilshore_node/state/rollout_controller.py
@@ -30,6 +30,8 @@
         self._source = source
         self._ordered_at: dict[tuple[str, str], float] = {}
         self._evidence_written_at: dict[str, float] = {}
+        # Candidate and stage of each service's roll-out, and when they were first seen.
+        self._stages: dict[str, tuple[tuple[str, int], float]] = {}
 
     async def run(self) -> None:
         """Check every roll-out until cancelled."""
@@ -76,10 +78,17 @@
     def _find_step(self, rollout: Rollout) -> Rollout | None:
         """Return the roll-out after the step that is due, None if none is."""
         age_s = self._age_s(rollout)
-        own_observations = self._context.evidence.observations(rollout)
+        own_observations = self._context.evidence.observations(
+            rollout, self._context.clock.monotonic()
+        )
         exposure_share = self._context.bounds.exposure_share
         successor = next_record(
-            rollout, age_s, own_observations, self._context.node_name, exposure_share
+            rollout,
+            age_s,
+            own_observations,
+            self._context.node_name,
+            exposure_share,
+            self._stage_age_s(rollout),
         )
         if successor is not None and rollout.state is None:
             return successor._replace(started_at=self._context.clock.wall())
@@ -132,6 +141,16 @@
             errors=sum(o.errors.bad for o in successor.observations.values()),
         )
 
+    def _stage_age_s(self, rollout: Rollout) -> float:
+        """Return the time for which this node has known of the stage, seconds."""
+        now = self._context.clock.monotonic()
+        stage = (rollout.candidate, rollout.stage)
+        known, since = self._stages.get(rollout.service, (None, now))
+        if known != stage:
+            since = now
+        self._stages[rollout.service] = (stage, since)
+        return now - since
+
     def _age_s(self, rollout: Rollout) -> float:
         """Return the time since the roll-out was requested, seconds.
 
--- a/packages/routing/src/lentilshore_routing/observations.py
+++ b/packages/routing/src/lentilshore_routing/observations.py
@@ -33,6 +33,16 @@
 MIN_VARIANCE = 0.09
 MIN_LATENCIES = 8
 MIN_BASE_LATENCIES = 30
+# Before the last stage a candidate is clearly as fast as its base if its mean log
+# latency stays below this by two standard errors. A version that takes three times as
+# long for half of its answers seems as fast as a loaded base then.
+CLEAR_LOG_EXCESS = 0.2
+CLEAR_DEVIATION_FACTOR = 0.75
+CLEAR_STANDARD_ERRORS = 2.0
+MIN_CLEAR_LATENCIES = 20
+# On trial, with all traffic, a candidate must be about as fast as its base.
+TRIAL_MAX_LOG_EXCESS = 0.1
+MIN_TRIAL_LATENCIES = 30
 
 
 class Moments(NamedTuple):
@@ -112,6 +122,38 @@
     )
 
 
+def is_clearly_as_fast(observations: Iterable[Observations]) -> bool:
+    """Return whether a candidate with little load is as fast as its loaded base.
+
+    :param observations: observations of each node before the candidate's trial.
+    """
+    merged = merge_observations(observations)
+    candidate, base = merged.log_latencies, merged.base_log_latencies
+    if candidate.count < MIN_CLEAR_LATENCIES or base.count < MIN_BASE_LATENCIES:
+        return False
+    limit = CLEAR_LOG_EXCESS - CLEAR_DEVIATION_FACTOR * math.sqrt(base.variance)
+    error = CLEAR_STANDARD_ERRORS * _standard_error(candidate, base)
+    return candidate.mean - base.mean + error < limit
+
+
+def is_slower_on_trial(observations: Iterable[Observations]) -> bool:
+    """Return whether a candidate that receives all traffic is slower than its base.
+
+    :param observations: observations of each node, with the candidate's latencies
+        during its trial only.
+    """
+    merged = merge_observations(observations)
+    candidate, base = merged.log_latencies, merged.base_log_latencies
+    if candidate.count < MIN_LATENCIES or base.count < MIN_BASE_LATENCIES:
+        return False
+    return candidate.mean - base.mean > TRIAL_MAX_LOG_EXCESS
+
+
+def count_latencies(observations: Iterable[Observations]) -> int:
+    """Return the number of the candidate's latencies that all nodes have observed."""
+    return merge_observations(observations).log_latencies.count
+
+
 def merge_observations(observations: Iterable[Observations]) -> Observations:
     """Return the observations of several nodes together."""
     return reduce(Observations.merge, observations, Observations())
@@ -138,8 +180,7 @@
     if candidate.count < MIN_LATENCIES or base.count < MIN_BASE_LATENCIES:
         return False
     excess = candidate.mean - base.mean
-    variance = max(candidate.variance, MIN_VARIANCE)
-    standard_error = math.sqrt(variance / candidate.count + base.variance / base.count)
+    standard_error = _standard_error(candidate, base)
     if last_stage:
         return excess > max(
             LAST_STAGE_MIN_LOG_EXCESS, LAST_STAGE_STANDARD_ERRORS * standard_error
@@ -150,5 +191,11 @@
     return excess - allowed > EARLY_STAGE_STANDARD_ERRORS * standard_error
 
 
+def _standard_error(candidate: Moments, base: Moments) -> float:
+    """Return the standard error of the difference of two means."""
+    variance = max(candidate.variance, MIN_VARIANCE)
+    return math.sqrt(variance / candidate.count + base.variance / base.count)
+
+
 def _merge_tallies(first: Tally, second: Tally) -> Tally:
     return Tally(first.bad + second.bad, first.total + second.total)
--- a/packages/routing/src/lentilshore_routing/version_choice.py
+++ b/packages/routing/src/lentilshore_routing/version_choice.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from .rollout_record import Rollout, allowed_versions
-from .staging import FIRST_SESSION_STAGE, LAST_STAGE, STAGE_SHARES
+from .staging import FIRST_SESSION_STAGE, STAGE_SHARES, TRIAL_STAGE
 
 # Limits the memory of a node: each session takes some hundred bytes.
 MAX_SESSIONS = 20_000
@@ -69,8 +69,8 @@
                 if pinned in allowed
                 else _choose_weighted(allowed, session, point)
             )
-        in_last_stage = rollout.stage >= LAST_STAGE
-        if pinned == rollout.candidate or in_last_stage:
+        gets_all_traffic = rollout.stage >= TRIAL_STAGE
+        if pinned == rollout.candidate or gets_all_traffic:
             return rollout.candidate
         if session and rollout.stage < FIRST_SESSION_STAGE:
             return (
--- a/packages/routing/src/lentilshore_routing/version_evidence.py
+++ b/packages/routing/src/lentilshore_routing/version_evidence.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 
 from .observations import Moments, Observations
 from .rollout_record import Rollout, evidence_key
 from .rollouts import Tally
+from .staging import TRIAL_STAGE
 
 # Limits the replicas named in a report; the test for failures needs only two.
 MAX_FAILED_REPLICAS = 4
 # Minimum weight of a new latency in a moving mean.
 MIN_MEAN_WEIGHT = 0.1
+# An answer on trial that has not come after this multiple of its expected time counts
+# as having taken the time so far: slow answers come too late for the verdict.
+OVERDUE_FACTOR = 2.0
 
 
 class VersionEvidence:
@@ -22,6 +27,38 @@
         self._errors: dict[str, Tally] = {}
         self._log_latencies: dict[str, Moments] = {}
         self._failed_replicas: dict[str, set[str]] = {}
+        # Latency key, kind of work and start of each answer that is awaited.
+        self._waits: dict[int, tuple[str, str, float]] = {}
+        self._wait_numbers = itertools.count()
+
+    def begin_wait(
+        self,
+        rollout: Rollout | None,
+        upstream: tuple[str, str, str],
+        kind: str,
+        now: float,
+    ) -> int | None:
+        """Record that an answer of a candidate on trial is awaited.
+
+        The other parameters are those of :meth:`record_latency`.
+
+        :param now: time on the node's clock, seconds.
+        :returns: number to pass to :meth:`end_wait`; None if there is no trial.
+        """
+        service, version, _ = upstream
+        if rollout is None or rollout.stage != TRIAL_STAGE:
+            return None
+        if version != rollout.candidate:
+            return None
+        number = next(self._wait_numbers)
+        key = _latency_key(rollout, evidence_key(rollout, service, version))
+        self._waits[number] = (key, kind, now)
+        return number
+
+    def end_wait(self, number: int | None) -> None:
+        """Record that an answer has come, or is no longer awaited."""
+        if number is not None:
+            self._waits.pop(number, None)
 
     def record_answer(
         self, rollout: Rollout | None, upstream: tuple[str, str, str], bad: bool
@@ -58,7 +95,7 @@
         service, version, _ = upstream
         expected_s = self._baseline.expected_s(kind)
         if expected_s > 0 and latency_s > 0:
-            key = evidence_key(rollout, service, version)
+            key = _latency_key(rollout, evidence_key(rollout, service, version))
             log_latency = math.log(latency_s / expected_s)
             self._log_latencies[key] = self._log_latencies.get(key, Moments()).add(
                 log_latency
@@ -66,18 +103,41 @@
         if rollout is None or version != rollout.candidate:
             self._baseline.add(kind, latency_s)
 
-    def observations(self, rollout: Rollout) -> Observations:
-        """Return the observations of a roll-out's candidate and base."""
+    def observations(self, rollout: Rollout, now: float = 0.0) -> Observations:
+        """Return the observations of a roll-out's candidate and base.
+
+        During its trial, the latencies of the candidate are those of the trial only,
+        with the time so far of answers that are overdue.
+
+        :param now: time on the node's clock, seconds.
+        """
         candidate, base = rollout.candidate_key, rollout.base_key
+        latencies = _latency_key(rollout, candidate)
         failed = sorted(self._failed_replicas.get(candidate, ()))
         return Observations(
             self._errors.get(candidate, Tally()),
             self._errors.get(base, Tally()),
-            self._log_latencies.get(candidate, Moments()),
+            self._with_overdue(latencies, now),
             self._log_latencies.get(base, Moments()),
             tuple(failed[:MAX_FAILED_REPLICAS]),
         )
 
+    def _with_overdue(self, latency_key: str, now: float) -> Moments:
+        found = self._log_latencies.get(latency_key, Moments())
+        for key, kind, started_at in self._waits.values():
+            expected_s = self._baseline.expected_s(kind)
+            waited_s = now - started_at
+            if key == latency_key and waited_s > OVERDUE_FACTOR * expected_s > 0:
+                found = found.add(math.log(waited_s / expected_s))
+        return found
+
+
+def _latency_key(rollout: Rollout | None, key: str) -> str:
+    """Return the key of latencies, which is another one for a candidate on trial."""
+    if rollout is None or rollout.stage != TRIAL_STAGE or key != rollout.candidate_key:
+        return key
+    return f"{key}/trial"
+
 
 class LatencyBaseline:
     """Moving means of the latencies of base versions, by kind of work."""
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -13,13 +13,18 @@
 )
 from lentilshore_routing.rollouts import Tally, excess_p_value
 from lentilshore_routing.staging import (
+    LAST_STAGE,
     LAST_STAGE_BURST_FACTOR,
     MAX_REPORTS_PER_ROUND,
+    MAX_TRIAL_S,
     MIN_COMPLETION_START_SHARE,
+    MIN_TRIAL_S,
     REPORT_SPREAD_SHARE,
     REPORT_TIME_SHARES,
     SESSION_STAGE_START_SHARE,
+    SPARSE_TRIAL_S,
     STAGE_SHARES,
+    TRIAL_STAGE,
     completion_start_share,
     last_stage_start_share,
     next_record,
@@ -102,11 +107,11 @@
         (0, 0.99, (RolloutState.RUNNING, 2)),
         (1, LAST - 0.01, None),
         (1, LAST + 0.001, (RolloutState.RUNNING, 2)),
-        (2, MIN_COMPLETION_START_SHARE - 0.01, None),
-        (2, MIN_COMPLETION_START_SHARE + 0.001, (RolloutState.COMPLETED, 2)),
+        (3, MIN_COMPLETION_START_SHARE - 0.01, None),
+        (3, MIN_COMPLETION_START_SHARE + 0.001, (RolloutState.COMPLETED, 3)),
     ],
 )
-def test_a_healthy_candidate_advances_by_time(stage, elapsed_share, expected):
+def test_a_candidate_advances_by_time_up_to_its_trial(stage, elapsed_share, expected):
     due = next_record(
         rollout(stage=stage), elapsed_share * DURATION_S, observed(), "n1", EXPOSURE
     )
@@ -356,3 +361,128 @@
     slower = observed(latencies=(mean, 100))
     due = next_record(rollout(stage=2), 22.0, slower, "n1", EXPOSURE)
     assert (due is not None and due.state is RolloutState.ROLLED_BACK) is worse
+
+
+DONE_S = DURATION_S * (MIN_COMPLETION_START_SHARE + 0.001)
+
+
+# A version that took three times as long for half of its answers was completed with 37
+# answers seen, all of them at little load (EXPOSURE).
+@pytest.mark.parametrize(
+    ("times_as_long", "deviations", "counts", "stage"),
+    [
+        # Measured of slow versions beside a loaded base.
+        (0.77, (0.50, 0.80), (36, 918), TRIAL_STAGE),
+        (1.04, (0.67, 0.83), (34, 853), TRIAL_STAGE),
+        (0.80, (0.60, 0.89), (33, 783), TRIAL_STAGE),
+        # Measured of good versions.
+        (0.55, (0.32, 0.80), (32, 930), LAST_STAGE),
+        (0.52, (0.40, 0.73), (36, 825), LAST_STAGE),
+        (0.39, (0.51, 0.91), (26, 697), LAST_STAGE),
+        # As fast as a base that is hardly loaded; hardly seen.
+        (0.90, (0.20, 0.20), (60, 300), LAST_STAGE),
+        (0.20, (0.30, 0.80), (12, 900), TRIAL_STAGE),
+        (1.00, (0.30, 0.80), (0, 900), TRIAL_STAGE),
+    ],
+)
+def test_only_a_version_that_was_clearly_as_fast_skips_its_trial(
+    times_as_long, deviations, counts, stage
+):
+    own = Observations(
+        Tally(0, counts[0]),
+        Tally(0, counts[1]),
+        moments(math.log(times_as_long), counts[0], deviations[0]),
+        moments(0.0, counts[1], deviations[1]),
+    )
+    due = next_record(rollout(stage=1), DURATION_S * 0.99, own, "n1", EXPOSURE)
+    assert (due.state, due.stage) == (RolloutState.RUNNING, stage)
+
+
+def test_a_trial_begins_without_the_latencies_seen_at_little_load():
+    others = {"n2": observed((0, 40), latencies=(-0.3, 40))}
+    current = rollout(stage=1, observations=others)
+    own = observed(base_sd=0.8)
+    due = next_record(current, DURATION_S * 0.99, own, "n1", EXPOSURE)
+    assert due.stage == TRIAL_STAGE
+    assert due.observations["n2"].log_latencies == Moments()
+    assert due.observations["n2"].errors == Tally(0, 40)
+
+
+@pytest.mark.parametrize(
+    ("latencies", "stage_age_s", "expected"),
+    [
+        # Nothing is decided before the engines of the candidate are loaded.
+        ((-0.3, 500), 0.1, None),
+        ((-0.3, 500), MIN_TRIAL_S - 0.1, None),
+        ((-0.3, 29), MIN_TRIAL_S + 0.1, None),
+        ((-0.3, 7), SPARSE_TRIAL_S + 0.1, None),
+        ((-0.3, 31), MIN_TRIAL_S + 0.1, RolloutState.COMPLETED),
+        ((-0.3, 9), SPARSE_TRIAL_S + 0.1, RolloutState.COMPLETED),
+        ((0.0, 0), MAX_TRIAL_S + 0.1, RolloutState.COMPLETED),
+        ((0.3, 31), MIN_TRIAL_S + 0.1, RolloutState.ROLLED_BACK),
+        ((0.3, 9), SPARSE_TRIAL_S + 0.1, RolloutState.ROLLED_BACK),
+        ((1.1, 100), 0.5, RolloutState.ROLLED_BACK),
+    ],
+)
+def test_a_trial_ends_when_enough_was_seen_under_load(latencies, stage_age_s, expected):
+    current = rollout(stage=TRIAL_STAGE)
+    own = observed(latencies=latencies, base_sd=0.8)
+    due = next_record(current, DONE_S, own, "n1", EXPOSURE, stage_age_s)
+    state = due.state if due is not None else None
+    assert (None if state is RolloutState.RUNNING else state) is expected
+
+
+def test_a_trial_after_a_silent_store_is_no_shorter():
+    """The first gateway that reached the store again completed a bad version at once.
+
+    A roll-out whose deadline passed meanwhile still gets its trial.
+    """
+    late_s = DURATION_S * 2
+    due = next_record(rollout(stage=0), late_s, observed(), "n1", EXPOSURE)
+    assert (due.state, due.stage) == (RolloutState.RUNNING, TRIAL_STAGE)
+    assert next_record(due, late_s + 0.2, observed(), "n1", EXPOSURE, 0.2) is None
+    slow = observed(latencies=(0.8, 40), base_sd=0.8)
+    due = next_record(due, late_s + 2.1, slow, "n1", EXPOSURE, 2.1)
+    assert due.state is RolloutState.ROLLED_BACK
+
+
+def test_nodes_report_once_during_a_trial():
+    current, writes = rollout(stage=TRIAL_STAGE), 0
+    for step in range(19):
+        for node in range(40):
+            own = observed((0, 1 + step), latencies=(-0.3, step))
+            due = next_record(current, DONE_S, own, f"n{node}", EXPOSURE, 0.1 * step)
+            if due is not None:
+                assert due.state is RolloutState.RUNNING
+                writes, current = writes + 1, due
+    assert writes == MAX_REPORTS_PER_ROUND
+
+
+def test_a_candidate_on_trial_gets_all_requests():
+    chooser, rng = VersionChooser(5.0), random.Random(1)
+    current = rollout(stage=TRIAL_STAGE)
+    assert {chooser.choose(current, BOTH, "", rng.random(), 1.0) for _ in range(9)} == {
+        "v2"
+    }
+
+
+def test_latencies_on_trial_are_kept_apart_and_overdue_answers_count():
+    """Slow answers, counted when they end, came too late for the verdict."""
+    evidence, early, trial = VersionEvidence(), rollout(stage=1), rollout(stage=2)
+    base, candidate = ("pool", "v1", "r1"), ("pool", "v2", "r2")
+    for _ in range(40):
+        evidence.record_latency(early, base, "k", 0.1)
+        evidence.record_latency(early, candidate, "k", 0.05)
+    assert evidence.observations(early).log_latencies.count == 40
+    assert evidence.observations(trial).log_latencies.count == 0
+    assert evidence.begin_wait(early, candidate, "k", 10.0) is None
+    assert evidence.begin_wait(trial, base, "k", 10.0) is None
+    first = evidence.begin_wait(trial, candidate, "k", 10.0)
+    evidence.begin_wait(trial, candidate, "never seen at the base", 10.0)
+    assert evidence.observations(trial, 10.15).log_latencies.count == 0
+    found = evidence.observations(trial, 10.4).log_latencies
+    assert (found.count, found.mean) == (1, pytest.approx(math.log(4)))
+    evidence.end_wait(first)
+    evidence.record_latency(trial, candidate, "k", 0.8)
+    found = evidence.observations(trial, 11.0).log_latencies
+    assert (found.count, found.mean) == (1, pytest.approx(math.log(8)))
