Shorten a vanished replica's grace by the time in which its removal was missed

A replica that vanishes without draining is kept for 1.5 s, counted from that late reading.

Change: the time that was spent on a gateway that did not answer is passed on with the changes that the store then returned, and is taken off the grace period.

Evidence: the new test of tests/test_relay.py fails on the code before, at 2.01 s of 2.0.

--- a/packages/node/src/lentilshore_node/clients/fleet_source.py
+++ b/packages/node/src/lentilshore_node/clients/fleet_source.py
@@ -40,11 +40,14 @@
     :param revision: revision up to which all changes are included.
     :param age_s: time by which they may be out of date when the call begins, seconds;
         0 if the store itself was asked.
+    :param delay_s: time for which they may have been missed, because another gateway
+        was asked in vain before, seconds.
     """
 
     changes: list[Change[T]]
     revision: StoreRevision
     age_s: float = 0.0
+    delay_s: float = 0.0
 
 
 class TableReading(NamedTuple):
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.metrics import Metrics
 from lentilshore_kernel.types import StoreRevision
 from lentilshore_routing.rollout_record import Rollout
@@ -214,6 +215,7 @@
     :param part: name of the part of the store.
     :param item_type: type of its items.
     :param peers: the gateways to ask.
+    :param clock: measures the time that gateways take to fail.
     """
 
     def __init__(
@@ -222,7 +224,9 @@
         part: str,
         item_type: type[T],
         peers: PeerClient,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._collection = collection
         self._part = part
         self._answer_type = RelayedChanges[item_type]  # type: ignore[valid-type]
@@ -240,6 +244,7 @@
         """
         if wait_s <= 0.0:
             return await self._collection.watch(after, wait_s)
+        asked_at = self._clock.monotonic()
         peer_wait_s = min(wait_s, PEER_WAIT_S)
         fields = {
             "part": self._part,
@@ -255,7 +260,9 @@
             max_peers=1,
         )
         if answer is None:
-            return await self._collection.watch(after, wait_s)
+            delay_s = self._clock.monotonic() - asked_at
+            changes = await self._collection.watch(after, wait_s)
+            return changes._replace(delay_s=delay_s)
         revision = StoreRevision(after.era, max(after.number, answer.number))
         return Changes(answer.changes, revision, answer.age_s)
 
@@ -275,10 +282,10 @@
         self._peers = peers
         self._context = context
         self._replicas = RelayedCollection(
-            source.replicas, REPLICAS_PART, ReplicaRecord, peers
+            source.replicas, REPLICAS_PART, ReplicaRecord, peers, context.clock
         )
         self._rollouts = RelayedCollection(
-            source.rollouts, ROLLOUTS_PART, Rollout, peers
+            source.rollouts, ROLLOUTS_PART, Rollout, peers, context.clock
         )
 
     @property
--- a/packages/node/src/lentilshore_node/state/fleet_view.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view.py
@@ -155,13 +155,16 @@
         self._store_record(record)
         self._update_placement()
 
-    def remove_replica(self, identity: str) -> None:
+    def remove_replica(self, identity: str, delay_s: float = 0.0) -> None:
         """Handle the removal of a replica's record from the store.
 
         The replica is removed at once if it was draining, else marked as vanished.
+
+        :param delay_s: time for which the removal may have been missed, seconds; it
+            shortens the grace period.
         """
         if identity in self._records:
-            self._mark_vanished(identity, self._vanished_grace_s)
+            self._mark_vanished(identity, self._vanished_grace_s - delay_s)
             self._update_placement()
 
     def replace_rollouts(self, rollouts: Iterable[Rollout], era: int = 0) -> None:
--- a/packages/node/src/lentilshore_node/state/fleet_view_updater.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view_updater.py
@@ -66,7 +66,7 @@
             self._source.rollouts,
             view.replace_rollouts,
             self._update_rollout,
-            view.remove_rollout,
+            self._remove_rollout,
         )
         self._start_task(
             group,
@@ -110,7 +110,7 @@
         collection: Collection[Any],
         replace_all: Callable[[Iterable[Any], int], None],
         update: Callable[[Any], Awaitable[None]],
-        remove: Callable[[str], None],
+        remove: Callable[[str, float], None],
     ) -> None:
         log = self._context.change_logs[part]
         revision: StoreRevision | None = None
@@ -127,7 +127,7 @@
                     batch = await collection.watch(revision, wait_s)
                     for item_name, item in batch.changes:
                         if item is None:
-                            remove(item_name)
+                            remove(item_name, batch.delay_s)
                         else:
                             await update(item)
                     revision = max(revision, batch.revision)
@@ -154,6 +154,9 @@
     async def _update_rollout(self, rollout: Rollout) -> None:
         self._context.view.update_rollout(rollout)
 
+    def _remove_rollout(self, name: str, delay_s: float) -> None:
+        self._context.view.remove_rollout(name)
+
     async def _update_replica(self, record: ReplicaRecord) -> None:
         view = self._context.view
         if not view.knows_version(record.service, record.version):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -611,3 +611,39 @@
     assert directory.random_peer().name in ("n1", "n3")
     directory.update([entry("n1")])
     assert directory.names == []
+
+
+class DeadPeers:
+    """Gateways that take some time to fail."""
+
+    def __init__(self, clock, fail_after_s):
+        self._clock, self._fail_after_s = clock, fail_after_s
+
+    async def first_answer(self, *args, **kwargs):
+        await self._clock.sleep(self._fail_after_s)
+
+
+def test_a_replica_that_left_while_a_dead_peer_was_asked_is_given_up_in_time():
+    """The grace period began only when the store was asked instead (DRAIN, hunted)."""
+    clock = FakeClock()
+    store, removed_at = SharedStore(clock), clock.monotonic() + 1.0
+    identity, name = store.replicas[0].identity, store.replicas[0].replica.name
+    source = StoreSource(store)
+    context = create_gateway(
+        "n2", "dc", BOUNDS, clock, random.Random(1), ServedMetrics(), None, None
+    )
+    relayed = RelayedSource(source, DeadPeers(clock, 1.3), context)
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            FleetViewUpdater(context, relayed).start(group)
+            await clock.sleep(1.0)
+            assert context.view.usable(name)
+            store.number += 1
+            store.events.append((store.number, Change(identity, None)))
+            while context.view.usable(name):
+                await clock.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    run_with_clock(clock, run)
+    assert clock.monotonic() - removed_at <= BOUNDS.replica_drain_s
