Log and count what denies a retry

A failed attempt that was not repeated left no trace of the reason: the route's attempts, the time, the limit of the tree or the budget of the service. The hypotheses on lost requests differ in just that. `RetryPolicy.take` returns the cause, the loop logs `retry_denied` and counts `lentilshore_denied_retries_total`.

--- a/packages/kernel/src/lentilshore_kernel/metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/metrics.py
@@ -9,7 +9,7 @@
 
 from .clock import Clock
 from .logs import log_event
-from .types import Address, RefusalReason, RetryReason, StateChange
+from .types import Address, RefusalReason, RetryDenial, RetryReason, StateChange
 
 FLUSH_INTERVAL_S = 1.0
 MAX_PENDING_OBSERVATIONS = 4096
@@ -133,6 +133,11 @@
     log_event(change.value, **fields)
 
 
+def retry_denial_counter(denial: RetryDenial) -> str:
+    """Return the counter name of what denies a retry."""
+    return f"retry_denied.{denial.value}"
+
+
 def retry_counter(reason: RetryReason) -> str:
     """Return the counter name of a retry reason."""
     return f"retry.{reason.value}"
--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -56,6 +56,12 @@
         "call",
         "Store calls, by kind and result",
     ),
+    MetricFamily(
+        "retry_denied",
+        "lentilshore_denied_retries",
+        "cause",
+        "Attempts that failed and were not repeated, by cause",
+    ),
     MetricFamily(
         "store.failed",
         "lentilshore_store_failures",
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -74,6 +74,17 @@
     ESCALATED = "escalated"
 
 
+class RetryDenial(StrEnum):
+    """Closed enumeration of what keeps a failed attempt from being repeated."""
+
+    UNREPEATABLE = "unrepeatable"
+    ANSWER_STARTED = "answer_started"
+    ROUTE_ATTEMPTS = "route_attempts"
+    TIME_LEFT = "time_left"
+    TREE_LIMIT = "tree_limit"
+    BUDGET = "budget"
+
+
 class StateChange(StrEnum):
     """Closed enumeration of the changes that a node sees in the fleet and in itself."""
 
--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -10,7 +10,7 @@
 
 from lentilshore_fleet import BillLine, Claim, Replay
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
-from lentilshore_kernel.types import Execution, RefusalReason, RetryReason
+from lentilshore_kernel.types import Execution, RefusalReason, RetryDenial, RetryReason
 from lentilshore_routing import Customer, ReplicaLease
 
 from ..clients.upstreams import ServiceAnswer, ServiceCall
@@ -136,9 +136,9 @@
                 self._bill_line(lease, "unknown")._replace(cost=0.0)
             )
 
-    def may_retry(self) -> bool:
-        """Return True: only the retry budget and the deadline bound the attempts."""
-        return True
+    def retry_denial(self) -> RetryDenial | None:
+        """Return None: only the retry budget and the deadline bound the attempts."""
+        return None
 
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the call is sent again."""
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -6,10 +6,16 @@
 from typing import NamedTuple, Protocol, TypeVar
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
-from lentilshore_kernel.metrics import Metrics, record_state_change
+from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.metrics import (
+    Metrics,
+    record_state_change,
+    retry_denial_counter,
+)
 from lentilshore_kernel.types import (
     Execution,
     RefusalReason,
+    RetryDenial,
     RetryReason,
     StateChange,
 )
@@ -97,8 +103,8 @@
     def record_failure(self, lease: ReplicaLease, error: UpstreamError) -> None:
         """Record a failed attempt."""
 
-    def may_retry(self) -> bool:
-        """Return whether the request itself allows another attempt.
+    def retry_denial(self) -> RetryDenial | None:
+        """Return what in the request itself denies another attempt, None for nothing.
 
         That depends on the number of its attempts, the time left and the part of the
         answer that was already sent. Retry budgets are checked separately.
@@ -139,9 +145,11 @@
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
                 self._request.record_failure(lease, error)
-                if not self._request.may_retry() or not self.spend_retry(
+                denial = self._request.retry_denial() or self._take_retry(
                     error.execution
-                ):
+                )
+                if denial is not None:
+                    self._report_denial(denial, error)
                     raise
                 self._request.record_retry(retry_reason(error))
 
@@ -151,11 +159,24 @@
         :param execution: whether the previous attempt is known to have run.
         :returns: False if the request may not be sent again.
         """
+        return self._take_retry(execution) is None
+
+    def _take_retry(self, execution: Execution) -> RetryDenial | None:
         scope = self._scope
-        return self._context.retries.allow(
+        return self._context.retries.take(
             scope.tree_id, scope.group, scope.repeatable, execution
         )
 
+    def _report_denial(self, denial: RetryDenial, error: UpstreamError) -> None:
+        self._context.metrics.count(retry_denial_counter(denial))
+        log_event(
+            "retry_denied",
+            request=self._scope.request_id,
+            cause=denial.value,
+            attempts=len(self._tried),
+            failure=error.reason.value,
+        )
+
     async def _send(
         self, lease: ReplicaLease, send: Callable[[ReplicaLease], Awaitable[T]]
     ) -> T:
--- a/packages/node/src/lentilshore_node/delivery/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -10,7 +10,7 @@
 
 from lentilshore_fleet import BillLine
 from lentilshore_kernel.exceptions import UpstreamError
-from lentilshore_kernel.types import Execution, RetryReason
+from lentilshore_kernel.types import Execution, RetryDenial, RetryReason
 from lentilshore_routing import ReplicaLease, prefix_hash
 
 from ..clients.upstreams import EngineCall, StreamChunk, WholeAnswer
@@ -113,9 +113,9 @@
             # True counts the attempt as an error.
             self._context.evidence.add(self._version_name, "error", customer, True)
 
-    def may_retry(self) -> bool:
-        """Return True: only the retry budget and the deadline bound the attempts."""
-        return True
+    def retry_denial(self) -> RetryDenial | None:
+        """Return None: only the retry budget and the deadline bound the attempts."""
+        return None
 
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -10,7 +10,13 @@
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.metrics import retry_counter
-from lentilshore_kernel.types import Address, Execution, RefusalReason, RetryReason
+from lentilshore_kernel.types import (
+    Address,
+    Execution,
+    RefusalReason,
+    RetryDenial,
+    RetryReason,
+)
 from lentilshore_routing.model_choice import first_model, larger_model, should_escalate
 from lentilshore_routing.placement import ReplicaLease
 from lentilshore_routing.rollout_record import Rollout
@@ -266,18 +272,20 @@
         self._log_failure(lease, error, elapsed_s)
         self._end_attempt(error.execution)
 
-    def may_retry(self) -> bool:
-        """Return whether another attempt is allowed.
+    def retry_denial(self) -> RetryDenial | None:
+        """Return what denies another attempt, None for nothing.
 
         None is allowed once a stream that can't be resumed has started, once the
         route's attempts are used up, or shortly before the deadline.
         """
         resumable = self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE
         if self._relay.started and not resumable:
-            return False
+            return RetryDenial.ANSWER_STARTED
         if self._possible_runs >= self._route.max_attempts:
-            return False
-        return self._remaining_s >= RETRY_MIN_REMAINING_S
+            return RetryDenial.ROUTE_ATTEMPTS
+        if self._remaining_s < RETRY_MIN_REMAINING_S:
+            return RetryDenial.TIME_LEFT
+        return None
 
     def record_retry(self, reason: RetryReason) -> None:
         """Count a retry in the metrics."""
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from lentilshore_kernel.clock import Clock
-from lentilshore_kernel.types import Execution
+from lentilshore_kernel.types import Execution, RetryDenial
 
 TREE_RETRY_LIMIT = 3
 TRACKED_TREES_LIMIT = 10_000
@@ -136,22 +136,34 @@
     ) -> bool:
         """Return whether a retry is allowed, and count it if so.
 
+        The parameters are those of :meth:`take`.
+        """
+        return self.take(tree_id, group, repeatable, execution) is None
+
+    def take(
+        self, tree_id: str, group: str, repeatable: bool, execution: Execution
+    ) -> RetryDenial | None:
+        """Count a retry if it is allowed.
+
         :param tree_id: identifier of the request tree.
         :param group: a version or service name.
         :param repeatable: whether running the request twice does no harm.
         :param execution: whether the failed attempt has run, as far as is known for
             certain.
+        :returns: what denies the retry; None if it is allowed.
         """
         if not repeatable and execution is not Execution.NOT_RUN:
-            return False
+            return RetryDenial.UNREPEATABLE
         retries = self._retries_by_tree.get(tree_id, 0)
-        if retries >= self._tree_retry_limit or not self._budget(group).try_spend():
-            return False
+        if retries >= self._tree_retry_limit:
+            return RetryDenial.TREE_LIMIT
+        if not self._budget(group).try_spend():
+            return RetryDenial.BUDGET
         self._retries_by_tree[tree_id] = retries + 1
         self._retries_by_tree.move_to_end(tree_id)
         if len(self._retries_by_tree) > TRACKED_TREES_LIMIT:
             self._retries_by_tree.popitem(last=False)
-        return True
+        return None
 
     def _budget(self, group: str) -> RetryBudget:
         budget = self._budgets.get(group)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,7 +6,13 @@
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.metrics import MetricsRecorder
 from lentilshore_kernel.testing import FakeClock
-from lentilshore_kernel.types import Address, Execution, RefusalReason, RetryReason
+from lentilshore_kernel.types import (
+    Address,
+    Execution,
+    RefusalReason,
+    RetryDenial,
+    RetryReason,
+)
 from lentilshore_node.delivery.attempts import AttemptLoop, ExecutionProof, RetryScope
 from lentilshore_node.programs.gateway_assembly import create_retry_budget
 from lentilshore_routing.placement import Placement
@@ -41,8 +47,8 @@
     def record_failure(self, lease, error):
         self._left -= 1
 
-    def may_retry(self):
-        return self._left > 0
+    def retry_denial(self):
+        return None if self._left > 0 else RetryDenial.ROUTE_ATTEMPTS
 
     def record_retry(self, reason):
         self.retried.append(reason)
@@ -211,3 +217,21 @@
     refusal = RefusalError(RefusalReason.KEY_UNPROVED, claimed)
     proof.apply_to(refusal)
     assert refusal.execution is expected
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "attempts", "trees", "failures", "denial"),
+    [
+        (False, 9, 9, [(RefusalReason.UPSTREAM_STALLED, UNKNOWN)], "unrepeatable"),
+        (True, 1, 9, [(RefusalReason.UPSTREAM_STALLED, UNKNOWN)], "route_attempts"),
+        (True, 9, 1, [(RefusalReason.UPSTREAM_FULL, NOT_RUN)] * 2, "tree_limit"),
+        (True, 20, 20, [(RefusalReason.UPSTREAM_FULL, NOT_RUN)] * 11, "budget"),
+    ],
+)
+def test_what_denies_a_retry_is_counted(repeatable, attempts, trees, failures, denial):
+    context = FakeContext()
+    context.retries = RetryPolicy(trees)
+    request = FakeRequest(context, repeatable, attempts)
+    with pytest.raises(UpstreamError):
+        run(context, request, failures)
+    assert context.metrics.totals[f"retry_denied.{denial}"] == 1
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -168,10 +168,6 @@
     return False
 
 
-def _return_true(*_, **__):
-    return True
-
-
 def _return_none(*_, **__):
     return None
 
@@ -210,14 +206,14 @@
 
 
 MUTANTS = [
-    (sends_unrepeatable_requests_once, retries.RetryPolicy, "allow", _return_true),
+    (sends_unrepeatable_requests_once, retries.RetryPolicy, "take", _return_none),
     (
         denies_execution_only_if_proved,
         attempts.ExecutionProof,
         "execution",
         property(lambda self: Execution.NOT_RUN),
     ),
-    (keeps_to_the_attempt_limit, delivery.Delivery, "may_retry", _return_true),
+    (keeps_to_the_attempt_limit, delivery.Delivery, "retry_denial", _return_none),
     (
         relays_only_genuine_answers,
         HeaderTranslator,
