Give an attempt up only once another replica has taken the request up

Callers saw streams cut midway and 502 or 504 with most of their time left while a sound replica was silent for a second, or after an answer of a smaller model had been dropped.

Cause: at a timeout the connection was closed, and only then were the route's attempts, the limits of retries, the key's proof and a replica asked for; any of them could say no, and a replica that was found could reject the request. The same order dropped an answer for a larger model.

Change: at the timeout of an attempt that may be repeated, the next one is planned, paid for and sent while the first goes on (`delivery/handover.py`). It counts as taken up if it is not rejected within 0.2 s; then the first ends. If not, the first is followed on, to the request's own time limit, and the next try comes 0.25 s later. An answer that comes meanwhile is taken. A rejected try costs the service's budget, not the request's limit. Escalation goes the same way, so that an answer in hand is dropped only for one that has begun. Bodies that stop in the middle are treated alike. Sending moved to `delivery/attempt_sender.py`.

`retries.RetryPolicy.take` replaces `allow`; mutants and callers follow.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -76,8 +76,8 @@
         attempts += 1
         retries = 0
         while rng.random() < failure_share and retries < 3:
-            allowed = policy.allow(f"t{index}", "m@1", True, Execution.UNKNOWN)
-            if budgeted and not allowed:
+            denial = policy.take(f"t{index}", "m@1", True, Execution.UNKNOWN)
+            if budgeted and denial is not None:
                 break
             retries += 1
             attempts += 1
--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -62,6 +62,12 @@
         "cause",
         "Attempts that failed and were not repeated, by cause",
     ),
+    MetricFamily(
+        "attempt_kept",
+        "lentilshore_kept_attempts",
+        "cause",
+        "Timeouts after which no other attempt took the place of the first, by cause",
+    ),
     MetricFamily(
         "store.failed",
         "lentilshore_store_failures",
--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -140,6 +140,10 @@
         """Return None: only the retry budget and the deadline bound the attempts."""
         return None
 
+    def next_has_begun(self) -> bool:
+        """Return False: attempts follow one another."""
+        return False
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the call is sent again."""
         self._job.record_retry(reason)
--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any, NamedTuple
 
 from lentilshore_kernel.json import decode_json
@@ -53,6 +54,50 @@
         return decode_json(self.body)
 
 
+class Call:
+    """A request that was sent, until its answer has ended or is no longer wanted.
+
+    :param connection: connection that carries it.
+    :param budget: counts the bytes of bodies that are read as a whole.
+    :param on_end: called once with the connection at the end.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        budget: BufferBudget,
+        on_end: Callable[[Connection], None],
+    ) -> None:
+        self._connection = connection
+        self._budget = budget
+        self._on_end = on_end
+        self._ended = False
+
+    async def wait_for_head(
+        self, timeout_s: float, extend_timeout: TimeoutExtension | None = None
+    ) -> Response:
+        """Return the answer once its status and headers have arrived, its body unread.
+
+        After a timeout the call goes on, and may be waited for again.
+
+        :param timeout_s: longest time without data from the server, seconds.
+        :param extend_timeout: replaces what is called at a timeout; None to keep it.
+        :raises CallTimedOutError: if the timeout passes.
+        :raises CallBrokenError: if the connection fails.
+        """
+        if extend_timeout is not None:
+            self._connection.allow_extension(extend_timeout)
+        await self._connection.wait_for_head(timeout_s)
+        return Response(self._connection, timeout_s, self._budget)
+
+    def end(self) -> None:
+        """End the call; an answer that is not complete closes the connection."""
+        if self._ended:
+            return
+        self._ended = True
+        self._on_end(self._connection)
+
+
 class HttpClient:
     """Client for servers given by IP address and port."""
 
@@ -157,16 +202,48 @@
         :raises CallNotSentError: if no connection was made, so nothing was sent.
         :raises CallBrokenError: if the call failed after bytes may have been sent.
         """
+        call = await self.start(
+            address,
+            encode,
+            timeout_s,
+            belongs_to_call,
+            max_idle_s,
+            extend_timeout,
+            reuse,
+        )
+        try:
+            yield await call.wait_for_head(timeout_s)
+        finally:
+            call.end()
+
+    async def start(
+        self,
+        address: Address,
+        encode: RequestEncoder,
+        timeout_s: float,
+        belongs_to_call: AnswerFilter | None = None,
+        max_idle_s: float = KEEP_ALIVE_TIMEOUT_S,
+        extend_timeout: TimeoutExtension | None = None,
+        reuse: bool = True,
+    ) -> Call:
+        """Send an encoded request, see :meth:`exchange`.
+
+        :returns: the call, which must be ended.
+        """
         connection = self._take_idle(address, max_idle_s) if reuse else None
         if connection is None:
             connection = await self._connect(address, timeout_s)
+        call = Call(connection, self._budget, partial(self._end_call, address))
         try:
             connection.send(encode(), belongs_to_call, extend_timeout)
-            await connection.wait_for_head(timeout_s)
-            yield Response(connection, timeout_s, self._budget)
-        finally:
-            connection.end_call()
-            self._return_connection(address, connection)
+        except BaseException:
+            call.end()
+            raise
+        return call
+
+    def _end_call(self, address: Address, connection: Connection) -> None:
+        connection.end_call()
+        self._return_connection(address, connection)
 
     def _take_idle(self, address: Address, max_idle_s: float) -> Connection | None:
         idle = self._idle_connections.get(address, [])
--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any
 
 import httptools
@@ -32,6 +33,8 @@
 SKIPPED_LIMIT_BYTES = 1_048_576
 # Bytes of a header line beside its name and value: colon, space and line end.
 HEADER_LINE_OVERHEAD_BYTES = 4
+# Time added to a timeout in which data has arrived.
+READ_AGAIN_S = 0.01
 # Pauses reading from the socket while more than this of an answer is buffered.
 READ_BUFFER_LIMIT_BYTES = 262_144
 # Starts probing after 1 s without a byte, and ends the connection after two lost
@@ -49,8 +52,9 @@
 # Tells whether an answer belongs to the call, from its headers, names in lower case,
 # and from whether its connection has carried other calls.
 AnswerFilter = Callable[[dict[str, str], bool], bool]
-# Called at a timeout; returns for how many more seconds to wait, 0 to give up.
-TimeoutExtension = Callable[[], float]
+# Called at a timeout; returns for how many more seconds to wait, 0 to give up. It may
+# take its time, and is cancelled if data arrives meanwhile.
+TimeoutExtension = Callable[[], Awaitable[float]]
 
 
 class CallNotSentError(LentilshoreError):
@@ -141,6 +145,11 @@
         """Number of calls that were sent, the current one included."""
         return self._calls
 
+    @property
+    def answer_complete(self) -> bool:
+        """Whether the whole answer has arrived."""
+        return self._answer_complete
+
     @property
     def usable(self) -> bool:
         """Whether another call may be sent on this connection."""
@@ -346,6 +355,10 @@
             self._transport.resume_reading()
         return data
 
+    def allow_extension(self, extend_timeout: TimeoutExtension | None) -> None:
+        """Replace what is called at a timeout of the call."""
+        self._extend_timeout = extend_timeout
+
     def end_call(self) -> None:
         """End the call; an incomplete request or answer prevents reuse."""
         answer_consumed = (
@@ -363,20 +376,32 @@
         if self._transport is not None and not self._closed:
             self._transport.abort()
 
+    async def extend(self) -> float:
+        """Ask for how many more seconds to wait after a timeout, 0 to give up."""
+        if self._extend_timeout is None:
+            return 0.0
+        question = asyncio.ensure_future(self._extend_timeout())
+        self._wakeup = self._loop.create_future()
+        try:
+            await asyncio.wait(
+                {question, self._wakeup}, return_when=asyncio.FIRST_COMPLETED
+            )
+            # Data that has arrived meanwhile is read first.
+            return question.result() if question.done() else READ_AGAIN_S
+        finally:
+            self._wakeup = None
+            question.cancel()
+
     async def _wait_for_data(self, deadline: float) -> float:
         """Wait for data, and return the deadline, which may have been extended.
 
         :raises CallTimedOutError: if the deadline has passed and is not extended.
         """
-        now = self._loop.time()
-        if now >= deadline:
-            extension_s = (
-                self._extend_timeout() if self._extend_timeout is not None else 0.0
-            )
+        if self._loop.time() >= deadline:
+            extension_s = await self.extend()
             if extension_s <= 0:
-                self._reusable = False
                 raise CallTimedOutError("no data from the server before the timeout")
-            deadline = now + extension_s
+            return self._loop.time() + extension_s
         self._wakeup = self._loop.create_future()
         timer = self._loop.call_at(deadline, self._wake_reader)
         try:
@@ -444,20 +469,31 @@
         """
         parts: list[bytes] = []
         size = 0
+        loop = asyncio.get_running_loop()
+        ends_at = math.inf if total_s is None else loop.time() + total_s
         try:
-            async with asyncio.timeout(total_s):
-                async for data in self.aiter_stream():
-                    size += len(data)
-                    self._budget.take(len(data))
-                    if size > limit_bytes:
-                        raise AnswerTooLargeError("body", limit_bytes)
-                    parts.append(data)
-        except TimeoutError as error:
-            raise CallTimedOutError(f"no end of the body in {total_s:.2f} s") from error
+            while data := await self._read_part(ends_at):
+                size += len(data)
+                self._budget.take(len(data))
+                if size > limit_bytes:
+                    raise AnswerTooLargeError("body", limit_bytes)
+                parts.append(data)
+                if loop.time() >= ends_at and not self._connection.answer_complete:
+                    ends_at = await self._extend(total_s)
         finally:
             self._budget.release(size)
         return b"".join(parts)
 
+    async def _read_part(self, ends_at: float) -> bytes:
+        remaining_s = ends_at - asyncio.get_running_loop().time()
+        return await self._connection.read_part(min(self.timeout_s, remaining_s))
+
+    async def _extend(self, total_s: float | None) -> float:
+        extension_s = await self._connection.extend()
+        if extension_s <= 0:
+            raise CallTimedOutError(f"no end of the body in {total_s:.2f} s")
+        return asyncio.get_running_loop().time() + extension_s
+
 
 def _enable_dead_peer_detection(tcp_socket: socket.socket) -> None:
     """Enable the detection of a peer that vanished without closing the connection."""
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -35,7 +35,7 @@
     def __init__(self) -> None:
         # Whether the request ran in any of the attempts that have ended.
         self._ended_execution = Execution.NOT_RUN
-        self._in_flight = False
+        self._in_flight = 0
 
     @property
     def execution(self) -> Execution:
@@ -46,11 +46,11 @@
 
     def begin(self) -> None:
         """Record that an attempt is sent; from now on the request may run."""
-        self._in_flight = True
+        self._in_flight += 1
 
     def end(self, execution: Execution) -> None:
         """Record whether the attempt that has ended ran, as far as is known."""
-        self._in_flight = False
+        self._in_flight = max(0, self._in_flight - 1)
         if _EXECUTION_RANK[execution] > _EXECUTION_RANK[self._ended_execution]:
             self._ended_execution = execution
 
@@ -113,6 +113,9 @@
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
+    def next_has_begun(self) -> bool:
+        """Return whether the next attempt was begun before the last one ended."""
+
 
 class AttemptLoop:
     """Sends a request to one replica after another until one has answered.
@@ -145,7 +148,9 @@
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
                 self._request.record_failure(lease, error)
-                denial = self._request.retry_denial() or self._take_retry(
+                if self._request.next_has_begun():
+                    continue
+                denial = self._request.retry_denial() or self.take_retry(
                     error.execution
                 )
                 if denial is not None:
@@ -153,20 +158,50 @@
                     raise
                 self._request.record_retry(retry_reason(error))
 
-    def spend_retry(self, execution: Execution) -> bool:
+    @property
+    def tried(self) -> Sequence[str]:
+        """Names of the replicas at which attempts have failed."""
+        return self._tried
+
+    def take_retry(self, execution: Execution) -> RetryDenial | None:
         """Take one retry from the budgets.
 
         :param execution: whether the previous attempt is known to have run.
-        :returns: False if the request may not be sent again.
+        :returns: what denies the retry, None if it was taken.
         """
-        return self._take_retry(execution) is None
-
-    def _take_retry(self, execution: Execution) -> RetryDenial | None:
         scope = self._scope
         return self._context.retries.take(
             scope.tree_id, scope.group, scope.repeatable, execution
         )
 
+    def give_back_retry(self) -> None:
+        """Return a retry that a replica has rejected to the request's tree."""
+        self._context.retries.give_back(self._scope.tree_id)
+
+    def release(self, lease: ReplicaLease, failure: UpstreamError | None) -> None:
+        """Release the lease of an attempt.
+
+        :param failure: how the attempt failed; None if it did not, or if that says
+            nothing about the replica.
+        """
+        # A full replica is not at fault: this does not count towards its ejection.
+        counts_as_failure = (
+            failure is not None and failure.reason is not RefusalReason.UPSTREAM_FULL
+        )
+        unreachable = failure is not None and _is_unreachable(failure)
+        if self._context.placement.release(lease, counts_as_failure, unreachable):
+            self.report_ejection(lease, unreachable)
+
+    def report_ejection(self, lease: ReplicaLease, unreachable: bool) -> None:
+        """Count and log that a replica is ejected from now on."""
+        record_state_change(
+            self._context.metrics,
+            StateChange.REPLICA_EJECTED,
+            replica=lease.replica.name,
+            unreachable=unreachable,
+            request=self._scope.request_id,
+        )
+
     def _report_denial(self, denial: RetryDenial, error: UpstreamError) -> None:
         self._context.metrics.count(retry_denial_counter(denial))
         log_event(
@@ -180,29 +215,14 @@
     async def _send(
         self, lease: ReplicaLease, send: Callable[[ReplicaLease], Awaitable[T]]
     ) -> T:
-        counts_as_failure, unreachable = False, False
+        failure: UpstreamError | None = None
         try:
             return await send(lease)
         except UpstreamError as error:
-            # A full replica is not at fault: this does not count towards its ejection.
-            counts_as_failure = error.reason is not RefusalReason.UPSTREAM_FULL
-            unreachable = _is_unreachable(error)
+            failure = error
             raise
         finally:
-            self._release(lease, counts_as_failure, unreachable)
-
-    def _release(
-        self, lease: ReplicaLease, counts_as_failure: bool, unreachable: bool
-    ) -> None:
-        """Release the lease and log if the replica is ejected from now on."""
-        if self._context.placement.release(lease, counts_as_failure, unreachable):
-            record_state_change(
-                self._context.metrics,
-                StateChange.REPLICA_EJECTED,
-                replica=lease.replica.name,
-                unreachable=unreachable,
-                request=self._scope.request_id,
-            )
+            self.release(lease, failure)
 
 
 def _is_unreachable(error: UpstreamError) -> bool:
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from contextlib import AbstractAsyncContextManager
 from functools import partial
 from typing import NamedTuple
 
@@ -11,7 +10,6 @@
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.metrics import retry_counter
 from lentilshore_kernel.types import (
-    Address,
     Execution,
     RefusalReason,
     RetryDenial,
@@ -19,7 +17,6 @@
 )
 from lentilshore_routing.model_choice import first_model, larger_model, should_escalate
 from lentilshore_routing.placement import ReplicaLease
-from lentilshore_routing.rollout_record import Rollout
 from lentilshore_routing.routes import DeliveryMode, KeyOwner, Route, shared_prefix
 from lentilshore_routing.timeouts import (
     answer_timeout_s,
@@ -29,11 +26,14 @@
 
 from ..clients.engine import raising_upstream_errors
 from ..clients.event_splitter import EventPace
-from ..clients.forwarding import AnswerHead, Attempt, ForwardRequest
+from ..clients.forwarding import AnswerHead, ForwardRequest
+from ..clients.http_client import Call
 from ..clients.http_connection import Response
 from ..state.gateway_context import GatewayContext
 from .answers import Answer, AnswerRelay, check_answer_head
+from .attempt_sender import LOGGED_ID_LIMIT, AttemptSender
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
+from .handover import AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
 from .responder import Responder
 
@@ -59,14 +59,10 @@
 # A replica answers with this status at the deadline. That is not counted as an error of
 # the replica's version, since it says nothing about the version.
 GATEWAY_TIMEOUT_STATUS = 504
-# Longest idle time of a connection that is used again. It is shorter for a request that
-# may not be repeated, so that the server does not close the connection meanwhile.
-UNREPEATABLE_IDLE_LIMIT_S = 1.0
-REPEATABLE_IDLE_LIMIT_S = 4.0
 # Limit of an answer that is not streamed.
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
-# Characters of an answer's identifier that are logged; a replica may send any.
-LOGGED_ID_LIMIT = 64
+# Time between two tries to hand over a request whose replica is silent.
+HANDOVER_INTERVAL_S = 0.25
 
 
 class Outcome(NamedTuple):
@@ -116,7 +112,6 @@
         self._check_key = check_key
         self._request = request
         self._route = route
-        self._customer = customer
         self._received_at = received_at
         limit_s = route.timeout_s
         if request.deadline_s is not None:
@@ -128,8 +123,6 @@
         self._attempt_started_at = received_at
         # Number of ended attempts that ran or may have run.
         self._possible_runs = 0
-        # Addresses that the request was sent to.
-        self._sent_to: set[Address] = set()
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
         # Log fields of the answer to the current attempt, empty before its head.
@@ -143,17 +136,38 @@
         )
         self._loop = AttemptLoop(context, self, scope)
         self._relay = AnswerRelay(context, responder, request.resume_after)
+        self._sender = AttemptSender(
+            context,
+            check_key,
+            request,
+            route,
+            customer,
+            self._deadline_at,
+            self._relay,
+            self._proof,
+        )
+        self._handover = Handover(
+            context,
+            request_id,
+            self._loop,
+            self._start_attempt,
+            self._read_head,
+            self._record_unfollowed,
+        )
         self._measurements = AttemptMeasurements(context, request, route)
         # A replica's last answer with a status of 500 or above, sent if all attempts
         # fail.
         self._error_answer: Answer | None = None
-        self._lease: ReplicaLease | None = None
-        self._version = ""
-        self._rollout: Rollout | None = None
+        # The current or last attempt.
+        self._plan: AttemptPlan | None = None
 
     @property
     def _replica_name(self) -> str:
-        return self._lease.replica.name if self._lease else "-"
+        return self._plan.lease.replica.name if self._plan else "-"
+
+    @property
+    def _group(self) -> str:
+        return f"{self._service}@{self._plan.version}"
 
     @property
     def _remaining_s(self) -> float:
@@ -180,6 +194,7 @@
             raise
         finally:
             self._measurements.end()
+            self._handover.discard()
         # Reached at the timeout, which ends the block above without an exception.
         raise RefusalError(
             RefusalReason.DEADLINE_EXCEEDED,
@@ -211,31 +226,43 @@
         :raises RefusalError: ``no_upstream`` if no replica is available, or
             ``key_unproved`` if the caller's key may have been withdrawn.
         """
+        begun = self._handover.next_attempt
+        self._plan = begun.plan if begun else self._make_plan(self._model, tried)
+        return self._plan.lease
+
+    def next_has_begun(self) -> bool:
+        """Return whether a replica has taken up the next attempt."""
+        return self._handover.next_attempt is not None
+
+    def _make_plan(
+        self, model: str, tried: Sequence[str], excluded: str = ""
+    ) -> AttemptPlan:
+        """Choose a version and a replica for an attempt, see :meth:`choose_replica`.
+
+        :param excluded: name of a replica that must not be chosen, and besides which
+            an ejected one is not chosen either; empty for none.
+        """
         self._check_key(self._route)
         view = self._context.view
-        self._rollout = view.rollouts.get(self._service)
+        rollout = view.rollouts.get(self._service)
         version = self._context.version_chooser.choose(
-            self._rollout,
+            rollout,
             view.version_counts(self._service),
             self._request.session,
             self._context.random.random(),
             self._context.clock.monotonic(),
         )
+        group = f"{self._service}@{version or ''}"
         lease = None
         if version is not None:
-            self._version = version
-            lease = self._choose_replica(self._group, tried)
+            lease = self._choose_replica(group, model, tried, excluded)
         if lease is None:
-            raise self._no_replica_refusal()
-        return lease
-
-    @property
-    def _group(self) -> str:
-        return f"{self._service}@{self._version}"
+            raise self._no_replica_refusal(group)
+        return AttemptPlan(rollout, version, model, lease)
 
-    def _no_replica_refusal(self) -> RefusalError:
+    def _no_replica_refusal(self, group: str) -> RefusalError:
         execution = self._proof.execution
-        limit_retry_after_s = self._context.placement.limit_retry_after_s(self._group)
+        limit_retry_after_s = self._context.placement.limit_retry_after_s(group)
         if limit_retry_after_s is None:
             return RefusalError(
                 RefusalReason.NO_UPSTREAM,
@@ -246,20 +273,25 @@
         return RefusalError(
             RefusalReason.UPSTREAM_LIMITED,
             execution,
-            f"all replicas of {self._group} have named limits, which are used up",
+            f"all replicas of {group} have named limits, which are used up",
             round(limit_retry_after_s, 2),
         )
 
-    def _choose_replica(self, group: str, tried: Sequence[str]) -> ReplicaLease | None:
-        request = self._request
-        prefix, _ = shared_prefix(request.parts, self._model)
+    def _choose_replica(
+        self, group: str, model: str, tried: Sequence[str], excluded: str
+    ) -> ReplicaLease | None:
+        request, placement = self._request, self._context.placement
+        prefix, _ = shared_prefix(request.parts, model)
         work = BASE_WORK_TOKENS
         if self._route.delivery_mode.streaming:
             work += request.prompt_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
             work += request.output_tokens
-        return self._context.placement.choose_untried_first(
-            group, work, prefix, tried=tried
-        )
+        if not excluded:
+            return placement.choose_untried_first(group, work, prefix, tried=tried)
+        for names in ([*tried, excluded], [excluded]):
+            if placement.has_usable(group, names):
+                return placement.choose(group, work, prefix, excluded=names)
+        return None
 
     def record_failure(self, lease: ReplicaLease, error: UpstreamError) -> None:
         """Record a failed attempt; the time until a timeout counts as a latency."""
@@ -269,9 +301,19 @@
                 self._route.delivery_mode.streaming and not self._streaming
             )
             self._measurements.record_stall(elapsed_s, first_event_pending)
-        self._log_failure(lease, error, elapsed_s)
+        self._log_failure(self._plan, error, elapsed_s)
         self._end_attempt(error.execution)
 
+    def _record_unfollowed(self, begun: BegunAttempt, error: UpstreamError) -> None:
+        """Record an attempt that ended before it was followed."""
+        self._attempts += 1
+        elapsed_s = self._context.clock.monotonic() - begun.started_at
+        self._answer_log_fields = {}
+        self._log_failure(begun.plan, error, elapsed_s)
+        if begun.call is not None:
+            self._possible_runs += error.execution is not Execution.NOT_RUN
+            self._proof.end(error.execution)
+
     def retry_denial(self) -> RetryDenial | None:
         """Return what denies another attempt, None for nothing.
 
@@ -292,152 +334,134 @@
         self._context.metrics.count(retry_counter(reason))
 
     async def _attempt(self, lease: ReplicaLease) -> int | None:
-        """Send the request to a replica.
+        """Send the request to a replica, or go on with an attempt that was begun.
 
         :returns: status of the answer, None to repeat the request on a larger model.
         """
+        plan, begun = self._plan, self._handover.take()
         self._attempts += 1
-        self._lease = lease
+        self._model = plan.model
         self._answer_log_fields = {}
-        self._attempt_started_at = self._context.clock.monotonic()
+        self._attempt_started_at = (
+            begun.started_at if begun else self._context.clock.monotonic()
+        )
         self._measurements.begin(
-            self._rollout, (self._service, self._version), lease, self._model
+            plan.rollout, (self._service, plan.version), lease, plan.model
         )
-        status = await self._exchange(lease, self._attempt_started_at)
+        status = await self._exchange(plan, begun)
         if status is None:
             self._end_attempt(Execution.RAN)
         return status
 
-    async def _exchange(self, lease: ReplicaLease, started_at: float) -> int | None:
+    async def _exchange(
+        self, plan: AttemptPlan, begun: BegunAttempt | None
+    ) -> int | None:
+        started_at = self._attempt_started_at
         timeout_s = answer_timeout_s(
             self._route,
             self._measurements.typical_latency_s,
             self._is_last_attempt,
             self._timeout_limit_s,
         )
+        self._waiting_since = self._context.clock.monotonic()
+        extend_timeout = None
+        if self._route.delivery_mode.repeatable:
+            extend_timeout = self._extend_timeout
         with raising_upstream_errors():
-            async with self._open(lease, timeout_s) as response:
-                head = self._context.translator.read_head(
-                    response.status, response.headers
-                )
-                self._answer_log_fields = {
-                    "answer_status": response.status,
-                    "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
-                    "connection_calls": response.connection_calls,
-                }
-                self._record_limit(lease, head)
-                if head.misdirected:
-                    raise UpstreamError(
-                        RefusalReason.UPSTREAM_REPLACED,
-                        Execution.NOT_RUN,
-                        "another replica answers at the address of the chosen one",
-                    )
-                if head.not_run:
-                    raise UpstreamError(
-                        RefusalReason.UPSTREAM_FULL,
-                        Execution.NOT_RUN,
-                        "the replica did not run the request: "
-                        f"status {response.status}",
-                    )
-                self._context.placement.record_answer(lease.replica.name)
+            async with self._sender.exchange(
+                plan, begun, timeout_s, extend_timeout
+            ) as response:
+                head = self._read_head(plan, response, started_at)
+                self._context.placement.record_answer(plan.lease.replica.name)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
                 return await self._relay_buffered(response, head, started_at)
 
-    def _record_limit(self, lease: ReplicaLease, head: AnswerHead) -> None:
+    def _read_head(
+        self, plan: AttemptPlan, response: Response, sent_at: float
+    ) -> AnswerHead:
+        """Return the head of the answer to an attempt.
+
+        :param sent_at: time at which the attempt began, on the node's clock, seconds.
+        :raises UpstreamError: if the replica did not run the request.
+        """
+        head = self._context.translator.read_head(response.status, response.headers)
+        self._answer_log_fields = {
+            "answer_status": response.status,
+            "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
+            "connection_calls": response.connection_calls,
+        }
+        self._record_limit(plan.lease, head, sent_at)
+        if head.misdirected:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_REPLACED,
+                Execution.NOT_RUN,
+                "another replica answers at the address of the chosen one",
+            )
+        if head.not_run:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_FULL,
+                Execution.NOT_RUN,
+                f"the replica did not run the request: status {response.status}",
+            )
+        return head
+
+    def _record_limit(
+        self, lease: ReplicaLease, head: AnswerHead, sent_at: float
+    ) -> None:
         """Record whether the replica names a limit.
 
         Only an answer that bears its signature proves that it names none.
         """
         if head.misdirected or (head.limit_per_s is None and not head.unaltered):
             return
-        self._context.record_limit(
-            lease.replica.name, head.limit_per_s, self._attempt_started_at
-        )
+        self._context.record_limit(lease.replica.name, head.limit_per_s, sent_at)
 
-    def _encode(self, lease: ReplicaLease) -> bytes:
-        """Return the bytes for a replica, after checking that they may still be sent.
+    async def _start_attempt(self, plan: AttemptPlan) -> Call:
+        return await self._sender.start(plan, self._timeout_limit_s)
 
-        The HTTP client calls this once a connection is open, right before it sends.
+    async def _extend_timeout(self) -> float:
+        """Return by how many seconds to extend a timeout, 0 to let it end the attempt.
 
-        :raises RefusalError: if the caller's key may have been withdrawn.
-        :raises UpstreamError: if the replica may no longer be used.
+        The attempt ends at the request's own time limit, or once a replica has taken
+        up the next one. Until then the replica of this one may go on.
         """
-        self._check_key(self._route)
-        self._check_replica_usable(lease)
-        attempt = Attempt(
-            replica=lease.replica,
-            customer=self._customer,
-            remaining_s=self._remaining_s,
-            priority=self._priority,
-            model=self._model,
-            resume_after=self._relay.resume_after,
-        )
-        data = self._context.translator.encode_attempt(self._request, attempt)
-        self._proof.begin()
-        self._sent_to.add(lease.replica.address)
-        return data
-
-    def _open(
-        self, lease: ReplicaLease, timeout_s: float
-    ) -> AbstractAsyncContextManager[Response]:
-        unrepeatable = not self._route.delivery_mode.repeatable
-        max_idle_s = (
-            UNREPEATABLE_IDLE_LIMIT_S if unrepeatable else REPEATABLE_IDLE_LIMIT_S
-        )
-        self._waiting_since = self._context.clock.monotonic()
-        extend_timeout = None
-        if self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE:
-            extend_timeout = partial(self._timeout_extension_s, lease.replica.name)
-        return self._context.http.exchange(
-            lease.replica.address,
-            partial(self._encode, lease),
-            timeout_s,
-            self._is_own_answer,
-            max_idle_s,
-            extend_timeout,
-            self._may_reuse_connection(lease.replica.address),
-        )
+        limit_s = self._timeout_limit_s
+        if limit_s <= 0:
+            return 0.0
+        extension_s = self._loaded_extension_s()
+        if extension_s > 0:
+            return min(limit_s, extension_s)
+        lease = self._plan.lease
+        if self._context.placement.eject_unreachable(lease):
+            self._loop.report_ejection(lease, unreachable=True)
+        if await self._hand_over(self._model, lease.replica.name):
+            self._context.metrics.count(retry_counter(RetryReason.STALLED))
+            return 0.0
+        return min(limit_s, HANDOVER_INTERVAL_S)
+
+    def _loaded_extension_s(self) -> float:
+        """Return the extension for a replica that has just answered some request."""
+        if self._route.delivery_mode is not DeliveryMode.STREAM_RESUMABLE:
+            return 0.0
+        if not self._context.placement.answered_within(
+            self._replica_name, REPLICA_SILENCE_S
+        ):
+            return 0.0
+        waited_s = self._context.clock.monotonic() - self._waiting_since
+        return timeout_extension_s(self._route, self._streaming, waited_s)
 
-    def _may_reuse_connection(self, address: Address) -> bool:
-        """Return whether this request may go out on a connection that carried others.
+    async def _hand_over(self, model: str, excluded: str = "") -> bool:
+        """Begin the next attempt; return whether a replica has taken it up.
 
-        Its answer must be told from an extra one to an earlier call by the identifier.
+        :param model: model of the next attempt.
+        :param excluded: name of a replica that must not get it, empty for none.
         """
-        if not self._request.request_id or address in self._sent_to:
+        if self._is_last_attempt or self.retry_denial() is not None:
             return False
-        return self._context.may_reuse_connections(address)
-
-    def _is_own_answer(self, headers: dict[str, str], connection_reused: bool) -> bool:
-        # The identifier does not depend on the status: 0 stands for any.
-        answer_id = self._context.translator.read_head(0, headers).request_id
-        if answer_id == self._request.request_id:
-            return True
-        if not answer_id and not connection_reused:
-            return True
-        cause = "other_request"
-        if not answer_id and self._lease is not None:
-            cause = "unidentified"
-            self._context.require_fresh_connections(self._lease.replica.address)
-        self._context.metrics.count(f"answer.skipped.{cause}")
-        log_event(
-            "answer_skipped",
-            request=self._request.request_id,
-            attempt=self._attempts,
-            replica=self._replica_name,
-            answer_id=answer_id[:LOGGED_ID_LIMIT] or "none",
+        return await self._handover.begin(
+            partial(self._make_plan, model, self._loop.tried, excluded)
         )
-        return False
-
-    def _timeout_extension_s(self, replica_name: str) -> float:
-        """Return by how many seconds to extend a timeout, 0 to let it end the attempt.
-
-        It is extended only if the replica has just answered some request.
-        """
-        if not self._context.placement.answered_within(replica_name, REPLICA_SILENCE_S):
-            return 0.0
-        waited_s = self._context.clock.monotonic() - self._waiting_since
-        return timeout_extension_s(self._route, self._streaming, waited_s)
 
     async def _relay_buffered(
         self, response: Response, head: AnswerHead, started_at: float
@@ -473,7 +497,7 @@
         )
         # A stream that has started counts as a success of the version.
         self._measurements.record_outcome(False)
-        if self._escalate(head):
+        if await self._escalate(head):
             return None
         response.timeout_s = next_event_timeout_s(
             self._route, self._is_last_attempt, self._timeout_limit_s
@@ -492,10 +516,10 @@
         """Record the pauses between the events of a stream so far."""
         self._measurements.record_pace(pace)
 
-    def _escalate(self, head: AnswerHead) -> bool:
-        """Switch to a larger model if the answer's confidence is too low.
+    async def _escalate(self, head: AnswerHead) -> bool:
+        """Hand the request to a larger model if the answer's confidence is too low.
 
-        :returns: whether the request is to be sent again, to the larger model.
+        :returns: whether a replica has taken it up.
         """
         if self._relay.started or not self._route.models:
             return False
@@ -510,11 +534,9 @@
             + self._route.latency_objective_s
             - self._context.clock.monotonic()
         )
-        # The execution passed here matters only where a request may not be repeated,
-        # which is excluded above.
-        if not should_escalate(
-            head.confidence, expected_s, remaining_s
-        ) or not self._loop.spend_retry(Execution.NOT_RUN):
+        if not should_escalate(head.confidence, expected_s, remaining_s):
+            return False
+        if not await self._hand_over(larger):
             return False
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
         if self._context.log_sampler.should_log(self._request.request_id):
@@ -527,17 +549,8 @@
                 expected_ms=f"{expected_s * 1000:.0f}",
                 remaining_ms=f"{remaining_s * 1000:.0f}",
             )
-        self._model = larger
         return True
 
-    def _check_replica_usable(self, lease: ReplicaLease) -> None:
-        if not self._context.view.usable(lease.replica.name):
-            raise UpstreamError(
-                RefusalReason.NO_UPSTREAM,
-                Execution.NOT_RUN,
-                "the replica is draining, removed or of a version no longer allowed",
-            )
-
     def _end_attempt(self, execution: Execution) -> None:
         self._streaming = False
         self._measurements.end()
@@ -568,22 +581,16 @@
         """Whether no further attempt is allowed if the current one may have run."""
         return self._possible_runs + 1 >= self._route.max_attempts
 
-    @property
-    def _priority(self) -> int:
-        if self._customer is not None and self._customer.priority is not None:
-            return self._customer.priority
-        return self._route.priority
-
     def _log_failure(
-        self, lease: ReplicaLease, error: UpstreamError, elapsed_s: float
+        self, plan: AttemptPlan, error: UpstreamError, elapsed_s: float
     ) -> None:
         self._context.metrics.count(f"attempt.{error.reason.value}")
         log_event(
             "attempt_failed",
             request=self._request.request_id,
             attempt=self._attempts,
-            replica=lease.replica.name,
-            version=self._version,
+            replica=plan.lease.replica.name,
+            version=plan.version,
             reason=error.reason.value,
             execution=error.execution.value,
             detail=error.detail,
@@ -597,8 +604,8 @@
         return Outcome(
             status,
             self._attempts,
-            self._lease,
-            self._version,
+            self._plan.lease if self._plan else None,
+            self._plan.version if self._plan else "",
             self._model,
             answered_at - self._received_at,
             now - self._received_at,
--- /dev/null
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -0,0 +1,167 @@
+"""Hands a request over to its next attempt before the current one is given up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from lentilshore_kernel.exceptions import RefusalError, UpstreamError
+from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing.placement import ReplicaLease
+from lentilshore_routing.rollout_record import Rollout
+
+from ..clients.engine import raising_upstream_errors
+from ..clients.http_client import Call
+from ..clients.http_connection import CallTimedOutError, Response
+from ..state.gateway_context import GatewayContext
+from .attempts import AttemptLoop
+
+# A replica that has not rejected a request within this time has taken it up. Both
+# replicas may work on the request meanwhile.
+TAKE_UP_S = 0.2
+
+
+class AttemptPlan(NamedTuple):
+    """Where an attempt is sent.
+
+    :param rollout: roll-out of the service, None for none.
+    :param version: version of the service.
+    :param model: model, empty for the one that the request names.
+    :param lease: the replica.
+    """
+
+    rollout: Rollout | None
+    version: str
+    model: str
+    lease: ReplicaLease
+
+
+class BegunAttempt(NamedTuple):
+    """An attempt that was begun beside another one.
+
+    :param plan: where it was sent.
+    :param call: the call, which must be ended; None if nothing was sent.
+    :param started_at: time at which it began, on the node's clock, seconds.
+    """
+
+    plan: AttemptPlan
+    call: Call | None
+    started_at: float
+
+
+class Handover:
+    """Begins the next attempt of a request while the current one goes on.
+
+    The current attempt is given up only once a replica has taken up the next one. Until
+    then its answer is still awaited, and taken if it comes.
+
+    :param context: context of the gateway.
+    :param request_id: identifier of the request, for the log.
+    :param loop: the request's attempts, for their retry limits.
+    :param send: opens a connection and sends an attempt.
+    :param check_head: raises UpstreamError if the head of an answer rejects the
+        request; called with the plan, the answer and the start of the attempt.
+    :param record_failure: records an attempt that was not taken up, with its failure.
+        Its call is None if nothing was sent.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        request_id: str,
+        loop: AttemptLoop,
+        send: Callable[[AttemptPlan], Awaitable[Call]],
+        check_head: Callable[[AttemptPlan, Response, float], object],
+        record_failure: Callable[[BegunAttempt, UpstreamError], None],
+    ) -> None:
+        self._context = context
+        self._request_id = request_id
+        self._loop = loop
+        self._send = send
+        self._check_head = check_head
+        self._record_failure = record_failure
+        self._next: BegunAttempt | None = None
+
+    @property
+    def next_attempt(self) -> BegunAttempt | None:
+        """The attempt that has been taken up and not begun to be followed."""
+        return self._next
+
+    def take(self) -> BegunAttempt | None:
+        """Return the next attempt, which the caller follows from now on."""
+        begun, self._next = self._next, None
+        return begun
+
+    def discard(self) -> None:
+        """End the next attempt if nobody follows it."""
+        begun = self.take()
+        if begun is not None:
+            self._end(begun, None)
+
+    async def begin(self, make_plan: Callable[[], AttemptPlan]) -> bool:
+        """Begin the next attempt; return whether a replica has taken it up.
+
+        :param make_plan: chooses a replica; raises RefusalError if there is none.
+        """
+        try:
+            plan = make_plan()
+        except RefusalError as refusal:
+            self._report_kept(refusal.reason.value)
+            return False
+        denial = self._loop.take_retry(Execution.NOT_RUN)
+        if denial is not None:
+            self._loop.release(plan.lease, None)
+            self._report_kept(denial.value)
+            return False
+        return await self._begin(plan)
+
+    async def _begin(self, plan: AttemptPlan) -> bool:
+        begun = BegunAttempt(plan, None, self._context.clock.monotonic())
+        failure: UpstreamError | None = None
+        try:
+            with raising_upstream_errors():
+                begun = begun._replace(call=await self._send(plan))
+                await self._wait_for_rejection(begun)
+            self._next = begun
+        except UpstreamError as error:
+            failure = error
+            self._loop.give_back_retry()
+            self._record_failure(begun, error)
+            self._report_kept(error.reason.value)
+        except RefusalError as refusal:
+            self._report_kept(refusal.reason.value)
+        except asyncio.CancelledError:
+            if begun.call is not None:
+                self._record_failure(begun, _superseded_error())
+            raise
+        finally:
+            if self._next is None:
+                self._end(begun, failure)
+        return self._next is not None
+
+    def _end(self, begun: BegunAttempt, failure: UpstreamError | None) -> None:
+        if begun.call is not None:
+            begun.call.end()
+        self._loop.release(begun.plan.lease, failure)
+
+    async def _wait_for_rejection(self, begun: BegunAttempt) -> None:
+        try:
+            response = await begun.call.wait_for_head(TAKE_UP_S)
+        except CallTimedOutError:
+            return
+        self._check_head(begun.plan, response, begun.started_at)
+
+    def _report_kept(self, cause: str) -> None:
+        """Log and count why the current attempt is still followed."""
+        self._context.metrics.count(f"attempt_kept.{cause}")
+        log_event("attempt_kept", request=self._request_id, cause=cause)
+
+
+def _superseded_error() -> UpstreamError:
+    return UpstreamError(
+        RefusalReason.UPSTREAM_STALLED,
+        Execution.UNKNOWN,
+        "given up, since the attempt before it goes on",
+    )
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -236,6 +236,16 @@
             return False
         return any(self._limits.allows(r.name) for r in replica_group.replicas)
 
+    def has_usable(self, group: str, excluded: Sequence[str]) -> bool:
+        """Return whether a replica of a group may be sent a request and is not ejected.
+
+        :param excluded: names of replicas that don't count.
+        """
+        replica_group = self._groups.get(group)
+        if replica_group is None:
+            return False
+        return any(self._usable(r, excluded) for r in replica_group.replicas)
+
     def limit_retry_after_s(self, group: str) -> float | None:
         """Return when a caller may come back because replicas have named limits.
 
@@ -283,6 +293,17 @@
         state.consecutive_failures = 0
         return True
 
+    def eject_unreachable(self, lease: ReplicaLease) -> bool:
+        """Eject a replica that has not answered a request in time.
+
+        :param lease: lease of the request, which goes on.
+        :returns: whether the replica is ejected from now on.
+        """
+        state = self._states.get(lease.replica.name)
+        if state is None:
+            return False
+        return self._eject_unreachable(state, lease, self._clock.monotonic())
+
     def _eject_unreachable(
         self, state: _ReplicaState, lease: ReplicaLease, now: float
     ) -> bool:
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -131,15 +131,6 @@
         """
         self._budget(group).earn()
 
-    def allow(
-        self, tree_id: str, group: str, repeatable: bool, execution: Execution
-    ) -> bool:
-        """Return whether a retry is allowed, and count it if so.
-
-        The parameters are those of :meth:`take`.
-        """
-        return self.take(tree_id, group, repeatable, execution) is None
-
     def take(
         self, tree_id: str, group: str, repeatable: bool, execution: Execution
     ) -> RetryDenial | None:
@@ -165,6 +156,15 @@
             self._retries_by_tree.popitem(last=False)
         return None
 
+    def give_back(self, tree_id: str) -> None:
+        """Return a retry to its tree after a replica has rejected it.
+
+        The budget of the group keeps it, since the replica had to reject it.
+        """
+        retries = self._retries_by_tree.get(tree_id, 0)
+        if retries:
+            self._retries_by_tree[tree_id] = retries - 1
+
     def _budget(self, group: str) -> RetryBudget:
         budget = self._budgets.get(group)
         if budget is None:
--- a/tests/faults/mutants.py
+++ b/tests/faults/mutants.py
@@ -78,8 +78,8 @@
     return update
 
 
-def _allow_every_retry(self: Any, *_: Any) -> bool:
-    return True
+def _allow_every_retry(self: Any, *_: Any) -> None:
+    return None
 
 
 def _never_halt(*_: Any) -> Verdict:
@@ -157,7 +157,7 @@
     Mutant(
         "every failed call is retried",
         "at_most_once",
-        ((retries.RetryPolicy, "allow", _allow_every_retry),),
+        ((retries.RetryPolicy, "take", _allow_every_retry),),
         (Cell("single_run", "service.call", "lost"),),
     ),
     Mutant(
--- a/tests/limited_replicas.py
+++ b/tests/limited_replicas.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import NamedTuple
 
 from lentilshore_kernel.types import Address
@@ -106,11 +107,17 @@
 
     @asynccontextmanager
     async def exchange(self, address, encode, timeout_s, *_):
+        call = await self.start(address, encode, timeout_s)
+        yield await call.wait_for_head(timeout_s)
+
+    async def start(self, address, encode, timeout_s, *_, **__):
         lines = encode().decode("latin-1").split("\r\n\r\n")[0].split("\r\n")[1:]
         fields = dict(line.lower().split(": ", 1) for line in lines)
         replica = self._replicas[fields["x-expect-instance"]]
         replica.arrive(self._gateway)
-        await self._clock.sleep(0.05)
+        return _Call(self._clock, partial(self._respond, fields, replica))
+
+    def _respond(self, fields, replica):
         status, extra, parts = self._answer(fields)
         headers = {
             "x-attempt-id": fields["x-attempt-id"],
@@ -120,12 +127,28 @@
         limit = replica.tell(self._gateway)
         if limit is not None:
             headers["server-limit"] = f"{limit:g}"
-        yield _Response(status, headers, parts)
+        return _Response(status, headers, parts)
 
     async def close(self):
         pass
 
 
+class _Call:
+    def __init__(self, clock, respond):
+        self._clock = clock
+        self._respond = respond
+        self._response = None
+
+    async def wait_for_head(self, timeout_s, extend_timeout=None):
+        if self._response is None:
+            await self._clock.sleep(0.05)
+            self._response = self._respond()
+        return self._response
+
+    def end(self):
+        pass
+
+
 class _Response:
     def __init__(self, status, headers, parts):
         self.status, self.headers = status, headers
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -53,6 +53,9 @@
     def record_retry(self, reason):
         self.retried.append(reason)
 
+    def next_has_begun(self):
+        return False
+
 
 def run(context, request, failures):
     """Return the answer after the given failures, and the replicas that were tried."""
@@ -123,9 +126,9 @@
             FakeRequest(context, attempts=1),
             [(RefusalReason.UPSTREAM_FAILED, NOT_RUN)],
         )
-    assert context.retries.allow("r-1", "g", True, NOT_RUN)
-    assert context.retries.allow("r-1", "g", True, NOT_RUN)
-    assert context.retries.allow("r-1", "g", True, NOT_RUN)
+    assert context.retries.take("r-1", "g", True, NOT_RUN) is None
+    assert context.retries.take("r-1", "g", True, NOT_RUN) is None
+    assert context.retries.take("r-1", "g", True, NOT_RUN) is None
 
 
 def test_an_unreachable_replica_is_ejected_and_counted():
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -8,7 +8,7 @@
 
 from lentilshore_kernel.types import Execution
 from lentilshore_node.callers import forwarder
-from lentilshore_node.delivery import answers, attempts, delivery
+from lentilshore_node.delivery import answers, attempt_sender, attempts, delivery
 from lentilshore_node.state import fleet_view_updater
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing import retries, staging, version_choice
@@ -231,7 +231,7 @@
     (refuses_unproved_keys, forwarder.Forwarder, "require_key_proof", _return_none),
     (
         avoids_draining_replicas,
-        delivery.Delivery,
+        attempt_sender.AttemptSender,
         "_check_replica_usable",
         _return_none,
     ),
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -254,8 +254,8 @@
     fleet.clock.advance(1.0)
     head = HeaderTranslator().read_head(status, headers)
     delivery = Delivery(context, None, _request(), fleet._route, None, 0.0, None)
-    delivery._attempt_started_at = fleet.clock.monotonic()
-    delivery._record_limit(ReplicaLease(record("i-1").replica, 0, False, 0), head)
+    lease = ReplicaLease(record("i-1").replica, 0, False, 0)
+    delivery._record_limit(lease, head, fleet.clock.monotonic())
     assert (context.limits.limit_per_s("i-1") is None) is ends
 
 
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from lentilshore_node.delivery.delivery import Delivery
+from lentilshore_node.delivery.handover import Handover
 from lentilshore_routing.routes import DeliveryMode
 from tests.scripted import answer
 from tests.test_gateway import (
@@ -109,3 +111,70 @@
     harness = GatewayHarness([silent, rejected], with_route)
     caller = harness.run(Caller([(b"x-model", b"*")]), surroundings)
     assert (caller.status, caller.body, caller.complete) == (200, body, True)
+
+
+def accepted(fields):
+    """Take a request up and answer nothing."""
+    return ["hang"]
+
+
+# The first replica answers while the second one has taken the request up: its answer
+# counts, and the second one's connection is closed.
+@pytest.mark.parametrize(
+    ("silence_s", "with_route", "body", "runs"),
+    [
+        (0.7, RESUMABLE, event(1) + event(2), 2),
+        (0.3, IDEMPOTENT, b"whole", 2),
+        (0.3, RESUMABLE, event(1) + event(2), 1),
+    ],
+)
+def test_an_answer_that_comes_during_a_handover_is_taken(
+    silence_s, with_route, body, runs
+):
+    def halting(fields):
+        if with_route is IDEMPOTENT:
+            return [silence_s, *signed(b"whole")(fields)]
+        pause = [chunk(event(1)), silence_s, chunk(event(2))]
+        return [*_head(fields), *pause, b"0\r\n\r\n"]
+
+    harness = GatewayHarness([halting, accepted], with_route)
+    caller = harness.run(Caller())
+    assert (caller.status, caller.body, caller.complete) == (200, body, True)
+    assert len(harness.server.requests) == runs
+
+
+def test_a_request_is_handed_over_to_a_replica_that_takes_it_up():
+    harness = GatewayHarness([late_answer, signed(b"other")], IDEMPOTENT)
+    assert harness.run(Caller()).body == b"other"
+
+
+def test_replicas_that_stay_silent_end_a_request_at_its_time_limit():
+    harness = GatewayHarness([accepted], IDEMPOTENT)
+    caller = harness.run(Caller([(b"x-deadline-ms", b"900")]))
+    assert (caller.status, len(harness.server.requests)) == (504, 2)
+
+
+async def _return_zero(*_):
+    return 0.0
+
+
+async def _return_none(*_):
+    return None
+
+
+@pytest.mark.parametrize(
+    ("silent", "with_route", "owner", "name", "replacement"),
+    [
+        (silent_stream, RESUMABLE, Delivery, "_extend_timeout", _return_zero),
+        (late_answer, IDEMPOTENT, Delivery, "_extend_timeout", _return_zero),
+        (silent_stream, RESUMABLE, Handover, "_wait_for_rejection", _return_none),
+        (unsure_stream, CASCADE, Handover, "_wait_for_rejection", _return_none),
+    ],
+)
+def test_each_mutant_ends_an_answer(
+    silent, with_route, owner, name, replacement, monkeypatch
+):
+    monkeypatch.setattr(owner, name, replacement)
+    harness = GatewayHarness([silent, rejected], with_route)
+    caller = harness.run(Caller([(b"x-model", b"*")]))
+    assert caller.status != 200 or not caller.complete
