Send all attempts the same way, begun beside another one or not

The first attempt went through `HttpClient.exchange` and one that takes over through `start`, so that stand-ins had to offer both. Stand-ins of the tests follow; `ClosedHttpClient` fails at `start`, which `exchange` calls too.

--- a/packages/node/src/lentilshore_node/delivery/attempt_sender.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_sender.py
@@ -76,23 +76,13 @@
         :param timeout_s: longest time without data from the replica, seconds.
         :param extend_timeout: called at a timeout; returns how much longer to wait.
         """
-        if begun is not None and begun.call is not None:
-            try:
-                yield await begun.call.wait_for_head(timeout_s, extend_timeout)
-            finally:
-                begun.call.end()
-            return
-        address = plan.lease.replica.address
-        async with self._context.http.exchange(
-            address,
-            partial(self._encode, plan),
-            timeout_s,
-            partial(self._is_own_answer, plan),
-            self._max_idle_s,
-            extend_timeout,
-            self._may_reuse_connection(address),
-        ) as response:
-            yield response
+        call = begun.call if begun is not None else None
+        if call is None:
+            call = await self.start(plan, timeout_s)
+        try:
+            yield await call.wait_for_head(timeout_s, extend_timeout)
+        finally:
+            call.end()
 
     async def start(self, plan: AttemptPlan, timeout_s: float) -> Call:
         """Send an attempt, whose answer is not waited for yet.
--- a/tests/limited_replicas.py
+++ b/tests/limited_replicas.py
@@ -2,7 +2,6 @@
 
 import math
 from collections import deque
-from contextlib import asynccontextmanager
 from functools import partial
 from typing import NamedTuple
 
@@ -105,11 +104,6 @@
         self._clock = clock
         self._answer = answer
 
-    @asynccontextmanager
-    async def exchange(self, address, encode, timeout_s, *_):
-        call = await self.start(address, encode, timeout_s)
-        yield await call.wait_for_head(timeout_s)
-
     async def start(self, address, encode, timeout_s, *_, **__):
         lines = encode().decode("latin-1").split("\r\n\r\n")[0].split("\r\n")[1:]
         fields = dict(line.lower().split(": ", 1) for line in lines)
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -58,7 +58,7 @@
 class ClosedHttpClient(HttpClient):
     """HTTP client that fails the test if the gateway sends anything."""
 
-    def exchange(self, *args, **kwargs):
+    def start(self, *args, **kwargs):
         raise AssertionError("a request reached a replica")
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,7 +1,6 @@
 """Tests of a gateway between a caller and scripted replicas, over real sockets."""
 
 import random
-from contextlib import asynccontextmanager
 
 import anyio
 import pytest
@@ -540,12 +539,16 @@
     def __init__(self, clock):
         self._clock = clock
 
-    @asynccontextmanager
-    async def exchange(self, address, encode, timeout_s, *_):
+    async def start(self, address, encode, timeout_s, *_, **__):
         encode()
+        return self
+
+    async def wait_for_head(self, timeout_s, extend_timeout=None):
         await self._clock.sleep(timeout_s)
         raise CallTimedOutError("no data from the server before the timeout")
-        yield
+
+    def end(self):
+        pass
 
     async def close(self):
         pass
