Tests that fail: requests that end replicas are sent on and on

Five replicas, a gateway, sound requests and some with a part under which each replica ends as it begins to answer: 24, 18 and 8 of them are sent later than 3 s after the fifth crash, where at most three may be, and one request ends three replicas.

--- /dev/null
+++ b/tests/crashing_replicas.py
@@ -0,0 +1,142 @@
+"""Replicas that crash as they begin to answer a request with a certain prompt part."""
+
+from functools import partial
+
+from lentilshore_kernel.types import Address
+from lentilshore_node.clients.http_connection import (
+    CallBrokenError,
+    CallNotSentError,
+)
+from lentilshore_node.state.replica_record import ReplicaRecord
+from lentilshore_routing.replicas import Replica
+from tests.test_gateway import event
+
+SERVICE = "pool"
+# Time from a request to the head of its answer, and from there to the crash.
+HEAD_S = 0.1
+CRASH_S = 0.08
+EVENT_S = 0.02
+DOWN_S = 4.0
+
+
+class CrashingReplica:
+    """One address, at which a new process follows each that has crashed."""
+
+    def __init__(self, number, clock):
+        self.address = Address("10.0.0.1", number)
+        self._clock = clock
+        self.starts = 1
+        self.up_at = 0.0
+        self.crashes = []
+
+    @property
+    def identity(self):
+        return f"i-{self.address.port}-{self.starts}"
+
+    @property
+    def is_up(self):
+        return self._clock.monotonic() >= self.up_at
+
+    def crash(self):
+        now = self._clock.monotonic()
+        self.crashes.append(now)
+        self.starts += 1
+        self.up_at = now + DOWN_S
+
+    def record(self):
+        replica = Replica(
+            self.identity,
+            "forward",
+            self.address,
+            "dc",
+            (f"{SERVICE}@v1",),
+            identity=self.identity,
+        )
+        return ReplicaRecord(self.identity, self.starts, SERVICE, "v1", replica)
+
+
+class CrashingHttpClient:
+    """HTTP client of one gateway whose calls reach the replicas of a test.
+
+    :param gateway: name of the gateway.
+    :param replicas: :class:`CrashingReplica` by address.
+    :param bad_parts: names of the prompt parts that crash replicas.
+    :param arrivals: gets the time, gateway and fields of each request that arrives.
+    """
+
+    def __init__(self, gateway, replicas, clock, bad_parts, arrivals):
+        self._gateway = gateway
+        self._replicas = replicas
+        self._clock = clock
+        self._bad_parts = bad_parts
+        self._arrivals = arrivals
+
+    async def start(self, address, encode, timeout_s, *_, **__):
+        replica = self._replicas[address]
+        if not replica.is_up:
+            raise CallNotSentError(f"{address}: connection failed")
+        lines = encode().decode("latin-1").split("\r\n\r\n")[0].split("\r\n")[1:]
+        fields = dict(line.lower().split(": ", 1) for line in lines)
+        self._arrivals.append((self._clock.monotonic(), self._gateway, fields))
+        parts = fields.get("x-prompt-prefix", "").split(",")
+        bad = any(part.partition(":")[0] in self._bad_parts for part in parts)
+        return _Call(self._clock, replica, fields, bad)
+
+    async def is_refused(self, address):
+        return not self._replicas[address].is_up
+
+    async def close(self):
+        pass
+
+
+class _Call:
+    def __init__(self, clock, replica, fields, bad):
+        self._clock = clock
+        self._replica = replica
+        self._identity = replica.identity
+        self._fields = fields
+        self._bad = bad
+        self._response = None
+
+    async def wait_for_head(self, timeout_s, extend_timeout=None):
+        if self._response is None:
+            await self._clock.sleep(HEAD_S)
+            self.check()
+            self._response = _Response(self._fields, partial(self._events, self))
+        return self._response
+
+    def check(self):
+        """Raise if the replica that took the request has crashed."""
+        if self._replica.identity != self._identity:
+            raise CallBrokenError("connection lost: closed")
+
+    async def _events(self, call):
+        if self._bad:
+            await self._clock.sleep(CRASH_S)
+            call.check()
+            self._replica.crash()
+            call.check()
+        for number in (1, 2, 3):
+            await self._clock.sleep(EVENT_S)
+            call.check()
+            yield event(number)
+
+    def end(self):
+        pass
+
+
+class _Response:
+    def __init__(self, fields, events):
+        self.status = 200
+        self.headers = {
+            "x-attempt-id": fields["x-attempt-id"],
+            "x-response-signature": "s1",
+        }
+        self.fields = [(k.encode(), v.encode()) for k, v in self.headers.items()]
+        self.connection_calls = 1
+        self.timeout_s = 1.0
+        self.broken = False
+        self._events = events
+
+    def aiter_stream(self):
+        return self._events()
