Soak: silences of sound replicas beside planned work, and a check of LOST

Callers saw requests end as 502, 504 or cut streams though no replica broke off and their time was not used. The soak could not see it: its check looked only at requests without a status, it took a silence for a disturbance, and few requests lasted half a second.

`--silences` pauses replicas for 1.2 s, alone or several at once, while requests are shed, configurations written, gateways stopped and settings reloaded, with requests that last up to several seconds. LOST names each one that ended before seven tenths of its time. A silent replica doesn't see that a connection closes, so a run there that goes on until it wakes is no TWICE. A stop counts from its first SIGTERM, not the last one.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,10 +10,11 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.soak.callers import Callers
+from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
 from tests.soak.plan import Plan
+from tests.soak.silences import LASTING_MIX, SilencePlan
 
 WARM_UP_S = 3.0
 CALM_S = 5.0
@@ -50,12 +51,17 @@
     host = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
     fleet = Fleet(directory, host, options.code, fleet_random)
     keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
-    callers = Callers(fleet, keys, load_random, f"r{seed}")
+    mix = LASTING_MIX if options.silences else USUAL_MIX
+    callers = Callers(fleet, keys, load_random, f"r{seed}", mix)
 
     def write_log(text):
         log.write(f"{time.time():.3f} {time.monotonic() - started_at:.1f} {text}\n")
 
-    plan = Plan(fleet, keys, plan_random, write_log, options.rejections, options.limits)
+    faults = (fleet, keys, plan_random, write_log)
+    if options.silences:
+        plan = SilencePlan(*faults)
+    else:
+        plan = Plan(*faults, options.rejections, options.limits)
     try:
         await fleet.start(size.gateways, size.services)
         await plan.write_config()
@@ -74,7 +80,7 @@
     finally:
         await fleet.stop()
         log.close()
-    checks = Checks(callers, fleet, plan.withdrawn)
+    checks = Checks(callers, fleet, plan.withdrawn, options.silences)
     return checks.problems(calm_since), checks.outcomes()
 
 
@@ -99,6 +105,11 @@
     parser.add_argument(
         "--rollouts", action="store_true", help="services are rolled out meanwhile"
     )
+    parser.add_argument(
+        "--silences",
+        action="store_true",
+        help="sound replicas are silent for a moment, with planned work, no more",
+    )
     parser.add_argument(
         "--keep", action="store_true", help="keep the logs of seeds that broke nothing"
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,15 @@
     "safe": ("/safe/", True, 1.5),
     "stream": ("/stream/", True, 5.0),
     "tail": ("/tail/", False, 5.0),
+    "slow": ("/slow/", True, 7.0),
+    "slow-once": ("/slow-once/", False, 7.0),
+    "long": ("/long/", True, 7.0),
+    "long-sized": ("/long-sized/", True, 7.0),
+    "long-tail": ("/long-tail/", False, 7.0),
 }
+STREAMS = ("stream", "tail", "long", "long-sized", "long-tail")
+# Weights of the kinds of a run.
+USUAL_MIX = {"once": 6, "safe": 3, "stream": 2, "tail": 1}
 
 
 class Sent(NamedTuple):
@@ -56,13 +64,15 @@
 
     :param fleet: the gateways.
     :param keys: customers by key, changed while the callers run.
+    :param mix: weights of the kinds of requests.
     """
 
-    def __init__(self, fleet, keys, random, prefix):
+    def __init__(self, fleet, keys, random, prefix, mix):
         self._fleet = fleet
         self._keys = keys
         self._random = random
         self._prefix = prefix
+        self._mix = mix
         self._count = 0
         self.sent = {}
         self.seen = {}
@@ -118,7 +128,7 @@
     def _new_request(self, gateway):
         self._count += 1
         name = f"{self._prefix}-{self._count}"
-        kind = self._random.choices(tuple(KINDS), (6, 3, 2, 1))[0]
+        kind = self._random.choices(tuple(self._mix), tuple(self._mix.values()))[0]
         path, _, deadline_s = KINDS[kind]
         key, customer = self._random.choice(list(self._keys.items()))
         body = self._random.randbytes(self._random.choice((0, 60, 600, 20_000)))
@@ -129,7 +139,7 @@
             "Authorization": f"Bearer {key}",
             "Session": f"s{self._random.randrange(20)}",
         }
-        if kind in ("stream", "tail"):
+        if kind in STREAMS:
             fields["X-Token-Usage"] = "400,60"
             fields["X-Prompt-Prefix"] = f"{self._random.randrange(9):x}:300,{name}:100"
         line = f"POST {path}x?n={self._count} HTTP/1.1"
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,10 +4,11 @@
 import json
 from collections import Counter, defaultdict
 
-from tests.soak.callers import KINDS, PROMISE_STATUSES
+from tests.soak.callers import KINDS, PROMISE_STATUSES, STREAMS
 from tests.soak.fleet import GRACE_S, REVOKE_MS
 from tests.soak.limits import limit_problems
 from tests.soak.replica import expected_events
+from tests.soak.silences import lost_problems
 
 STOP_SLACK_S = 2.0
 # A run that goes on at another replica must have ended at the one before by then.
@@ -35,9 +36,11 @@
     :param callers: what callers sent and saw.
     :param fleet: the processes and when they were disturbed.
     :param withdrawn: times at which the withdrawal of a key was acknowledged, by key.
+    :param silences_only: whether there was no fault beside silences.
     """
 
-    def __init__(self, callers, fleet, withdrawn):
+    def __init__(self, callers, fleet, withdrawn, silences_only=False):
+        self._silences_only = silences_only
         self._callers = callers
         self._fleet = fleet
         self._withdrawn = withdrawn
@@ -59,6 +62,12 @@
             {g.name: [end.at for end in g.ends] for g in self._fleet.gateways},
             self._fleet.disturbances.touch,
         )
+        if self._silences_only:
+            stops = {
+                g.name: [*(end.asked_at for end in g.ends if end.asked_at)]
+                for g in self._fleet.gateways
+            }
+            found += lost_problems(self._callers, self._runs, stops)
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
 
@@ -99,9 +108,11 @@
             ended = self._ends.get(before["run"], before["time"])
             subjects = {sent.gateway, before["replica"], after["replica"]}
             late_s = ended - after["time"]
-            if late_s > OVERLAP_LIMIT_S and not self._fleet.disturbances.touch(
-                subjects, before["time"], ended
-            ):
+            disturbed = any(
+                spans.touch(subjects, before["time"], ended)
+                for spans in (self._fleet.disturbances, self._fleet.silences)
+            )
+            if late_s > OVERLAP_LIMIT_S and not disturbed:
                 yield (
                     f"TWICE {sent.name} ({sent.kind}) by {sent.gateway}: "
                     f"{before['replica']} works on for {late_s:.2f} s"
@@ -123,7 +134,7 @@
         bearer = seen.fields.get("x-attempt-id")
         if bearer != sent.name:
             yield f"MIXED {sent.name}: answer bears {bearer!r}"
-        if sent.kind in ("stream", "tail"):
+        if sent.kind in STREAMS:
             events = expected_events(sent.name)
             whole = seen.body == events
             if seen.complete and not whole or not events.startswith(seen.body):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,6 +21,7 @@
 CALL_TIMEOUT_S = 5.0
 # After a fault ends, its traces may last this long.
 AFTERMATH_S = 3.0
+SILENCE_AFTERMATH_S = 0.5
 SETTINGS = """\
 node_name = "{name}"
 zone = "dc-1"
@@ -34,8 +35,8 @@
 config_apply_ms = 2000
 session_s = 5
 grace_s = {grace_s}
-retry_budget_ratio = 0.9
-budget_extra = 52
+retry_budget_ratio = {retry_budget[0]}
+budget_extra = {retry_budget[1]}
 budget_window_s = 10
 expose_share = 0.15
 [provider]
@@ -48,15 +49,19 @@
 
 
 class Disturbances:
-    """Times at which something was disturbed by the soak."""
+    """Times at which something was disturbed by the soak.
 
-    def __init__(self):
+    :param aftermath_s: how long the traces of a fault may last after its end.
+    """
+
+    def __init__(self, aftermath_s=AFTERMATH_S):
+        self._aftermath_s = aftermath_s
         self._spans = []
 
     def add(self, subject, lasts_s=0.0):
         """Record a fault of a subject that begins now."""
         now = time.time()
-        self._spans.append((subject, now, now + lasts_s + AFTERMATH_S))
+        self._spans.append((subject, now, now + lasts_s + self._aftermath_s))
 
     def touch(self, subjects, begin, end):
         """Return whether a subject was disturbed in a span of time."""
@@ -141,7 +146,7 @@
         """Send a signal to the process if it runs."""
         if not self.running:
             return
-        if number == SIGTERM:
+        if number == SIGTERM and self.stop_asked_at is None:
             self.stop_asked_at = time.time()
         self._process.send_signal(number)
 
@@ -181,6 +186,10 @@
         self._replica_numbers = count(1)
         self._group = None
         self.disturbances = Disturbances()
+        # Sound replicas that were silent for a moment: no disturbance.
+        self.silences = Disturbances(SILENCE_AFTERMATH_S)
+        # Share of the requests, and a number of repeats beside it.
+        self.retry_budget = (0.9, 52)
         self.gateways = []
         self.replicas = {}
         # By name of a gateway or replica, and (gateway, "store") and ("peer", gateway).
@@ -299,6 +308,7 @@
             metrics_port=METRICS_PORT,
             store=store,
             revoke_ms=REVOKE_MS,
+            retry_budget=self.retry_budget,
             grace_s=grace_s,
         )
         (self.directory / f"{name}.toml").write_text(text)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,8 @@
 ROLLOUT_S = 8.0
 ROLLOUT_POLL_S = 0.2
 CALM_GAP_S = 3.0
+# Longer than the deadlines of these requests.
+LASTING_TIMEOUT_MS = 9000
 LIMIT_S = 8.0
 REPLICA_FAULTS = ("shed", "error", "lose", "hang", "extra", "unnamed")
 
@@ -40,6 +42,7 @@
         self._rejections_only = rejections_only
         self._version = 0
         self._timeout_ms = 800
+        self._idle_ms = 15_000
         self.withdrawn = {}
         self._actions = {
             self.stop_gateways: 3,
@@ -299,34 +302,59 @@
     async def write_config(self):
         """Write the configuration; return when it was acknowledged."""
         self._version += self._random.randint(1, 3)
-        base = {
-            "host": HOST_HEADER,
-            "public": False,
-            "target_latency_ms": 200,
-            "priority": 1,
-        }
-        plain = base | {"service": "register", "timeout_ms": self._timeout_ms}
-        stream = base | {"service": "pool", "timeout_ms": 5000, "kind": "streaming"}
-        routes = [
-            plain | {"name": "once", "path_prefix": "/once/", "max_attempts": 1},
-            plain | {"name": "safe", "path_prefix": "/safe/", "max_attempts": 3},
-            stream | {"name": "stream", "path_prefix": "/stream/", "max_attempts": 3},
-            stream | {"name": "tail", "path_prefix": "/tail/", "max_attempts": 1},
-        ]
-        routes[0]["kind"], routes[1]["kind"] = "non_idempotent", "idempotent"
-        routes[2] |= {"resumable": True, "sizes": list(MODELS)}
         customers = {}
         for key, customer in self._valid.items():
             customers.setdefault(customer, []).append(key)
         return await self._fleet.write_config(
             {
                 "version": self._version,
-                "routes": routes,
+                "routes": self._routes(),
                 "services": [{"name": "register"}, {"name": "pool"}],
-                "limits": {"max_body_bytes": 1_000_000, "idle_timeout_ms": 15_000},
+                "limits": {
+                    "max_body_bytes": 1_000_000,
+                    "idle_timeout_ms": self._idle_ms,
+                },
                 "tenants": [
                     {"name": name, "api_keys": keys, "priority": 1}
                     for name, keys in customers.items()
                 ],
             }
         )
+
+    def _routes(self):
+        plain = _route("register", self._timeout_ms)
+        stream = _route("pool", 5000) | {"kind": "streaming"}
+        routes = [
+            plain | {"name": "once", "path_prefix": "/once/", "max_attempts": 1},
+            plain | {"name": "safe", "path_prefix": "/safe/", "max_attempts": 3},
+            stream | {"name": "stream", "path_prefix": "/stream/", "max_attempts": 3},
+            stream | {"name": "tail", "path_prefix": "/tail/", "max_attempts": 1},
+        ]
+        routes[0]["kind"], routes[1]["kind"] = "non_idempotent", "idempotent"
+        routes[2] |= {"resumable": True, "sizes": list(MODELS)}
+        return routes
+
+
+def lasting_routes():
+    """Return the routes of requests that last longer."""
+    plain = _route("register", LASTING_TIMEOUT_MS, 2000)
+    stream = _route("pool", LASTING_TIMEOUT_MS, 2000) | {"kind": "streaming"}
+    routes = [
+        plain | {"name": "slow", "kind": "idempotent"},
+        plain | {"name": "slow-once", "kind": "non_idempotent"},
+        stream | {"name": "long", "resumable": True},
+        stream | {"name": "long-sized", "resumable": True, "sizes": list(MODELS)},
+        stream | {"name": "long-tail"},
+    ]
+    return [r | {"path_prefix": f"/{r['name']}/", "max_attempts": 3} for r in routes]
+
+
+def _route(service, timeout_ms, target_latency_ms=200):
+    return {
+        "host": HOST_HEADER,
+        "public": False,
+        "target_latency_ms": target_latency_ms,
+        "priority": 1,
+        "service": service,
+        "timeout_ms": timeout_ms,
+    }
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -15,7 +15,10 @@
 from tests.soak.wire import encode, encode_chunk, read_message, reset
 
 BEAT_INTERVAL_S = 1.0
+WORK_S = (0.005, 0.06)
+SLOW_WORK_S = (0.1, 3.0)
 STREAM_STEP_S = 0.03
+LONG_STEPS_S = (0.05, 0.15, 0.3)
 FAULT_PATH = "/soak/faults"
 KEEP_ALIVE_S = 5
 NOT_RUN = {"X-Not-Executed": "1"}
@@ -180,7 +183,8 @@
         if self._hit("hang"):
             await asyncio.wait({gone}, timeout=deadline - time.monotonic())
             return "hung"
-        work_s = self._random.uniform(0.005, 0.06)
+        slow = request.start[1].startswith("/slow")
+        work_s = self._random.uniform(*(SLOW_WORK_S if slow else WORK_S))
         await asyncio.wait({gone}, timeout=work_s)
         if gone.done():
             return "left"
@@ -200,6 +204,8 @@
 
     async def _stream(self, request, writer, late, gone, deadline):
         name = request.fields["x-attempt-id"]
+        long = request.start[1].startswith("/long")
+        step_s = LONG_STEPS_S[event_count(name) % 3] if long else STREAM_STEP_S
         first = int(request.fields.get("last-event-id", 0)) + 1
         fields = {
             "X-Attempt-Id": name,
@@ -210,7 +216,7 @@
         }
         writer.write(encode("HTTP/1.1 200 OK", self._name_limit(fields)))
         for number in range(first, event_count(name) + 1):
-            await asyncio.wait({gone}, timeout=STREAM_STEP_S)
+            await asyncio.wait({gone}, timeout=step_s)
             if gone.done():
                 return "left"
             if self._hit("hang"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 # an identifier and without, were taken for the one in flight. With rejections only 102,
 # TWICE, and 105, REFUSED: a repeated rejection of an earlier attempt, which bears the
 # same identifier, was.
+# 302, LOST: a silence of a replica ended requests that no other replica could take.
 @pytest.mark.parametrize(
     ("seed", "options"),
     [
@@ -19,7 +20,9 @@
         (102, ["--rejections"]),
         (105, ["--rejections"]),
         (201, ["--limits"]),
+        (302, ["--silences"]),
     ],
+    ids=lambda value: str(value) if isinstance(value, int) else "".join(value),
 )
 def test_soak_seed_that_failed_before_breaks_no_promise(seed, options, tmp_path):
     options = ["--seeds", str(seed), "--size", "small", "--seconds", "12", *options]
