List the other gateways at once after a restart

A gateway that was started again knew no other one for 1 to 4 s, because its first list waits until gateways that start together for the first time have registered. What the others know could not reach it earlier.

Where its entry stood in the store before, the first list now follows the registration within 0.3 s. The directory also returns several random peers, and any of them while none answers, and tells when others have been listed first.

--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -5,6 +5,8 @@
 import math
 import random
 
+import anyio
+
 from lentilshore_kernel import log_event
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.exceptions import StoreError
@@ -17,6 +19,9 @@
 REGISTRATION_SPREAD_S = 1.0
 # The first list follows when gateways that started together have registered.
 FIRST_LIST_DELAY_S = 2.0
+# A gateway that was registered before it started lists the others within this time,
+# since those have registered too.
+RETURN_LIST_SPREAD_S = 0.3
 LIST_INTERVAL_S = 20.0
 # Time within which each gateway reads the list again; the store's may be seconds old.
 LONGEST_LIST_INTERVAL_S = 1.5 * LIST_INTERVAL_S + 5.0
@@ -61,6 +66,9 @@
         self._registered = False
         # Whether there is an entry of this gateway's name, perhaps of another address.
         self._listed = False
+        # Whether the entry of this gateway is older than its process.
+        self._returns = False
+        self._others_listed = anyio.Event()
         # From this time on, all others have had time to list this gateway.
         self._listed_from = math.inf
         self._paused_until: dict[str, float] = {}
@@ -93,14 +101,23 @@
 
     def random_peer(self) -> GatewayEntry | None:
         """Return a random one of the other gateways that answer, None for none."""
-        now = self._clock.monotonic()
-        usable = [
-            entry
-            for entry in self._others
-            if self._paused_until.get(entry.name, 0.0) <= now
-        ]
+        usable = self._usable_others()
         return self._random.choice(usable) if usable else None
 
+    def random_peers(self, limit: int) -> list[GatewayEntry]:
+        """Return random ones of the other gateways that answer.
+
+        If none of them answers, any may be returned: it may answer again.
+
+        :param limit: greatest number of gateways.
+        """
+        usable = self._usable_others() or self._others
+        return self._random.sample(usable, min(limit, len(usable)))
+
+    async def wait_for_others(self) -> None:
+        """Wait until other gateways have been listed, since the start."""
+        await self._others_listed.wait()
+
     def record_failure(self, peer: GatewayEntry) -> None:
         """Record that a gateway did not answer, or knows less than this one."""
         self._metrics.count("relay.peer_failed")
@@ -119,14 +136,14 @@
     async def run(self) -> None:
         """Register this gateway and keep the list up to date until cancelled."""
         await self._clock.sleep(REGISTRATION_SPREAD_S * self._random.random())
-        delay_s = FIRST_LIST_DELAY_S
+        has_listed = False
         while True:
             try:
                 if not self._registered:
                     await self._register()
-                await self._clock.sleep(delay_s * (0.5 + self._random.random()))
+                await self._clock.sleep(self._list_delay_s(has_listed))
                 self.update(await self._source.list_gateways())
-                delay_s = LIST_INTERVAL_S
+                has_listed = True
             except StoreError as error:
                 log_event("gateways_not_listed", detail=str(error))
                 await self._clock.sleep(FIRST_LIST_DELAY_S)
@@ -136,6 +153,21 @@
         if self._listed_from == math.inf:
             delay_s = LONGEST_LIST_INTERVAL_S if is_new else 0.0
             self._listed_from = self._clock.monotonic() + delay_s
+            self._returns = not is_new
+
+    def _list_delay_s(self, has_listed: bool) -> float:
+        if not has_listed and self._returns:
+            return RETURN_LIST_SPREAD_S * self._random.random()
+        mean_s = LIST_INTERVAL_S if has_listed else FIRST_LIST_DELAY_S
+        return mean_s * (0.5 + self._random.random())
+
+    def _usable_others(self) -> list[GatewayEntry]:
+        now = self._clock.monotonic()
+        return [
+            entry
+            for entry in self._others
+            if self._paused_until.get(entry.name, 0.0) <= now
+        ]
 
     def update(self, entries: list[GatewayEntry]) -> None:
         """Replace the known gateways.
@@ -146,6 +178,8 @@
         self._registered = self._own in entries
         self._listed = any(entry.name == self._own.name for entry in entries)
         self._others = [entry for entry in entries if entry.name != self._own.name]
+        if self._others:
+            self._others_listed.set()
         self._preferred = sorted(
             (
                 entry
