Count crashes and answers of parts of prompts

A part of a prompt may crash each replica that begins an answer to it, and no gateway sees enough of the crashes alone. CrashBlame counts crashes of replicas and answers by part, merges what other gateways have counted, and blames a part whose crashes follow one another without answers and aren't explained by a part that is more suspect.

--- /dev/null
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -0,0 +1,526 @@
+"""Parts of prompts under which replicas crash.
+
+A part of a prompt may crash each replica that begins an answer to it. A node counts the
+crashes and the answers of each part, and nodes tell one another what they have counted.
+A part is blamed when its crashes follow one another, hardly any answer comes, and no
+part that is more suspect explains them. All nodes that know the same crashes and
+answers blame the same parts.
+"""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+import math
+import random
+import re
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
+
+from lentilshore_kernel.clock import Clock
+
+from .routes import PromptPart
+
+# Crashes in a row under which a part is blamed that was not answered before, and one
+# that was.
+BLAME_CRASHES = 3
+ANSWERED_BLAME_CRASHES = 5
+# A blamed part has more crashes than this for each answer.
+CRASHES_PER_ANSWER = 4
+# A part explains crashes, before it is blamed, from this number of crashes in a row.
+SUSPECT_CRASHES = 2
+# Longest time between crashes that follow one another, and the time for which a part
+# that is not blamed is suspected after a crash.
+SUSPECT_S = 60.0
+# Time for which answers to a part that is not suspected are remembered.
+ANSWER_MEMORY_S = 60.0
+# Time for which a blamed part is kept after a request with it was last seen.
+BLAME_QUIET_S = 60.0
+# Requests with a blamed part are tried again after this time without a crash, so that
+# false blame ends. The next crash renews true blame at once.
+BLAME_MAX_S = 300.0
+MAX_CRASH_AGE_S = 1_200.0
+# Blame is checked against the time at this interval.
+REVIEW_INTERVAL_S = 1.0
+MAX_PARTS = 128
+MAX_TOLD_PARTS = 32
+MAX_CRASHES = 8  # of one part, the newest
+MAX_ANSWERS = 4  # to one part, the newest
+# Answers to one part that other nodes should hear of soon: enough to clear it.
+URGENT_ANSWERS = MAX_CRASHES // CRASHES_PER_ANSWER
+MAX_ANSWERED_PARTS = 4_096
+MAX_ANSWERED_BEFORE = 1_000
+MAX_POSITION = 1_000
+
+_PART_DIGEST = re.compile(r"[0-9a-f]{16}\Z")
+_SHORT_DIGEST = re.compile(r"[0-9a-f]{8}\Z")
+
+
+class CrashNews(NamedTuple):
+    """Crash of a replica as it began an answer to a part.
+
+    :param replica: digest of the replica's name, 8 hexadecimal digits.
+    :param sent_age_s: time since the request was sent to it, seconds.
+    :param age_s: time since its connection ended, seconds.
+    """
+
+    replica: str
+    sent_age_s: float
+    age_s: float
+
+
+class AnswerNews(NamedTuple):
+    """Answer to a request with a part.
+
+    :param request: digest of the request's identifier, 8 hexadecimal digits.
+    :param age_s: time since the answer, seconds.
+    """
+
+    request: str
+    age_s: float
+
+
+class PartNews(NamedTuple):
+    """What one node tells others of a part.
+
+    :param part: digest of the part's name, 16 hexadecimal digits.
+    :param position: place of the part in prompts, from 0; the last one where it varies.
+    :param crashes: the newest crashes.
+    :param answers: the newest answers since the first crash.
+    :param answered_before: most answers that one node has got in the time before.
+    :param seen_age_s: time since a request with the part was last seen, seconds.
+    """
+
+    part: str
+    position: int
+    crashes: tuple[CrashNews, ...]
+    answers: tuple[AnswerNews, ...]
+    answered_before: int
+    seen_age_s: float
+
+
+class _Crash(NamedTuple):
+    replica: str
+    sent_at: float
+    ended_at: float
+
+
+class _Answers(NamedTuple):
+    """Answers to a part that is not suspected."""
+
+    count: int
+    last_at: float
+    last_request: str
+
+
+class _Part:
+    """A part under which a replica has crashed."""
+
+    def __init__(self, digest: str) -> None:
+        self.digest = digest
+        self.position = 0
+        self.answered_before = 0
+        self.seen_at = -math.inf
+        self.crashes: dict[str, _Crash] = {}
+        self.answers: dict[str, float] = {}
+        # Results of the last review, without the crashes that other parts explain.
+        self.crash_count = 0
+        self.answer_count = 0
+
+    @property
+    def last_crash_at(self) -> float:
+        """Time of the newest crash."""
+        ended_at = (crash.ended_at for crash in self.crashes.values())
+        return max(ended_at, default=-math.inf)
+
+    @property
+    def answered(self) -> bool:
+        """Whether the part was ever answered, as far as is known."""
+        return self.answered_before > 0 or bool(self.answers)
+
+    @property
+    def condemned(self) -> bool:
+        """Whether the crashes suffice for blame."""
+        needed = ANSWERED_BLAME_CRASHES if self.answered else BLAME_CRASHES
+        allowed = CRASHES_PER_ANSWER * self.answer_count
+        return self.crash_count >= needed and self.crash_count > allowed
+
+    @property
+    def explains_crashes(self) -> bool:
+        """Whether the part is suspect enough to clear others of its crashes."""
+        suspect = self.crash_count >= SUSPECT_CRASHES and not self.answer_count
+        return suspect or self.condemned
+
+    def preference(self) -> tuple[int, int, int, str]:
+        """Return the order in which parts are suspected of the same crash."""
+        answered = self.answered_before + len(self.answers)
+        return answered, -self.position, -len(self.crashes), self.digest
+
+    def is_blamed(self, now: float) -> bool:
+        """Return whether requests with the part are refused."""
+        return self.condemned and now - self.last_crash_at <= BLAME_MAX_S
+
+    def is_kept(self, now: float) -> bool:
+        """Return whether the part is still of interest."""
+        if now - self.last_crash_at <= SUSPECT_S:
+            return True
+        return self.condemned and now - self.seen_at <= BLAME_QUIET_S
+
+    def add_crash(self, crash: _Crash) -> bool:
+        """Add a crash; return whether it was new."""
+        known = self.crashes.get(crash.replica)
+        if known is not None:
+            # The time of the end stays, so that it doesn't change from node to node.
+            lasted_s = crash.ended_at - crash.sent_at
+            sent_at = min(known.sent_at, known.ended_at - lasted_s)
+            self.crashes[crash.replica] = known._replace(sent_at=sent_at)
+            return False
+        self.crashes[crash.replica] = crash
+        if len(self.crashes) > MAX_CRASHES:
+            oldest = min(self.crashes.values(), key=lambda c: (c.ended_at, c.replica))
+            del self.crashes[oldest.replica]
+            return oldest.replica != crash.replica
+        return True
+
+    def add_answer(self, request: str, at: float) -> bool:
+        """Add an answer; return whether other nodes should hear of it soon."""
+        if request in self.answers:
+            return False
+        self.answers[request] = at
+        if len(self.answers) > MAX_ANSWERS:
+            del self.answers[min(self.answers, key=lambda r: (self.answers[r], r))]
+        return len(self.answers) <= URGENT_ANSWERS
+
+    def count(self, explained: set[str]) -> tuple[int, int]:
+        """Return the crashes in a row and the answers since the first of them.
+
+        :param explained: digests of the replicas whose crashes don't count.
+        """
+        crashes = [c for c in self.crashes.values() if c.replica not in explained]
+        chain = _chain(crashes)
+        if not chain:
+            return 0, 0
+        first_at = chain[0].ended_at
+        return len(chain), sum(at >= first_at for at in self.answers.values())
+
+    def forget_old(self, now: float) -> None:
+        """Forget crashes that are too old to be told."""
+        for crash in list(self.crashes.values()):
+            if now - crash.ended_at > MAX_CRASH_AGE_S:
+                del self.crashes[crash.replica]
+
+    def news(self, now: float) -> PartNews:
+        """Return what other nodes are told."""
+        crashes = sorted(self.crashes.values(), key=lambda c: (-c.ended_at, c.replica))
+        if self.answer_count and not self.condemned:
+            # The answers tell enough of a part that is cleared.
+            crashes = crashes[:1]
+        return PartNews(
+            self.digest,
+            self.position,
+            tuple(
+                CrashNews(c.replica, now - c.sent_at, now - c.ended_at) for c in crashes
+            ),
+            tuple(AnswerNews(r, now - at) for r, at in sorted(self.answers.items())),
+            self.answered_before,
+            now - self.seen_at,
+        )
+
+
+class CrashBlame:
+    """Counts crashes and answers of parts of prompts, and blames parts.
+
+    :param clock: measures ages; must count time spent suspended.
+    :param random_source: picks the parts to tell of where there are many.
+    """
+
+    def __init__(self, clock: Clock, random_source: random.Random) -> None:
+        self._clock = clock
+        self._random = random_source
+        self._parts: dict[str, _Part] = {}
+        self._blamed: set[str] = set()
+        self._answered: OrderedDict[str, _Answers] = OrderedDict()
+        self._reviewed_at = -math.inf
+        self._generation = 0
+        self._unsound_count = 0
+
+    @property
+    def generation(self) -> int:
+        """Number that rises with each change that others should hear of soon."""
+        return self._generation
+
+    @property
+    def active(self) -> bool:
+        """Whether any part is suspected or blamed."""
+        self._review_if_due()
+        return bool(self._parts)
+
+    @property
+    def blamed(self) -> list[str]:
+        """Digests of the blamed parts."""
+        self._review_if_due()
+        return sorted(self._blamed)
+
+    @property
+    def unsound_count(self) -> int:
+        """Number of items of news that were refused because they can't be true."""
+        return self._unsound_count
+
+    def record_crash(
+        self, parts: Sequence[PromptPart], replica: str, sent_at: float
+    ) -> list[str]:
+        """Record that a replica ended as it began an answer.
+
+        :param parts: parts of the request's prompt in order.
+        :param replica: name of the replica's process.
+        :param sent_at: time at which the request was sent to it, on the node's clock,
+            seconds.
+        :returns: digests of the parts that are blamed from now on.
+        """
+        now = self._clock.monotonic()
+        crash = _Crash(_short_digest(replica), min(sent_at, now), now)
+        urgent = False
+        for position, digest in _candidates(parts):
+            part = self._known_or_new(digest)
+            part.position = max(part.position, position)
+            part.seen_at = now
+            added = part.add_crash(crash)
+            self._add_own_answers(part, now)
+            urgent |= added and digest not in self._blamed
+        return self._changed(urgent)
+
+    def record_answer(self, parts: Sequence[PromptPart], request_id: str) -> None:
+        """Record an answer that is whole, or a stream past its beginning.
+
+        :param parts: parts of the request's prompt in order.
+        :param request_id: identifier of the request.
+        """
+        now = self._clock.monotonic()
+        request = _short_digest(request_id)
+        urgent = False
+        for _, digest in _candidates(parts):
+            self._remember_answer(digest, request, now)
+            part = self._parts.get(digest)
+            if part is not None:
+                urgent |= part.add_answer(request, now)
+        if urgent:
+            self._changed(urgent)
+
+    def blamed_part(self, parts: Sequence[PromptPart]) -> str | None:
+        """Return the digest of a request's part that is blamed, None if none is."""
+        if not self._parts:
+            return None
+        self._review_if_due()
+        found = None
+        for _, digest in _candidates(parts):
+            part = self._parts.get(digest)
+            if part is None:
+                continue
+            part.seen_at = self._clock.monotonic()
+            if digest in self._blamed:
+                found = digest
+        return found
+
+    def may_retry(self, parts: Sequence[PromptPart]) -> bool:
+        """Return whether a request may be sent again after a replica has crashed.
+
+        It may not while it is open whether one of its parts crashes replicas.
+        """
+        if self.blamed_part(parts) is not None:
+            return False
+        explained = {
+            replica
+            for digest in self._blamed
+            for replica in self._parts[digest].crashes
+        }
+        for _, digest in _candidates(parts):
+            part = self._parts.get(digest)
+            if part is None:
+                continue
+            crash_count, answer_count = part.count(explained)
+            sound = answer_count or part.answered and crash_count < SUSPECT_CRASHES
+            if crash_count and not sound:
+                return False
+        return True
+
+    def tell(self) -> list[PartNews]:
+        """Return what this node knows, for other nodes."""
+        self._review_if_due()
+        now = self._clock.monotonic()
+        told = [part for part in self._parts.values() if part.condemned]
+        told.sort(key=lambda part: part.seen_at, reverse=True)
+        del told[MAX_TOLD_PARTS:]
+        others = [
+            part
+            for part in self._parts.values()
+            if part.crash_count and not part.condemned
+        ]
+        free = MAX_TOLD_PARTS - len(told)
+        if len(others) > free:
+            others = self._random.sample(others, free)
+        return [part.news(now) for part in told + others]
+
+    def learn(self, news: Iterable[PartNews], asked_at: float) -> list[str]:
+        """Accept what another node knows.
+
+        :param asked_at: time from which the ages count, on this node's clock, seconds:
+            that at which the other node was asked, or at which it told unasked.
+        :returns: digests of the parts that are blamed from now on.
+        """
+        urgent = False
+        for item in news:
+            if not _is_sound(item):
+                self._unsound_count += 1
+                continue
+            urgent |= self._learn(item, asked_at)
+        return self._changed(urgent)
+
+    def _learn(self, news: PartNews, asked_at: float) -> bool:
+        """Accept news of a part; return whether others should hear of it soon."""
+        if not _is_recent(news):
+            return False
+        part = self._known_or_new(news.part)
+        part.position = max(part.position, news.position)
+        part.seen_at = max(part.seen_at, asked_at - news.seen_age_s)
+        urgent = False
+        for told in news.crashes:
+            crash = _Crash(
+                told.replica, asked_at - told.sent_age_s, asked_at - told.age_s
+            )
+            added = part.add_crash(crash)
+            urgent |= added and news.part not in self._blamed
+        for answer in news.answers:
+            urgent |= part.add_answer(answer.request, asked_at - answer.age_s)
+        urgent |= news.answered_before > 0 and not part.answered_before
+        part.answered_before = max(part.answered_before, news.answered_before)
+        urgent |= self._add_own_answers(part, self._clock.monotonic())
+        return urgent
+
+    def _add_own_answers(self, part: _Part, now: float) -> bool:
+        """Add what this node remembers of a part; return whether it tells more."""
+        answers = self._answered.get(part.digest)
+        if answers is None or now - answers.last_at > ANSWER_MEMORY_S:
+            return False
+        urgent = not part.answered_before
+        part.answered_before = max(part.answered_before, answers.count)
+        first_at = min(crash.ended_at for crash in part.crashes.values())
+        if answers.last_at >= first_at:
+            urgent |= part.add_answer(answers.last_request, answers.last_at)
+        return urgent
+
+    def _remember_answer(self, digest: str, request: str, now: float) -> None:
+        known = self._answered.pop(digest, None)
+        recent = known is not None and now - known.last_at <= ANSWER_MEMORY_S
+        count = min(MAX_ANSWERED_BEFORE, known.count + 1 if known and recent else 1)
+        self._answered[digest] = _Answers(count, now, request)
+        if len(self._answered) > MAX_ANSWERED_PARTS:
+            self._answered.popitem(last=False)
+
+    def _known_or_new(self, digest: str) -> _Part:
+        part = self._parts.get(digest)
+        if part is None:
+            part = self._parts[digest] = _Part(digest)
+        return part
+
+    def _changed(self, urgent: bool) -> list[str]:
+        """Review all parts after a change; return those blamed from now on."""
+        before = self._blamed
+        self._review()
+        newly = sorted(self._blamed - before)
+        self._generation += bool(urgent or newly)
+        return newly
+
+    def _review_if_due(self) -> None:
+        if not self._parts:
+            return
+        if self._clock.monotonic() - self._reviewed_at >= REVIEW_INTERVAL_S:
+            self._review()
+
+    def _review(self) -> None:
+        """Blame parts, the most suspect first: it explains the crashes of others."""
+        now = self._reviewed_at = self._clock.monotonic()
+        explained: set[str] = set()
+        for part in sorted(self._parts.values(), key=_Part.preference):
+            part.forget_old(now)
+            part.crash_count, part.answer_count = part.count(explained)
+            if part.explains_crashes:
+                explained.update(part.crashes)
+        self._forget(now)
+        self._blamed = {
+            digest for digest, part in self._parts.items() if part.is_blamed(now)
+        }
+
+    def _forget(self, now: float) -> None:
+        """Forget parts that are of no interest, and those beyond the bound."""
+        kept = [part for part in self._parts.values() if part.is_kept(now)]
+        if len(kept) > MAX_PARTS:
+            kept.sort(key=lambda p: (p.condemned, p.last_crash_at, p.digest))
+            del kept[:-MAX_PARTS]
+        self._parts = {part.digest: part for part in kept}
+
+
+def _candidates(parts: Sequence[PromptPart]) -> Iterator[tuple[int, str]]:
+    """Yield positions and digests of the parts that other requests may share."""
+    for position, part in enumerate(parts[:-1]):
+        yield position, part_digest(part.name)
+
+
+def _chain(crashes: Iterable[_Crash]) -> list[_Crash]:
+    """Return the crashes in a row that came last, each sent after the one before."""
+    chain: list[_Crash] = []
+    for crash in sorted(crashes, key=lambda c: (c.ended_at, c.replica)):
+        if not chain:
+            chain = [crash]
+            continue
+        last = chain[-1]
+        if crash.sent_at <= last.ended_at:
+            continue
+        apart = crash.ended_at - last.ended_at > SUSPECT_S
+        if apart and len(chain) < BLAME_CRASHES:
+            chain = []
+        chain.append(crash)
+    return chain
+
+
+def _is_sound(news: PartNews) -> bool:
+    ages = (
+        news.seen_age_s,
+        *(crash.age_s for crash in news.crashes),
+        *(crash.sent_age_s for crash in news.crashes),
+        *(answer.age_s for answer in news.answers),
+    )
+    digests = (
+        *(crash.replica for crash in news.crashes),
+        *(answer.request for answer in news.answers),
+    )
+    return (
+        _PART_DIGEST.match(news.part) is not None
+        and all(_SHORT_DIGEST.match(digest) for digest in digests)
+        and all(math.isfinite(age) and age >= 0 for age in ages)
+        and all(crash.sent_age_s >= crash.age_s for crash in news.crashes)
+        and 0 < len(news.crashes) <= MAX_CRASHES
+        and len(news.answers) <= MAX_ANSWERS
+        and 0 <= news.answered_before <= MAX_ANSWERED_BEFORE
+        and 0 <= news.position <= MAX_POSITION
+    )
+
+
+def _is_recent(news: PartNews) -> bool:
+    ages = [crash.age_s for crash in news.crashes]
+    if max(ages) > MAX_CRASH_AGE_S:
+        return False
+    return min(ages) <= SUSPECT_S or news.seen_age_s <= BLAME_QUIET_S
+
+
+@functools.lru_cache(maxsize=MAX_ANSWERED_PARTS)
+def part_digest(name: str) -> str:
+    """Return the digest under which nodes tell of a part.
+
+    :param name: name of the part.
+    """
+    return hashlib.blake2b(name.encode(), digest_size=8).hexdigest()
+
+
+def _short_digest(name: str) -> str:
+    return hashlib.blake2b(name.encode(), digest_size=4).hexdigest()
