--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -280,15 +280,16 @@
         """
         now = self._clock.monotonic()
         crash = _Crash(_short_digest(replica), min(sent_at, now), now)
-        urgent = False
+        known = self.blamed_part(parts) is not None
         for position, digest in _candidates(parts):
-            part = self._known_or_new(digest)
+            part = self._parts.get(digest) or _Part(digest)
             part.position = max(part.position, position)
             part.seen_at = now
-            added = part.add_crash(crash)
-            self._add_own_answers(part, now)
-            urgent |= added and digest not in self._blamed
-        return self._changed(urgent)
+            part.add_crash(crash)
+            self._keep(part, now)
+        newly = self._review()
+        self._generation += bool(newly or not known)
+        return newly
 
     def record_answer(self, parts: Sequence[PromptPart], request_id: str) -> None:
         """Record an answer that is whole, or a stream past its beginning.
@@ -305,7 +306,8 @@
             if part is not None:
                 urgent |= part.add_answer(request, now)
         if urgent:
-            self._changed(urgent)
+            self._review()
+            self._generation += 1
 
     def blamed_part(self, parts: Sequence[PromptPart]) -> str | None:
         """Return the digest of a request's part that is blamed, None if none is."""
@@ -374,13 +376,16 @@
                 self._unsound_count += 1
                 continue
             urgent |= self._learn(item, asked_at)
-        return self._changed(urgent)
+        if not urgent:
+            return []
+        self._generation += 1
+        return self._review()
 
     def _learn(self, news: PartNews, asked_at: float) -> bool:
         """Accept news of a part; return whether others should hear of it soon."""
         if not _is_recent(news):
             return False
-        part = self._known_or_new(news.part)
+        part = self._parts.get(news.part) or _Part(news.part)
         part.position = max(part.position, news.position)
         part.seen_at = max(part.seen_at, asked_at - news.seen_age_s)
         urgent = False
@@ -394,20 +399,21 @@
             urgent |= part.add_answer(answer.request, asked_at - answer.age_s)
         urgent |= news.answered_before > 0 and not part.answered_before
         part.answered_before = max(part.answered_before, news.answered_before)
-        urgent |= self._add_own_answers(part, self._clock.monotonic())
+        self._keep(part, self._clock.monotonic())
         return urgent
 
-    def _add_own_answers(self, part: _Part, now: float) -> bool:
-        """Add what this node remembers of a part; return whether it tells more."""
+    def _keep(self, part: _Part, now: float) -> None:
+        """Keep a part; a new one with the answers to it that are remembered."""
+        if part.digest in self._parts:
+            return
+        self._parts[part.digest] = part
         answers = self._answered.get(part.digest)
         if answers is None or now - answers.last_at > ANSWER_MEMORY_S:
-            return False
-        urgent = not part.answered_before
+            return
         part.answered_before = max(part.answered_before, answers.count)
         first_at = min(crash.ended_at for crash in part.crashes.values())
         if answers.last_at >= first_at:
-            urgent |= part.add_answer(answers.last_request, answers.last_at)
-        return urgent
+            part.add_answer(answers.last_request, answers.last_at)
 
     def _remember_answer(self, digest: str, request: str, now: float) -> None:
         known = self._answered.pop(digest, None)
@@ -417,28 +423,17 @@
         if len(self._answered) > MAX_ANSWERED_PARTS:
             self._answered.popitem(last=False)
 
-    def _known_or_new(self, digest: str) -> _Part:
-        part = self._parts.get(digest)
-        if part is None:
-            part = self._parts[digest] = _Part(digest)
-        return part
-
-    def _changed(self, urgent: bool) -> list[str]:
-        """Review all parts after a change; return those blamed from now on."""
-        before = self._blamed
-        self._review()
-        newly = sorted(self._blamed - before)
-        self._generation += bool(urgent or newly)
-        return newly
-
     def _review_if_due(self) -> None:
         if not self._parts:
             return
         if self._clock.monotonic() - self._reviewed_at >= REVIEW_INTERVAL_S:
             self._review()
 
-    def _review(self) -> None:
-        """Blame parts, the most suspect first: it explains the crashes of others."""
+    def _review(self) -> list[str]:
+        """Blame parts, the most suspect first: it explains the crashes of others.
+
+        :returns: digests of the parts that are blamed from now on.
+        """
         now = self._reviewed_at = self._clock.monotonic()
         explained: set[str] = set()
         for part in sorted(self._parts.values(), key=_Part.preference):
@@ -447,9 +442,11 @@
             if part.explains_crashes:
                 explained.update(part.crashes)
         self._forget(now)
+        before = self._blamed
         self._blamed = {
             digest for digest, part in self._parts.items() if part.is_blamed(now)
         }
+        return sorted(self._blamed - before)
 
     def _forget(self, now: float) -> None:
         """Forget parts that are of no interest, and those beyond the bound."""
