Let gateways tell one another of crashes under parts of prompts

A new call POST /relay/blame between gateways carries news both ways. The caller lists the parts that it knows with a checksum of each, and tells what has changed; the other answers with what the caller lacks and names what it wants. A gateway tells four others of a change at once, asks one other each second while it suspects a part, else every 5 s, and asks up to three when it has first listed them. Bodies are bounded in size and time, unreadable ones get 400, a counter and a line in the log.

The gateway's context holds the crashes that were counted and logs which parts are blamed and cleared.

--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -86,6 +86,8 @@
     REPLICA_EJECTED = "replica_rested"
     REPLICA_LIMITED = "replica_limited"
     REPLICA_LIMIT_ENDED = "replica_limit_ended"
+    PROMPT_PART_BLAMED = "prompt_part_blamed"
+    PROMPT_PART_CLEARED = "prompt_part_cleared"
     ROLLOUT_SEEN = "rollout_seen"
     ROLLOUT_GONE = "rollout_gone"
     ROLLOUT_KEPT = "rollout_kept"
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -27,6 +27,8 @@
 )
 from ..state.gateway_context import (
     CALLER_BODY_TIMEOUT_S,
+    PEER_BODY_LIMIT_BYTES,
+    PEER_BODY_TIMEOUT_S,
     PEER_PATHS,
     GatewayContext,
 )
@@ -39,8 +41,8 @@
 BAD_GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 
-# Returns the body of the answer to a path and its query, None if there is none.
-PeerAnswer = Callable[[str, bytes], Awaitable[bytes | None]]
+# Returns the body of the answer to a path, its query and a body, None if there is none.
+PeerAnswer = Callable[[str, bytes, bytes], Awaitable[bytes | None]]
 
 
 class GatewayApplication:
@@ -73,7 +75,7 @@
         responder = AsgiResponder(send, self._context.clock, self._closes_connections)
         port = scope["server"][1] if scope.get("server") else 0
         if self._metrics_port and port == self._metrics_port:
-            await self._serve_internal(scope, responder)
+            await self._serve_internal(scope, receive, responder)
             return
         is_ready_probe = scope["path"] == self._context.translator.ready_path
         if is_ready_probe and self._ready_port in (0, port):
@@ -92,18 +94,49 @@
         status = 200 if self._context.ready else UNAVAILABLE_STATUS
         await send_json(responder, status, b"{}")
 
-    async def _serve_internal(self, scope: Any, responder: AsgiResponder) -> None:
+    async def _serve_internal(
+        self, scope: Any, receive: Receive, responder: AsgiResponder
+    ) -> None:
         if self._answer_peer is None or not scope["path"].startswith(PEER_PATHS):
             await self._send_metrics(responder)
             return
-        body = await self._answer_peer(scope["path"], scope["query_string"])
-        status = 404 if body is None else 200
+        try:
+            body = await read_body(
+                receive,
+                self._context.clock,
+                PEER_BODY_LIMIT_BYTES,
+                PEER_BODY_TIMEOUT_S,
+                scope["headers"],
+            )
+            content = await self._answer_peer(
+                scope["path"], scope["query_string"], body
+            )
+        except LentilshoreError as error:
+            await self._refuse_peer(scope["path"], error, responder)
+            return
+        status = 404 if content is None else 200
         fields = [
             ("content-type", "application/msgpack"),
-            ("content-length", str(len(body or b""))),
+            ("content-length", str(len(content or b""))),
         ]
         await responder.start(status, fields)
-        await responder.finish(body or b"")
+        await responder.finish(content or b"")
+
+    async def _refuse_peer(
+        self, path: str, error: LentilshoreError, responder: AsgiResponder
+    ) -> None:
+        status = error.status if isinstance(error, RefusalError) else 400
+        self._context.metrics.count("relay.malformed")
+        log_event(
+            "peer_call_refused",
+            path=path,
+            error=type(error).__name__,
+            status=status,
+            detail=str(error),
+        )
+        # The rest of a body may still arrive on this connection.
+        await responder.start(status, [("content-length", "0"), CLOSE_CONNECTION])
+        await responder.finish()
 
     async def _send_metrics(self, responder: AsgiResponder) -> None:
         body = self._context.metrics.render().encode()
--- /dev/null
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -0,0 +1,283 @@
+"""Exchange of crashes under parts of prompts between gateways.
+
+One call carries news both ways. The caller lists the parts that it knows, with a
+checksum of each, so that only what differs is told.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any, NamedTuple
+
+import anyio
+import msgspec
+
+from lentilshore_kernel.exceptions import LentilshoreError
+from lentilshore_kernel.logs import log_event
+from lentilshore_routing.crash_blame import BLAME_QUIET_S, PartNews
+
+from ..clients.fleet_source import GatewayEntry
+from ..clients.http_connection import CallBrokenError, CallNotSentError
+from ..state.gateway_context import PEER_BODY_LIMIT_BYTES, PEER_PATHS, GatewayContext
+from .gateway_directory import MAX_FAILED_PEER_PAUSE_S, GatewayDirectory
+
+BLAME_PATH = PEER_PATHS + "blame"
+# Number of gateways that are told of a change at once.
+FAN_OUT = 4
+# A crash breaks many requests at once; what they tell goes out together.
+BATCH_DELAY_S = 0.02
+# Shortest time between the calls that tell of changes.
+PUSH_INTERVAL_S = 0.2
+# Interval between the calls of a gateway that suspects a part, or that others may have
+# been unable to tell, and of any other.
+ACTIVE_INTERVAL_S = 1.0
+IDLE_INTERVAL_S = 5.0
+# Interval while no other gateway answers.
+RETRY_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 0.3
+# Gateways to ask in turn for a first answer after the start.
+MAX_FIRST_PEERS = 3
+# Others leave a gateway alone for this time after it has been out of reach.
+RECOVERY_S = MAX_FAILED_PEER_PAUSE_S
+# Failed calls in a row after which a gateway takes itself to be out of reach.
+OUT_OF_REACH_FAILURES = 2
+# A wait that lasts longer by this time means that the process was suspended.
+SUSPENSION_S = 1.0
+# A part is told again if it was seen more recently than the other gateway knows, by
+# more than this time.
+SEEN_STEP_S = 15.0
+# Older news is not told, since the clocks by which it ends differ a little.
+MAX_TOLD_AGE_S = BLAME_QUIET_S - 5.0
+HEADERS = {"content-type": "application/msgpack"}
+
+
+class UnreadableBlameError(LentilshoreError):
+    """What a gateway has told of crashes can't be read."""
+
+
+class KnownPart(NamedTuple):
+    """What the caller knows of a part.
+
+    :param part: digest of the part's name.
+    :param checksum: checksum of the crashes and answers that are known.
+    :param seen_age_s: time since a request with the part was last seen, seconds.
+    """
+
+    part: str
+    checksum: int
+    seen_age_s: int
+
+
+class BlameCall(NamedTuple):
+    """What the caller tells.
+
+    :param known: all parts that it knows.
+    :param news: what it tells of them unasked.
+    """
+
+    known: list[KnownPart]
+    news: list[PartNews]
+
+
+class BlameAnswer(NamedTuple):
+    """What the other gateway answers.
+
+    :param news: what it knows of the parts that the caller knows otherwise or not.
+    :param wanted: digests of the parts that it knows otherwise or not itself.
+    """
+
+    news: list[PartNews]
+    wanted: list[str]
+
+
+class BlameExchange:
+    """Tells other gateways which parts of prompts crash replicas, and asks them.
+
+    :param context: the gateway.
+    :param directory: the other gateways.
+    """
+
+    def __init__(self, context: GatewayContext, directory: GatewayDirectory) -> None:
+        self._context = context
+        self._directory = directory
+        self._pushed_generation = 0
+        # Checksums of the parts as they were pushed last.
+        self._pushed: dict[str, int] = {}
+        self._failures_in_a_row = 0
+        # Until then others may not have been able to tell this gateway.
+        self._recovering_until = 0.0
+
+    async def run(self) -> None:
+        """Tell and ask until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._ask_forever)
+            await self._directory.wait_for_others()
+            while True:
+                await self._context.wait_for_blame(self._pushed_generation)
+                await self._context.clock.sleep(BATCH_DELAY_S)
+                self._pushed_generation = self._context.blame.generation
+                changed = self._take_changes()
+                # A gateway that hangs must not delay what others are told.
+                for peer in self._directory.random_peers(FAN_OUT if changed else 0):
+                    self._context.metrics.count("relay.blame_pushed")
+                    group.start_soon(self._call, peer, changed)
+                await self._context.clock.sleep(PUSH_INTERVAL_S)
+
+    async def ask(self, max_peers: int = 1) -> None:
+        """Ask other gateways in turn until one has answered.
+
+        :param max_peers: number of gateways to ask.
+        """
+        for peer in self._directory.random_peers(max_peers):
+            answer = await self._call(peer, [])
+            if answer is None:
+                continue
+            told = {item.part: checksum(item) for item in answer.news}
+            wanted = set(answer.wanted)
+            news = [
+                item
+                for item in tell(self._context)
+                if item.part in wanted and checksum(item) != told.get(item.part)
+            ]
+            if news:
+                await self._call(peer, news)
+            return
+
+    async def _ask_forever(self) -> None:
+        clock = self._context.clock
+        await self._directory.wait_for_others()
+        self._recovering_until = clock.monotonic() + RECOVERY_S
+        await self.ask(MAX_FIRST_PEERS)
+        while True:
+            delay_s = self._interval_s() * (0.5 + self._context.random.random())
+            due_at = clock.monotonic() + delay_s
+            await clock.sleep(delay_s)
+            if clock.monotonic() - due_at > SUSPENSION_S:
+                self._recovering_until = clock.monotonic() + RECOVERY_S
+            # What ends by time is logged, and what was recorded in between is pushed.
+            self._context.log_blame("time")
+            await self.ask()
+
+    def _interval_s(self) -> float:
+        if self._failures_in_a_row:
+            return RETRY_INTERVAL_S
+        now = self._context.clock.monotonic()
+        if self._context.blame.active or now < self._recovering_until:
+            return ACTIVE_INTERVAL_S
+        return IDLE_INTERVAL_S
+
+    def _take_changes(self) -> list[PartNews]:
+        """Return the parts that have changed since they were pushed."""
+        told = tell(self._context)
+        checksums = {item.part: checksum(item) for item in told}
+        before, self._pushed = self._pushed, checksums
+        return [i for i in told if before.get(i.part) != checksums[i.part]]
+
+    async def _call(
+        self, peer: GatewayEntry, news: list[PartNews]
+    ) -> BlameAnswer | None:
+        """Call a gateway; return its answer, None if there is none to use."""
+        context, directory = self._context, self._directory
+        was_paused = directory.is_paused(peer)
+        call = BlameCall([_known(item) for item in tell(context)], news)
+        asked_at = context.clock.monotonic()
+        try:
+            reply = await context.http.request(
+                "POST",
+                peer.address,
+                BLAME_PATH,
+                msgspec.msgpack.encode(call),
+                HEADERS,
+                timeout_s=CALL_TIMEOUT_S,
+                limit_bytes=PEER_BODY_LIMIT_BYTES,
+            )
+        except (CallNotSentError, CallBrokenError):
+            self._record_failure(peer, was_paused)
+            return None
+        self._failures_in_a_row = 0
+        directory.record_answer(peer)
+        if reply.status == 404:
+            # A gateway of another release knows no such call.
+            context.metrics.count("relay.blame_unsupported")
+            return None
+        try:
+            answer = _decode_answer(reply.status, reply.body)
+        except UnreadableBlameError as error:
+            context.metrics.count("relay.blame_unreadable")
+            log_event("blame_unreadable", peer=peer.name, detail=str(error))
+            return None
+        context.metrics.count("relay.blame_answered")
+        context.learn_crashes(answer.news, asked_at, peer.name)
+        return answer
+
+    def _record_failure(self, peer: GatewayEntry, was_paused: bool) -> None:
+        self._failures_in_a_row += 1
+        if self._failures_in_a_row >= OUT_OF_REACH_FAILURES:
+            self._recovering_until = self._context.clock.monotonic() + RECOVERY_S
+        if not was_paused:
+            self._directory.record_failure(peer)
+
+
+def answer_call(context: GatewayContext, body: bytes) -> bytes:
+    """Accept what another gateway tells; return the body of the answer.
+
+    :param context: the gateway that was called.
+    :param body: body of the call.
+    :raises UnreadableBlameError: if the body can't be read.
+    """
+    call: BlameCall = _decode(body, BlameCall)
+    context.learn_crashes(call.news, context.clock.monotonic(), "peer")
+    known = {item.part: item for item in call.known}
+    told = {item.part: item for item in tell(context)}
+    news = [item for item in told.values() if _adds(item, known.get(item.part))]
+    wanted = [item.part for item in call.known if _lacks(told.get(item.part), item)]
+    return msgspec.msgpack.encode(BlameAnswer(news, wanted))
+
+
+def tell(context: GatewayContext) -> list[PartNews]:
+    """Return what a gateway tells others of the parts that it knows."""
+    return [item for item in context.blame.tell() if _age_s(item) <= MAX_TOLD_AGE_S]
+
+
+def checksum(item: PartNews) -> int:
+    """Return a checksum of what is known of a part, its times excepted."""
+    crashes = sorted(crash.replica for crash in item.crashes)
+    answers = sorted(answer.request for answer in item.answers)
+    content = (item.position, item.answered_before, crashes, answers)
+    return zlib.crc32(repr(content).encode())
+
+
+def _age_s(item: PartNews) -> float:
+    return min((item.seen_age_s, *(crash.age_s for crash in item.crashes)))
+
+
+def _known(item: PartNews) -> KnownPart:
+    return KnownPart(item.part, checksum(item), int(item.seen_age_s))
+
+
+def _adds(item: PartNews, known: KnownPart | None) -> bool:
+    """Return whether an item tells more than another gateway knows."""
+    if known is None or checksum(item) != known.checksum:
+        return True
+    return known.seen_age_s - item.seen_age_s > SEEN_STEP_S
+
+
+def _lacks(item: PartNews | None, known: KnownPart) -> bool:
+    """Return whether another gateway knows more than an item tells."""
+    if item is None or checksum(item) != known.checksum:
+        return True
+    return item.seen_age_s - known.seen_age_s > SEEN_STEP_S
+
+
+def _decode_answer(status: int, body: bytes) -> BlameAnswer:
+    if status != 200:
+        raise UnreadableBlameError(f"status {status}")
+    answer: BlameAnswer = _decode(body, BlameAnswer)
+    return answer
+
+
+def _decode(body: bytes, message_type: Any) -> Any:
+    try:
+        return msgspec.msgpack.decode(body, type=message_type)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise UnreadableBlameError(f"news of crashes: {error}") from error
--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -79,12 +79,7 @@
 
         :param limit: greatest number of gateways.
         """
-        now = self._clock.monotonic()
-        usable = [
-            entry
-            for entry in self._preferred
-            if self._paused_until.get(entry.name, 0.0) <= now
-        ]
+        usable = [entry for entry in self._preferred if not self.is_paused(entry)]
         return usable[:limit]
 
     @property
@@ -118,6 +113,10 @@
         """Wait until other gateways have been listed, since the start."""
         await self._others_listed.wait()
 
+    def is_paused(self, peer: GatewayEntry) -> bool:
+        """Return whether a gateway has failed so recently that it is left alone."""
+        return self._paused_until.get(peer.name, 0.0) > self._clock.monotonic()
+
     def record_failure(self, peer: GatewayEntry) -> None:
         """Record that a gateway did not answer, or knows less than this one."""
         self._metrics.count("relay.peer_failed")
@@ -162,12 +161,7 @@
         return mean_s * (0.5 + self._random.random())
 
     def _usable_others(self) -> list[GatewayEntry]:
-        now = self._clock.monotonic()
-        return [
-            entry
-            for entry in self._others
-            if self._paused_until.get(entry.name, 0.0) <= now
-        ]
+        return [entry for entry in self._others if not self.is_paused(entry)]
 
     def update(self, entries: list[GatewayEntry]) -> None:
         """Replace the known gateways.
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -38,6 +38,7 @@
     GatewayContext,
 )
 from ..state.replica_record import ReplicaRecord
+from .blame_exchange import BLAME_PATH, answer_call
 from .gateway_directory import MAX_PEERS_ASKED, GatewayDirectory
 from .limit_exchange import LIMITS_PATH, encode_limits
 
@@ -104,11 +105,13 @@
         fresh = view.confirmed_age_s <= configuration_max_age_s(bounds)
         return fresh and not self._context.draining
 
-    async def answer(self, path: str, query: bytes) -> bytes | None:
+    async def answer(self, path: str, query: bytes, body: bytes = b"") -> bytes | None:
         """Return the body of an answer, None if this gateway cannot tell.
 
         :param path: path of the call, which begins with :data:`PEER_PATHS`.
         :param query: query string of the call.
+        :param body: body of the call.
+        :raises UnreadableBlameError: if the body can't be read.
         """
         if path == CONFIGURATION_PATH:
             return self._configuration()
@@ -116,6 +119,8 @@
             return await self._changes(query)
         if path == LIMITS_PATH:
             return encode_limits(self._context.limits)
+        if path == BLAME_PATH:
+            return answer_call(self._context, body)
         return None
 
     def _configuration(self) -> bytes | None:
--- a/packages/node/src/lentilshore_node/programs/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_assembly.py
@@ -8,6 +8,7 @@
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.logs import RequestSampler
 from lentilshore_kernel.served_metrics import ServedMetrics
+from lentilshore_routing.crash_blame import CrashBlame
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replica_limits import ReplicaLimits
 from lentilshore_routing.retries import RetryPolicy, SlidingWindowBudget
@@ -78,6 +79,7 @@
         ),
         placement=placement,
         limits=limits,
+        blame=CrashBlame(clock, random_source),
         retries=RetryPolicy(
             REQUEST_RETRY_LIMIT, partial(create_retry_budget, bounds, clock)
         ),
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -19,6 +19,7 @@
 from ..callers.caller_protocol import bind_caller_protocol
 from ..callers.gateway import GatewayApplication
 from ..clients.fleet_source import FleetSource, GatewayEntry
+from ..peers.blame_exchange import BlameExchange
 from ..peers.gateway_directory import GatewayDirectory
 from ..peers.limit_exchange import LimitExchange
 from ..peers.relay import PeerClient, RelayedSource, RelayServer
@@ -111,8 +112,9 @@
             controller = RolloutController(self._context, self._source)
             tasks = [controller.run, self._apply_limits, self._poll_settings]
             if self._directory is not None:
-                exchange = LimitExchange(self._context, self._directory)
-                tasks += [self._directory.run, exchange.run]
+                limits = LimitExchange(self._context, self._directory)
+                blame = BlameExchange(self._context, self._directory)
+                tasks += [self._directory.run, limits.run, blame.run]
             for task in tasks:
                 group.start_soon(
                     keep_running, task, self._context.metrics, self._context.clock
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -4,18 +4,23 @@
 
 import math
 import random
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+import anyio
+
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.logs import RequestSampler, log_event
 from lentilshore_kernel.metrics import record_state_change
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.types import Address, StateChange
+from lentilshore_routing.crash_blame import CrashBlame, PartNews
 from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replica_limits import ReplicaLimits
 from lentilshore_routing.retries import RetryPolicy
+from lentilshore_routing.routes import PromptPart
 from lentilshore_routing.version_choice import VersionChooser
 from lentilshore_routing.version_evidence import LatencyBaseline, VersionEvidence
 
@@ -41,6 +46,9 @@
 
 # Beginning of the paths of other gateways' calls, on the port that serves metrics.
 PEER_PATHS = "/relay/"
+# Bounds of the body of such a call: its size and the time in which it is received.
+PEER_BODY_LIMIT_BYTES = 32_768
+PEER_BODY_TIMEOUT_S = 2.0
 # Parts of the store that are listed and watched.
 REPLICAS_PART = "replicas"
 ROLLOUTS_PART = "rollouts"
@@ -87,6 +95,7 @@
 
     :param node_name: name of this instance.
     :param limits: limits that replicas name, which ``placement`` keeps to.
+    :param blame: counts the crashes of replicas for each part of prompts.
     :param version_chooser: chooses the version that serves each request.
     :param log_sampler: selects the requests whose routine lines are logged.
     """
@@ -100,6 +109,7 @@
     view: FleetView
     placement: Placement
     limits: ReplicaLimits
+    blame: CrashBlame
     retries: RetryPolicy
     version_chooser: VersionChooser
     translator: Translator
@@ -112,6 +122,8 @@
     draining: bool = False
     in_flight: int = 0
     _fresh_connections_until: dict[Address, float] = field(default_factory=dict)
+    _logged_blame: set[str] = field(default_factory=set)
+    _blame_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.change_logs = {
@@ -186,6 +198,77 @@
             own_per_s=f"{self.limits.own_rate(replica):.3g}",
         )
 
+    def record_crash(
+        self, parts: Sequence[PromptPart], replica: str, sent_at: float
+    ) -> None:
+        """Record that a replica ended as it began the answer to a request.
+
+        :param parts: parts of the request's prompt in order.
+        :param replica: name of the replica's process.
+        :param sent_at: time at which the request was sent to it, on the node's clock,
+            seconds.
+        """
+        self.blame.record_crash(parts, replica, sent_at)
+        self.log_blame("crash")
+
+    def record_answer(self, parts: Sequence[PromptPart], request_id: str) -> None:
+        """Record an answer that is whole, or a stream past its beginning.
+
+        :param parts: parts of the request's prompt in order.
+        """
+        known = self.blame.generation
+        self.blame.record_answer(parts, request_id)
+        if self.blame.generation != known:
+            self.log_blame("answer")
+
+    def learn_crashes(
+        self, news: Iterable[PartNews], asked_at: float, source: str
+    ) -> None:
+        """Accept what another gateway knows of crashes.
+
+        :param asked_at: time from which the ages in the news count, on the node's
+            clock, seconds.
+        :param source: name of the other gateway.
+        """
+        unsound_count = self.blame.unsound_count
+        self.blame.learn(news, asked_at)
+        if self.blame.unsound_count != unsound_count:
+            self.metrics.count("relay.blame_unsound")
+            log_event("blame_unsound", peer=source)
+        self.log_blame(source)
+
+    def log_blame(self, source: str) -> None:
+        """Log which parts of prompts are blamed, and which no longer, since last time.
+
+        Wakes those that wait for a change.
+
+        :param source: what told of the change: a crash, an answer, a peer or time.
+        """
+        blamed = set(self.blame.blamed)
+        told = {item.part: item for item in self.blame.tell()} if blamed else {}
+        for part in sorted(blamed - self._logged_blame):
+            item = told.get(part)
+            record_state_change(
+                self.metrics,
+                StateChange.PROMPT_PART_BLAMED,
+                part=part,
+                source=source,
+                crashes=len(item.crashes) if item else "-",
+                answers=len(item.answers) if item else "-",
+                answered_before=item.answered_before if item else "-",
+            )
+        for part in sorted(self._logged_blame - blamed):
+            change = StateChange.PROMPT_PART_CLEARED
+            record_state_change(self.metrics, change, part=part, source=source)
+        self._logged_blame = blamed
+        self._blame_changed.set()
+
+    async def wait_for_blame(self, generation: int) -> None:
+        """Wait until blame has changed since a generation of it."""
+        while self.blame.generation == generation:
+            self._blame_changed = anyio.Event()
+            await self._blame_changed.wait()
+
     def update_bounds(self, bounds: GatewayBounds) -> None:
         """Replace the bounds."""
         self.bounds = bounds
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -34,6 +34,7 @@
     "lentilshore_node.state.fleet_view_updater",
     "lentilshore_node.state.rollout_controller",
     "lentilshore_node.callers.gateway",
+    "lentilshore_node.peers.blame_exchange",
     "lentilshore_node.peers.gateway_directory",
     "lentilshore_node.peers.limit_exchange",
     "lentilshore_node.peers.relay",
