Send no more requests with a part of a prompt that ends replicas

Callers and replicas saw one replica after the other end: a request whose prompt has a certain part ends each replica that begins to answer it, and it was sent to the next one, by its own retry and by every gateway.

Cause: nothing told a request that ends its replica from a replica that ends.

Change: an answer that breaks off at its beginning, at an address that refuses connections from then on, is a crash under the request's parts (`delivery/crash_watch.py`). Such a request is not sent again, neither as a retry nor for a larger model, while one of its parts is suspected, and ends with 502; a request with a part that is blamed is refused at once, `prompt_part_blamed`. Blame is counted by all gateways together (`routing/crash_blame.py`, `peers/blame_exchange.py`).

Random crashes blame nothing.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -68,6 +68,12 @@
         "cause",
         "Timeouts after which no other attempt took the place of the first, by cause",
     ),
+    MetricFamily(
+        "crash",
+        "lentilshore_replica_crashes",
+        "moment",
+        "Replicas that ended during a request, by the moment",
+    ),
     MetricFamily(
         "store.failed",
         "lentilshore_store_failures",
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -45,6 +45,7 @@
     UPSTREAM_FULL = "upstream_full"
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LIMITED = "upstream_limited"
+    PROMPT_PART_BLAMED = "prompt_part_blamed"
     ANSWER_MISMATCH = "answer_mismatch"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -83,6 +84,7 @@
     TIME_LEFT = "time_left"
     TREE_LIMIT = "tree_limit"
     BUDGET = "budget"
+    PROMPT_PART_SUSPECTED = "prompt_part_suspected"
 
 
 class StateChange(StrEnum):
--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -24,6 +24,8 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
+# Longest wait for a server to refuse or accept a connection that is a probe.
+PROBE_TIMEOUT_S = 0.2
 # Limit per server.
 MAX_IDLE_CONNECTIONS = 64
 # A large body on a slow link takes longer than a server may be silent.
@@ -241,6 +243,16 @@
             raise
         return call
 
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether a server refuses connections: its process has ended."""
+        try:
+            connection = await self._connect(address, PROBE_TIMEOUT_S)
+        except CallNotSentError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.end_call()
+        self._return_connection(address, connection)
+        return False
+
     def _end_call(self, address: Address, connection: Connection) -> None:
         connection.end_call()
         self._return_connection(address, connection)
--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -69,6 +69,10 @@
     exit_code = 3
 
 
+class CallCutError(CallBrokenError):
+    """The connection ended before the answer did."""
+
+
 class CallTimedOutError(CallBrokenError):
     """The timeout passed without an answer; bytes may have been sent."""
 
@@ -221,7 +225,7 @@
         """Fail an unfinished call and wake its reader."""
         self._closed = True
         if not self._answer_complete:
-            self._fail(CallBrokenError(f"connection lost: {error or 'closed'}"))
+            self._fail(CallCutError(f"connection lost: {error or 'closed'}"))
         self._writable.set()
         self._wake_reader()
 
@@ -359,6 +363,11 @@
         """Replace what is called at a timeout of the call."""
         self._extend_timeout = extend_timeout
 
+    def raise_if_broken(self) -> None:
+        """Raise the failure of the call if it has failed."""
+        if self._error is not None:
+            raise self._error
+
     def end_call(self) -> None:
         """End the call; an incomplete request or answer prevents reuse."""
         answer_consumed = (
@@ -451,6 +460,13 @@
         # The headers as received, in order and with those that are repeated.
         self.fields: HeaderFields = connection._fields
 
+    def raise_if_broken(self) -> None:
+        """Raise the failure of the call if it has failed, though parts are unread.
+
+        :raises CallBrokenError: if the connection has failed.
+        """
+        self._connection.raise_if_broken()
+
     async def aiter_stream(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive."""
         while data := await self._connection.read_part(self.timeout_s):
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -33,6 +33,7 @@
 from .answers import Answer, AnswerRelay, check_answer_head
 from .attempt_sender import LOGGED_ID_LIMIT, AttemptSender
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
+from .crash_watch import CrashWatch
 from .handover import AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
 from .responder import Responder
@@ -48,6 +49,8 @@
 # Retry delay stated in refusals where no replica is available: a new replica or
 # configuration is usually known by then.
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
+# Retry delay stated in refusals of prompts with a blamed part.
+BLAMED_PART_RETRY_AFTER_S = 30.0
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
 # not extended.
 REPLICA_SILENCE_S = 0.7
@@ -155,6 +158,7 @@
             self._record_unfollowed,
         )
         self._measurements = AttemptMeasurements(context, request, route)
+        self._crashes = CrashWatch(context, request)
         # A replica's last answer with a status of 500 or above, sent if all attempts
         # fail.
         self._error_answer: Answer | None = None
@@ -243,6 +247,7 @@
             an ejected one is not chosen either; empty for none.
         """
         self._check_key(self._route)
+        self._check_parts()
         view = self._context.view
         rollout = view.rollouts.get(self._service)
         version = self._context.version_chooser.choose(
@@ -260,6 +265,18 @@
             raise self._no_replica_refusal(group)
         return AttemptPlan(rollout, version, model, lease)
 
+    def _check_parts(self) -> None:
+        """Refuse a request with a part that ends the replicas that answer it."""
+        part = self._context.blame.blamed_part(self._request.parts)
+        if part is None:
+            return
+        raise RefusalError(
+            RefusalReason.PROMPT_PART_BLAMED,
+            self._proof.execution,
+            f"replicas ended as they answered prompts with the part {part}",
+            BLAMED_PART_RETRY_AFTER_S,
+        )
+
     def _no_replica_refusal(self, group: str) -> RefusalError:
         execution = self._proof.execution
         limit_retry_after_s = self._context.placement.limit_retry_after_s(group)
@@ -303,6 +320,8 @@
             self._measurements.record_stall(elapsed_s, first_event_pending)
         self._log_failure(self._plan, error, elapsed_s)
         self._end_attempt(error.execution)
+        if self._crashes.suspected:
+            self._handover.discard()
 
     def _record_unfollowed(self, begun: BegunAttempt, error: UpstreamError) -> None:
         """Record an attempt that ended before it was followed."""
@@ -317,9 +336,12 @@
     def retry_denial(self) -> RetryDenial | None:
         """Return what denies another attempt, None for nothing.
 
-        None is allowed once a stream that can't be resumed has started, once the
+        None is allowed while a part of its prompt may have ended a replica, once a
+        stream that can't be resumed has started, once the
         route's attempts are used up, or shortly before the deadline.
         """
+        if self._crashes.suspected:
+            return RetryDenial.PROMPT_PART_SUSPECTED
         resumable = self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE
         if self._relay.started and not resumable:
             return RetryDenial.ANSWER_STARTED
@@ -348,7 +370,12 @@
         self._measurements.begin(
             plan.rollout, (self._service, plan.version), lease, plan.model
         )
-        status = await self._exchange(plan, begun)
+        self._crashes.begin(plan, self._attempt_started_at)
+        try:
+            status = await self._exchange(plan, begun)
+        except UpstreamError as error:
+            await self._crashes.check(error)
+            raise
         if status is None:
             self._end_attempt(Execution.RAN)
         return status
@@ -372,6 +399,7 @@
                 plan, begun, timeout_s, extend_timeout
             ) as response:
                 head = self._read_head(plan, response, started_at)
+                self._crashes.record_head()
                 self._context.placement.record_answer(plan.lease.replica.name)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
@@ -459,6 +487,8 @@
         """
         if self._is_last_attempt or self.retry_denial() is not None:
             return False
+        if not self._context.blame.may_retry(self._request.parts):
+            return False
         return await self._handover.begin(
             partial(self._make_plan, model, self._loop.tried, excluded)
         )
@@ -471,6 +501,7 @@
             total_s = response.timeout_s
         body = await response.read(BUFFERED_ANSWER_LIMIT_BYTES, total_s)
         check_answer_head(response, head)
+        self._crashes.record_whole()
         self._measurements.record_outcome(
             response.status >= 500 and response.status != GATEWAY_TIMEOUT_STATUS
         )
@@ -498,6 +529,7 @@
         # A stream that has started counts as a success of the version.
         self._measurements.record_outcome(False)
         if await self._escalate(head):
+            response.raise_if_broken()
             return None
         response.timeout_s = next_event_timeout_s(
             self._route, self._is_last_attempt, self._timeout_limit_s
@@ -505,11 +537,13 @@
         self._streaming = True
         self._waiting_since = self._context.clock.monotonic()
         await self._relay.relay_stream(response, self)
+        self._crashes.record_whole()
         return response.status
 
     def record_events(self) -> None:
         """Record that the replica has sent events of a stream."""
         self._waiting_since = self._context.clock.monotonic()
+        self._crashes.record_events()
         self._context.placement.record_answer(self._replica_name)
 
     def record_pace(self, pace: EventPace) -> None:
--- a/tests/crashing_replicas.py
+++ b/tests/crashing_replicas.py
@@ -4,7 +4,7 @@
 
 from lentilshore_kernel.types import Address
 from lentilshore_node.clients.http_connection import (
-    CallBrokenError,
+    CallCutError,
     CallNotSentError,
 )
 from lentilshore_node.state.replica_record import ReplicaRecord
@@ -108,7 +108,7 @@
     def check(self):
         """Raise if the replica that took the request has crashed."""
         if self._replica.identity != self._identity:
-            raise CallBrokenError("connection lost: closed")
+            raise CallCutError("connection lost: closed")
 
     async def _events(self, call):
         if self._bad:
@@ -135,8 +135,10 @@
         self.fields = [(k.encode(), v.encode()) for k, v in self.headers.items()]
         self.connection_calls = 1
         self.timeout_s = 1.0
-        self.broken = False
         self._events = events
 
+    def raise_if_broken(self):
+        pass
+
     def aiter_stream(self):
         return self._events()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Requests that end each replica that begins to answer them, through gateways."""
 
+import math
 import random
 
 import anyio
@@ -14,6 +15,7 @@
     CallerLimits,
     DeliveryMode,
     KeyOwner,
+    PromptPart,
     RouteTable,
 )
 from tests.crashing_replicas import CrashingHttpClient, CrashingReplica
@@ -23,6 +25,8 @@
 STABILITY_S = 3.0
 LASTS_S = 25.0
 SOUND_PAUSE_S = 0.2
+# Time in which gateways tell one another of crashes.
+EXCHANGE_PAUSE_S = 0.25
 
 
 class Fleet:
@@ -34,6 +38,7 @@
 
     def __init__(self, with_route, gateways=1):
         self.clock = FakeClock()
+        self.started_at = self.clock.monotonic()
         self.arrivals = []
         self.sound_statuses, self.bad_statuses = [], []
         self.replicas = {
@@ -66,23 +71,40 @@
         context.view.replace_replicas(r.record() for r in self.replicas.values())
         context.view.confirm_table(1, self.clock.monotonic())
 
-    def run(self, bad_pause_s):
-        run_with_clock(self.clock, self._run, bad_pause_s)
+    def run(self, bad_pause_s, random_crash_pause_s=math.inf):
+        run_with_clock(self.clock, self._run, bad_pause_s, random_crash_pause_s)
         return self
 
-    async def _run(self, bad_pause_s):
+    async def _run(self, bad_pause_s, random_crash_pause_s):
         async with anyio.create_task_group() as group:
             group.start_soon(self._list_forever)
+            group.start_soon(self._exchange_forever)
+            group.start_soon(self._crash_forever, random_crash_pause_s)
             for context in self.gateways:
                 for _ in range(3):
                     group.start_soon(self._call_forever, context, SOUND_PAUSE_S, False)
             await self.clock.sleep(5.0)
-            for context in self.gateways:
+            for context in self.gateways if bad_pause_s < math.inf else ():
                 pause_s = bad_pause_s * len(self.gateways)
                 group.start_soon(self._call_forever, context, pause_s, True)
             await self.clock.sleep(LASTS_S)
             group.cancel_scope.cancel()
 
+    async def _exchange_forever(self):
+        while True:
+            await self.clock.sleep(EXCHANGE_PAUSE_S)
+            news = [(c.node_name, c.blame.tell()) for c in self.gateways]
+            for context in self.gateways:
+                for name, told in news:
+                    context.learn_crashes(told, self.clock.monotonic(), name)
+
+    async def _crash_forever(self, pause_s):
+        while pause_s < math.inf:
+            await self.clock.sleep(pause_s * self._random.uniform(0.5, 1.5))
+            up = [replica for replica in self.replicas.values() if replica.is_up]
+            if up:
+                self._random.choice(up).crash()
+
     async def _list_forever(self):
         while True:
             for context in self.gateways:
@@ -111,22 +133,64 @@
         if len(crashes) < 5:
             return 0
         return sum(
-            BAD in fields["x-prompt-prefix"] and at > crashes[4] + STABILITY_S
+            is_bad(fields) and at > crashes[4] + STABILITY_S
             for at, _, fields in self.arrivals
         )
 
+    def served_share(self, begin, end):
+        """Return the share of the sound requests in a span of time that were served."""
+        statuses = [
+            status
+            for at, status in self.sound_statuses
+            if begin <= at - self.started_at < end
+        ]
+        return sum(status == 200 for status in statuses) / len(statuses)
+
 
 # Requests with the part were sent to one replica after the other (BUDGET).
+@pytest.mark.parametrize("gateways", [1, 6])
 @pytest.mark.parametrize("bad_pause_s", [0.2, 1.0, 3.0])
-def test_requests_that_end_replicas_are_soon_sent_no_more(bad_pause_s):
-    fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE)).run(bad_pause_s)
+def test_requests_that_end_replicas_are_soon_sent_no_more(bad_pause_s, gateways):
+    fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE), gateways).run(bad_pause_s)
     assert fleet.late_sends() <= 3
+    assert fleet.served_share(15.0, 30.0) > 0.99
 
 
 # One request ended three replicas within half a second (BUDGET).
-def test_a_request_that_ended_a_replica_is_not_sent_to_another():
-    fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE)).run(3.0)
-    sent = [
-        f["x-attempt-id"] for _, _, f in fleet.arrivals if BAD in f["x-prompt-prefix"]
-    ]
-    assert len(sent) == len(set(sent))
+@pytest.mark.parametrize("gateways", [1, 6])
+def test_a_request_that_ended_a_replica_is_not_sent_to_another(gateways):
+    fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE), gateways).run(3.0)
+    sent = [f["x-attempt-id"] for _, _, f in fleet.arrivals]
+    bad = [f["x-attempt-id"] for _, _, f in fleet.arrivals if is_bad(f)]
+    assert len(bad) == len(set(bad)) < len(sent)
+
+
+@pytest.mark.parametrize("gateways", [1, 6])
+@pytest.mark.parametrize("crash_pause_s", [0.5, 2.0])
+def test_replicas_that_crash_by_themselves_blame_no_part(crash_pause_s, gateways):
+    fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE), gateways)
+    fleet.run(math.inf, crash_pause_s)
+    crashes = sum(len(replica.crashes) for replica in fleet.replicas.values())
+    assert crashes >= LASTS_S / crash_pause_s / 2
+    for context in fleet.gateways:
+        assert context.blame.blamed == []
+        assert "prompt_part_blamed" not in context.metrics.render()
+
+
+def test_a_refusal_of_a_blamed_part_is_prompt_and_says_when_to_come_back():
+    fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE))
+    context = fleet.gateways[0]
+    parts = (PromptPart("a", 300), PromptPart(BAD, 100), PromptPart("e", 50))
+    for number in range(3):
+        context.record_crash(parts, f"i-{number}", fleet.clock.monotonic())
+        fleet.clock.advance(1.0)
+    context.view.confirm_table(1, fleet.clock.monotonic())
+    caller = Caller([(b"x-prompt-prefix", b"a:300,bad0:100,f:50")])
+    run_with_clock(fleet.clock, caller.send_to, GatewayApplication(context))
+    assert (caller.status, fleet.arrivals) == (503, [])
+    assert b"prompt_part_blamed" in caller.body
+    assert float(caller.fields["retry-after"]) > 1
+
+
+def is_bad(fields):
+    return BAD in fields["x-prompt-prefix"]
