Send nothing more to a replica that says that it leaves

A replica that leaves says so in its answers, often before the store lists it as draining. The gateways did not read that header, so that requests reached such a replica until the store told of it, and again when a restored store listed it as ready.

The view now keeps the processes that announced their departure, and lists them as draining until a process of the same identity registers that started later. The answer of another process (421) or to another request tells nothing. If none is left for a retry, a replica's own error answer is relayed; before, the caller got a refusal instead.

--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -83,6 +83,7 @@
     REPLICA_REBORN = "replica_reborn"
     REPLICA_VANISHED = "replica_vanished"
     REPLICA_GONE = "replica_gone"
+    REPLICA_LEAVING = "replica_leaving"
     REPLICA_EJECTED = "replica_rested"
     REPLICA_LIMITED = "replica_limited"
     REPLICA_LIMIT_ENDED = "replica_limit_ended"
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -81,6 +81,7 @@
     :param confidence: the model's confidence from 0 to 100, None if not stated.
     :param limit_per_s: requests a second that the replica takes from all nodes
         together; None if it names no limit, not a number if it can't be read.
+    :param leaving: whether the replica says that it leaves.
     """
 
     request_id: str
@@ -89,6 +90,7 @@
     unaltered: bool
     confidence: int | None
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class Translator(Protocol):
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -29,6 +29,7 @@
 from .answers import Answer, AnswerRelay, check_answer_head
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
 from .measurements import AttemptMeasurements
+from .no_replica import NO_REPLICA_REASONS, no_replica_refusal
 from .responder import Responder
 
 # Work that every request counts for when loads are compared; a call of a plain service
@@ -39,9 +40,6 @@
 # Retry delay stated in refusals where replicas are full: about the time of a few plain
 # calls.
 OVERLOAD_RETRY_AFTER_S = 0.3
-# Retry delay stated in refusals where no replica is available: a new replica or
-# configuration is usually known by then.
-NO_UPSTREAM_RETRY_AFTER_S = 1.0
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
 # not extended.
 REPLICA_SILENCE_S = 0.7
@@ -191,7 +189,7 @@
         except UpstreamError as error:
             status = await self._give_up(error)
         except RefusalError as refusal:
-            if refusal.reason is not RefusalReason.UPSTREAM_LIMITED:
+            if refusal.reason not in NO_REPLICA_REASONS:
                 raise
             status = await self._send_error_answer()
             if status is None:
@@ -220,30 +218,15 @@
             self._version = version
             lease = self._choose_replica(self._group, tried)
         if lease is None:
-            raise self._no_replica_refusal()
+            raise no_replica_refusal(
+                self._context.placement, self._group, self._proof.execution
+            )
         return lease
 
     @property
     def _group(self) -> str:
         return f"{self._service}@{self._version}"
 
-    def _no_replica_refusal(self) -> RefusalError:
-        execution = self._proof.execution
-        limit_retry_after_s = self._context.placement.limit_retry_after_s(self._group)
-        if limit_retry_after_s is None:
-            return RefusalError(
-                RefusalReason.NO_UPSTREAM,
-                execution,
-                f"no replica of {self._service} is available",
-                NO_UPSTREAM_RETRY_AFTER_S,
-            )
-        return RefusalError(
-            RefusalReason.UPSTREAM_LIMITED,
-            execution,
-            f"all replicas of {self._group} have named limits, which are used up",
-            round(limit_retry_after_s, 2),
-        )
-
     def _choose_replica(self, group: str, tried: Sequence[str]) -> ReplicaLease | None:
         request = self._request
         prefix, _ = shared_prefix(request.parts, self._model)
@@ -318,6 +301,8 @@
                     "connection_calls": response.connection_calls,
                 }
                 self._record_limit(lease, head)
+                if head.leaving and not head.misdirected:
+                    self._context.view.record_leaving(lease.replica)
                 if head.misdirected:
                     raise UpstreamError(
                         RefusalReason.UPSTREAM_REPLACED,
--- /dev/null
+++ b/packages/node/src/lentilshore_node/delivery/no_replica.py
@@ -0,0 +1,40 @@
+"""Refusals of requests that no replica may be sent."""
+
+from __future__ import annotations
+
+from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing.placement import Placement
+
+# Retry delay stated in refusals where no replica is available: a new replica or
+# configuration is usually known by then.
+NO_UPSTREAM_RETRY_AFTER_S = 1.0
+# Reasons for which no replica may be sent a request.
+NO_REPLICA_REASONS = frozenset(
+    (RefusalReason.NO_UPSTREAM, RefusalReason.UPSTREAM_LIMITED)
+)
+
+
+def no_replica_refusal(
+    placement: Placement, group: str, execution: Execution
+) -> RefusalError:
+    """Return the refusal of a request for which no replica could be chosen.
+
+    :param placement: what this node knows of the replicas.
+    :param group: version or service whose replicas may serve the request.
+    :param execution: whether the request has run in an earlier attempt.
+    """
+    limit_retry_after_s = placement.limit_retry_after_s(group)
+    if limit_retry_after_s is None:
+        return RefusalError(
+            RefusalReason.NO_UPSTREAM,
+            execution,
+            f"no replica of {group.partition('@')[0]} is available",
+            NO_UPSTREAM_RETRY_AFTER_S,
+        )
+    return RefusalError(
+        RefusalReason.UPSTREAM_LIMITED,
+        execution,
+        f"all replicas of {group} have named limits, which are used up",
+        round(limit_retry_after_s, 2),
+    )
--- a/packages/node/src/lentilshore_node/state/fleet_view.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view.py
@@ -9,10 +9,11 @@
 from lentilshore_kernel.metrics import Metrics, record_state_change
 from lentilshore_kernel.types import StateChange
 from lentilshore_routing.placement import Placement
+from lentilshore_routing.replicas import Replica
 from lentilshore_routing.rollout_record import Rollout, allowed_versions
 from lentilshore_routing.routes import RouteTable
 
-from .replica_record import DepartureLog, ReplicaRecord
+from .replica_record import AnnouncedDepartures, DepartureLog, ReplicaRecord
 from .rollout_progress import RolloutProgress
 
 # A replica that a restored store no longer lists registers again within two seconds.
@@ -48,6 +49,7 @@
         # Era of the store in which the replicas were listed last.
         self._replica_era = 0
         self._departures = DepartureLog()
+        self._announced = AnnouncedDepartures()
         self._replicas_read = False
         self._started_at = clock.monotonic()
         # Number of non-draining replicas by service and version.
@@ -167,6 +169,24 @@
             self._mark_vanished(identity, self._vanished_grace_s - delay_s)
             self._update_placement()
 
+    def record_leaving(self, replica: Replica) -> None:
+        """Record that a replica has said in an answer that it leaves.
+
+        It stays unusable, whatever the store lists, until a later process registers.
+        """
+        if not self._announced.record(replica.name):
+            return
+        identity = replica.identity or replica.name
+        self._log_change(StateChange.REPLICA_LEAVING, replica=identity)
+        record = self._records.get(identity)
+        if record is None or record.replica.name != replica.name:
+            return
+        record = self._records[identity] = self._announced.apply(record)
+        if self._vanished_until.pop(identity, None) is not None:
+            del self._records[identity]
+            self._departures.record(record, self._replica_era)
+        self._update_placement()
+
     def replace_rollouts(self, rollouts: Iterable[Rollout], era: int = 0) -> None:
         """Replace all roll-outs, see :meth:`RolloutProgress.replace`.
 
@@ -219,7 +239,8 @@
         """
         return replica_name in self._usable_names
 
-    def _store_record(self, record: ReplicaRecord) -> None:
+    def _store_record(self, listed: ReplicaRecord) -> None:
+        record = self._announced.apply(listed)
         known = self._records.get(record.identity)
         self._vanished_until.pop(record.identity, None)
         self._records[record.identity] = record
--- a/packages/node/src/lentilshore_node/state/replica_record.py
+++ b/packages/node/src/lentilshore_node/state/replica_record.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from lentilshore_routing.replicas import Replica
 
 # Replicas that have left are remembered, since a restored store may list them again.
 DEPARTED_REPLICAS_LIMIT = 1024
+# More than leave in a day: one that is forgotten would be used again while it leaves.
+ANNOUNCED_DEPARTURES_LIMIT = 8192
 
 
 class ReplicaRecord(NamedTuple):
@@ -58,3 +60,47 @@
             self.forget(record)
             return record
         return record._replace(replica=record.replica._replace(draining=True))
+
+
+class AnnouncedDepartures:
+    """Processes of replicas that have said themselves that they leave.
+
+    They stay departed whatever the store lists, since it may learn of it later or
+    lose it again.
+    """
+
+    def __init__(self) -> None:
+        # Names of the processes, oldest first.
+        self._names: OrderedDict[str, None] = OrderedDict()
+        # Start of the latest such process of an identity, where it is known.
+        self._started_ms: OrderedDict[str, int] = OrderedDict()
+
+    def record(self, replica_name: str) -> bool:
+        """Record that a process has said that it leaves.
+
+        :param replica_name: name of the replica in placement.
+        :returns: whether that was not known.
+        """
+        if replica_name in self._names:
+            return False
+        self._names[replica_name] = None
+        _trim(self._names)
+        return True
+
+    def apply(self, record: ReplicaRecord) -> ReplicaRecord:
+        """Return a listed replica, as draining unless its process started later."""
+        if record.replica.name in self._names:
+            self._set_started(record.identity, record.started_ms)
+        if record.started_ms > self._started_ms.get(record.identity, -1):
+            return record
+        return record._replace(replica=record.replica._replace(draining=True))
+
+    def _set_started(self, identity: str, started_ms: int) -> None:
+        known_ms = self._started_ms.pop(identity, started_ms)
+        self._started_ms[identity] = max(known_ms, started_ms)
+        _trim(self._started_ms)
+
+
+def _trim(announced: OrderedDict[str, Any]) -> None:
+    if len(announced) > ANNOUNCED_DEPARTURES_LIMIT:
+        announced.popitem(last=False)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -50,7 +50,8 @@
 # Names that only the users' platform uses; the product must not depend on them.
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-response-signature|x-expect-instance|x-not-executed"
-    r"|server-limit|x-prompt-prefix|x-token-usage|x-confidence|x-deadline-ms|x-tenant"
+    r"|server-limit|server-leaving|x-prompt-prefix|x-token-usage|x-confidence"
+    r"|x-deadline-ms|x-tenant"
     r"|/lentilshore/|traffic_split|gap_aim_ms|path_prefix|api_keys|as_of|wait_ms",
     re.IGNORECASE,
 )
