Keep to the pauses that replicas ask for

A replica that turns a request away with 503 may name the seconds for which it wants nothing from this gateway. The gateways did not read that time, so that such a replica got its usual share at once again.

Placement now sends a paused replica nothing until the time has passed, in no kind of attempt and not as a last resort; the pause is checked again right before the bytes are sent.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -74,6 +74,12 @@
         "event",
         "Limits in answers of replicas, by what could not be done with them",
     ),
+    MetricFamily(
+        "pause",
+        "lentilshore_replica_pauses",
+        "event",
+        "Pauses in answers of replicas, by what could not be done with them",
+    ),
     MetricFamily(
         "task", "lentilshore_task_events", "event", "Errors of recurring tasks"
     ),
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -45,6 +45,7 @@
     UPSTREAM_FULL = "upstream_full"
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LIMITED = "upstream_limited"
+    UPSTREAM_PAUSED = "upstream_paused"
     ANSWER_MISMATCH = "answer_mismatch"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -72,6 +73,7 @@
     GARBLED = "garbled"
     MISMATCH = "mismatch"
     ESCALATED = "escalated"
+    PAUSED = "paused"
 
 
 class StateChange(StrEnum):
@@ -84,6 +86,7 @@
     REPLICA_VANISHED = "replica_vanished"
     REPLICA_GONE = "replica_gone"
     REPLICA_LEAVING = "replica_leaving"
+    REPLICA_PAUSED = "replica_paused"
     REPLICA_EJECTED = "replica_rested"
     REPLICA_LIMITED = "replica_limited"
     REPLICA_LIMIT_ENDED = "replica_limit_ended"
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -82,6 +82,8 @@
     :param limit_per_s: requests a second that the replica takes from all nodes
         together; None if it names no limit, not a number if it can't be read.
     :param leaving: whether the replica says that it leaves.
+    :param pause_s: time for which the replica wants nothing from this node, seconds;
+        None if it states none, not a number if it can't be read.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     confidence: int | None
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float | None = None
 
 
 class Translator(Protocol):
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -20,6 +20,11 @@
 
 T = TypeVar("T")
 
+# Failed attempts that are no fault of the replica: they do not count towards its
+# ejection.
+SOUND_REPLICA_REASONS = frozenset(
+    (RefusalReason.UPSTREAM_FULL, RefusalReason.UPSTREAM_PAUSED)
+)
 _EXECUTION_RANK = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
 
 
@@ -163,8 +168,7 @@
         try:
             return await send(lease)
         except UpstreamError as error:
-            # A full replica is not at fault: this does not count towards its ejection.
-            counts_as_failure = error.reason is not RefusalReason.UPSTREAM_FULL
+            counts_as_failure = error.reason not in SOUND_REPLICA_REASONS
             unreachable = _is_unreachable(error)
             raise
         finally:
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -29,7 +29,11 @@
 from .answers import Answer, AnswerRelay, check_answer_head
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
 from .measurements import AttemptMeasurements
-from .no_replica import NO_REPLICA_REASONS, no_replica_refusal
+from .no_replica import (
+    NO_REPLICA_REASONS,
+    no_replica_refusal,
+    overload_retry_after_s,
+)
 from .responder import Responder
 
 # Work that every request counts for when loads are compared; a call of a plain service
@@ -37,9 +41,6 @@
 BASE_WORK_TOKENS = 16.0
 # An engine reads about this many prompt tokens in the time of generating one token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
-# Retry delay stated in refusals where replicas are full: about the time of a few plain
-# calls.
-OVERLOAD_RETRY_AFTER_S = 0.3
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
 # not extended.
 REPLICA_SILENCE_S = 0.7
@@ -301,6 +302,8 @@
                     "connection_calls": response.connection_calls,
                 }
                 self._record_limit(lease, head)
+                if head.pause_s is not None and not head.misdirected:
+                    self._context.record_pause(lease.replica.name, head.pause_s)
                 if head.leaving and not head.misdirected:
                     self._context.view.record_leaving(lease.replica)
                 if head.misdirected:
@@ -514,6 +517,12 @@
                 Execution.NOT_RUN,
                 "the replica is draining, removed or of a version no longer allowed",
             )
+        if self._context.placement.paused(lease.replica.name):
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_PAUSED,
+                Execution.NOT_RUN,
+                "the replica wants nothing from this node for some time",
+            )
 
     def _end_attempt(self, execution: Execution) -> None:
         self._streaming = False
@@ -526,9 +535,9 @@
         if status is not None:
             return status
         execution = self._proof.execution
-        retry_after_s = (
-            OVERLOAD_RETRY_AFTER_S if execution is Execution.NOT_RUN else None
-        )
+        retry_after_s = None
+        if execution is Execution.NOT_RUN:
+            retry_after_s = overload_retry_after_s(self._context.placement, self._group)
         raise RefusalError(
             error.reason, execution, error.detail, retry_after_s
         ) from error
--- a/packages/node/src/lentilshore_node/delivery/no_replica.py
+++ b/packages/node/src/lentilshore_node/delivery/no_replica.py
@@ -6,12 +6,19 @@
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing.placement import Placement
 
+# Retry delay stated in refusals where replicas are full: about the time of a few plain
+# calls.
+OVERLOAD_RETRY_AFTER_S = 0.3
 # Retry delay stated in refusals where no replica is available: a new replica or
 # configuration is usually known by then.
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
 # Reasons for which no replica may be sent a request.
 NO_REPLICA_REASONS = frozenset(
-    (RefusalReason.NO_UPSTREAM, RefusalReason.UPSTREAM_LIMITED)
+    (
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.UPSTREAM_LIMITED,
+        RefusalReason.UPSTREAM_PAUSED,
+    )
 )
 
 
@@ -25,16 +32,32 @@
     :param execution: whether the request has run in an earlier attempt.
     """
     limit_retry_after_s = placement.limit_retry_after_s(group)
-    if limit_retry_after_s is None:
+    pause_retry_after_s = placement.pause_retry_after_s(group)
+    known = [s for s in (limit_retry_after_s, pause_retry_after_s) if s is not None]
+    if not known:
         return RefusalError(
             RefusalReason.NO_UPSTREAM,
             execution,
             f"no replica of {group.partition('@')[0]} is available",
             NO_UPSTREAM_RETRY_AFTER_S,
         )
-    return RefusalError(
-        RefusalReason.UPSTREAM_LIMITED,
-        execution,
-        f"all replicas of {group} have named limits, which are used up",
-        round(limit_retry_after_s, 2),
-    )
+    reason = RefusalReason.UPSTREAM_LIMITED
+    detail = f"all replicas of {group} have named limits, which are used up"
+    if limit_retry_after_s is None:
+        reason = RefusalReason.UPSTREAM_PAUSED
+        detail = f"all replicas of {group} want nothing from this node for some time"
+    return RefusalError(reason, execution, detail, round(min(known), 2))
+
+
+def overload_retry_after_s(placement: Placement, group: str) -> float:
+    """Return when a caller may come back whose request the replicas rejected, seconds.
+
+    :param placement: what this node knows of the replicas.
+    :param group: version or service whose replicas may serve the request.
+    """
+    if placement.has_capacity(group):
+        return OVERLOAD_RETRY_AFTER_S
+    pause_retry_after_s = placement.pause_retry_after_s(group)
+    if pause_retry_after_s is None:
+        return OVERLOAD_RETRY_AFTER_S
+    return round(pause_retry_after_s, 2)
--- a/packages/node/src/lentilshore_node/delivery/retry_reasons.py
+++ b/packages/node/src/lentilshore_node/delivery/retry_reasons.py
@@ -7,6 +7,7 @@
 
 RETRY_REASONS: dict[RefusalReason, RetryReason] = {
     RefusalReason.UPSTREAM_FULL: RetryReason.OVERLOADED,
+    RefusalReason.UPSTREAM_PAUSED: RetryReason.PAUSED,
     RefusalReason.UPSTREAM_REPLACED: RetryReason.REPLACED,
     RefusalReason.UPSTREAM_FAILED: RetryReason.FAILED,
     RefusalReason.UPSTREAM_STALLED: RetryReason.STALLED,
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -167,6 +167,23 @@
         if self.limits.observe(replica, limit_per_s, sent_at):
             self.log_limit(replica, "answer")
 
+    def record_pause(self, replica: str, pause_s: float) -> None:
+        """Record that a replica wants nothing from this gateway for some time.
+
+        :param pause_s: seconds from now; not a number if the time can't be read.
+        """
+        if math.isnan(pause_s):
+            self.metrics.count("pause.unreadable")
+            log_event("pause_unreadable", replica=replica)
+            return
+        if self.placement.pause(replica, pause_s):
+            record_state_change(
+                self.metrics,
+                StateChange.REPLICA_PAUSED,
+                replica=replica,
+                pause_s=f"{pause_s:g}",
+            )
+
     def log_limit(self, replica: str, source: str) -> None:
         """Log that the limit of a replica has changed.
 
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -11,6 +11,7 @@
 from lentilshore_kernel.types import Priority
 
 from .replica_limits import ReplicaLimits
+from .replica_pauses import ReplicaPauses
 from .replicas import Replica, ReplicaGroup, choose_subset
 
 # Candidate replicas for a request: the first on the hash ring, for prefix cache hits,
@@ -108,6 +109,7 @@
         limits: ReplicaLimits | None = None,
     ) -> None:
         self._limits = limits or ReplicaLimits(node, clock, random_source)
+        self._pauses = ReplicaPauses(clock, random_source)
         self._node = node
         self._data_centre = data_centre
         self._clock = clock
@@ -234,19 +236,38 @@
         replica_group = self._groups.get(group)
         if replica_group is None:
             return False
-        return any(self._limits.allows(r.name) for r in replica_group.replicas)
+        return any(self._may_send(r.name) for r in replica_group.replicas)
+
+    def pause(self, name: str, duration_s: float) -> bool:
+        """Send a replica nothing for some time, see :meth:`ReplicaPauses.pause`."""
+        return self._pauses.pause(name, duration_s)
+
+    def paused(self, name: str) -> bool:
+        """Return whether a replica wants nothing from this node now."""
+        return self._pauses.paused(name)
+
+    def pause_retry_after_s(self, group: str) -> float | None:
+        """Return when a caller may come back because replicas are paused.
+
+        :param group: version or service.
+        :returns: seconds; None if no replica of the group is paused.
+        """
+        replica_group = self._groups.get(group)
+        replicas = replica_group.replicas if replica_group else ()
+        paused = [r.name for r in replicas if self._pauses.paused(r.name)]
+        return self._pauses.retry_after_s(paused) if paused else None
 
     def limit_retry_after_s(self, group: str) -> float | None:
         """Return when a caller may come back because replicas have named limits.
 
         :param group: version or service.
-        :returns: seconds; None if no replica of the group has named a limit.
+        :returns: seconds; None if no replica of the group has named a limit, those
+            that are paused aside.
         """
         replica_group = self._groups.get(group)
         limited = replica_group.named(self._limits.limited) if replica_group else []
-        if not limited:
-            return None
-        return self._limits.retry_after_s(replica.name for replica in limited)
+        names = [r.name for r in limited if not self._pauses.paused(r.name)]
+        return self._limits.retry_after_s(names) if names else None
 
     def release(
         self, lease: ReplicaLease, failed: bool, unreachable: bool = False
@@ -389,7 +410,7 @@
         return usable or [
             item
             for item in group.replicas
-            if item.name not in excluded and self._limits.allows(item.name)
+            if item.name not in excluded and self._may_send(item.name)
         ]
 
     def _home_replica(
@@ -407,10 +428,14 @@
         return ""
 
     def _usable(self, replica: Replica, excluded: Sequence[str]) -> bool:
-        if replica.name in excluded or not self._limits.allows(replica.name):
+        if replica.name in excluded or not self._may_send(replica.name):
             return False
         return self._states[replica.name].ejected_until <= self._clock.monotonic()
 
+    def _may_send(self, name: str) -> bool:
+        """Return whether a replica itself allows this node to send it a request now."""
+        return not self._pauses.paused(name) and self._limits.allows(name)
+
     def _score(
         self,
         replica: Replica,
--- a/tests/limited_replicas.py
+++ b/tests/limited_replicas.py
@@ -120,13 +120,15 @@
         limit = replica.tell(self._gateway)
         if limit is not None:
             headers["server-limit"] = f"{limit:g}"
-        yield _Response(status, headers, parts)
+        yield ScriptedResponse(status, headers, parts)
 
     async def close(self):
         pass
 
 
-class _Response:
+class ScriptedResponse:
+    """Answer whose parts arrive at once."""
+
     def __init__(self, status, headers, parts):
         self.status, self.headers = status, headers
         self.fields = [(k.encode(), v.encode()) for k, v in headers.items()]
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -30,6 +30,7 @@
 # may import only types and protocols from other modules.
 DECISION_MODULES = {
     "lentilshore_node.delivery.delivery",
+    "lentilshore_node.delivery.no_replica",
     "lentilshore_node.callers.forwarder",
     "lentilshore_node.state.fleet_view_updater",
     "lentilshore_node.state.rollout_controller",
@@ -41,6 +42,7 @@
     "lentilshore_routing.first_event_times",
     "lentilshore_routing.model_choice",
     "lentilshore_routing.replica_limits",
+    "lentilshore_routing.replica_pauses",
     "lentilshore_routing.retries",
     "lentilshore_routing.rollouts",
     "lentilshore_routing.staging",
--- a/tests/test_limit_mutants.py
+++ b/tests/test_limit_mutants.py
@@ -209,7 +209,7 @@
     ),
     "the header is not read": (
         serves_requests_within_the_limit,
-        patch.object(translator, "_read_limit", lambda _: None),
+        patch.object(translator, "_read_decimal", lambda _: None),
     ),
     "answers are not looked at": (
         serves_requests_within_the_limit,
