Split streams at all line ends of the format

Events were split at LF and CRLF only. A stream whose lines end with CR alone was held back as one partial event and then broken off; a comment or an empty line after the last event passed for a partial event, so that a whole stream was resumed or cut. An identifier of more than 4,300 digits raised an error of the interpreter.

The splitter now ends an event at any two line ends in a row; a CR that may be the first half of a CRLF is relayed at once and its LF with what follows. Bytes after the last event that belong to none are relayed at the end.

--- a/packages/node/src/lentilshore_node/clients/event_splitter.py
+++ b/packages/node/src/lentilshore_node/clients/event_splitter.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import re
+
 from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_kernel.types import Execution, RefusalReason
 
-# An event ends with an empty line; lines end with LF or CRLF.
-EVENT_BOUNDARIES = (b"\n\n", b"\n\r\n")
+# An event ends with an empty line; lines end with LF, CR or CRLF. The LF of a CRLF at
+# the end is not listed, since it may arrive later.
+EVENT_BOUNDARIES = (b"\n\n", b"\n\r", b"\r\r")
+# Empty lines and comments, which belong to no event.
+NO_EVENT = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
 ID_FIELD = b"id:"
+ID_DIGITS_LIMIT = 18
 # An event holds a few tokens of text; one that exceeds this limit is an error.
 EVENT_LIMIT_BYTES = 262_144
 # The mean pause of a stream is computed once, as soon as this many pauses have been
@@ -32,6 +38,11 @@
         """Bytes received of an event that is not whole yet."""
         return self._partial_event
 
+    @property
+    def within_event(self) -> bool:
+        """Whether the bytes received so far end inside an event or a comment."""
+        return NO_EVENT.fullmatch(self._partial_event) is None
+
     def feed(self, data: bytes) -> bytes:
         """Add received data of the stream.
 
@@ -50,16 +61,18 @@
                 )
             self._partial_event = data
             return b""
+        if data[end - 1 : end + 1] == b"\r\n":
+            end += 1
         self._partial_event = data[end:]
         events = data[:end]
         self._update_last_id(events)
         return events
 
     def _update_last_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
+        for line in reversed(events.splitlines()):
             if line.startswith(ID_FIELD):
                 text = line[len(ID_FIELD) :].strip()
-                if text.isdigit():
+                if text.isdigit() and len(text) <= ID_DIGITS_LIMIT:
                     self._last_id = int(text)
                 return
 
--- a/packages/node/src/lentilshore_node/delivery/answers.py
+++ b/packages/node/src/lentilshore_node/delivery/answers.py
@@ -105,14 +105,14 @@
                 self._resume_after = splitter.last_id
                 pace.record_event(splitter.last_id, self._context.clock.monotonic())
                 observer.record_pace(pace)
-        if splitter.partial_event:
+        if splitter.within_event:
             raise UpstreamError(
                 RefusalReason.UPSTREAM_TRUNCATED,
                 Execution.RAN,
                 "the stream ended within an event",
             )
-        if not self._responder.started:
-            await self._send_events(response, b"")
+        if splitter.partial_event or not self._responder.started:
+            await self._send_events(response, splitter.partial_event)
         self._context.metrics.observe("stream.pause_s", pace.longest_pause_s)
         await self._responder.finish()
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -27,6 +27,7 @@
     that returns one for the headers of the request. It may hold :class:`Late` bytes.
     It may end with ``"close"``, ``"reset"`` or ``"hang"``, which waits until the client
     closes the connection; otherwise the connection stays open for the next request.
+    After ``"cork"`` the last bytes leave in one segment with the end of the connection.
     """
 
     def __init__(self, scripts):
@@ -76,6 +77,9 @@
                 raw = writer.get_extra_info("socket")
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
                 return False
+            elif step == "cork":
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
             elif step == "hang":
                 await reader.read()
                 return False
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -43,6 +43,8 @@
         (b"id:7\n\nid: 8\ndata: cut", 7),
         (b"id: 7\n\nevent: note\n\n", 7),
         (b"id: seven\n\n", None),
+        (b"id: 7\r\rid: 8\rdata: cut", 7),
+        (b"id: " + b"9" * 5000 + b"\n\n", None),
     ],
 )
 def test_number_of_the_last_whole_event(data, last_id):
