Wait for streams at leaving replicas as long as at others

The timeout of a stream is extended while its replica answers other requests. Placement forgot a replica as soon as it was draining, and with it when it had last answered, so that a stream there was resumed elsewhere after the first silence. A replica that says in the head of its answer that it leaves would so lose the extension for the whole stream.

Placement now keeps what it knows of a replica while requests run there.

With the header, a stream with a silence of 0.55 s reached two replicas before and one now; without it, one both times.

--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -140,11 +140,12 @@
         :param nodes: names of the live nodes, among which replicas are divided.
         """
         active = [replica for replica in replicas if not replica.draining]
-        self._states = {
-            replica.name: self._states.get(replica.name) or _ReplicaState()
-            for replica in active
-        }
-        self._limits.set_replicas(self._states.keys())
+        names = {replica.name for replica in active}
+        # The others still serve requests that they were sent before.
+        serving = {n: s for n, s in self._states.items() if n in names or s.in_flight}
+        new = {name: _ReplicaState() for name in names - serving.keys()}
+        self._states = serving | new
+        self._limits.set_replicas(names)
         groups: dict[str, list[Replica]] = {}
         for replica in sorted(active):
             for group in replica.groups:
--- a/tests/test_leaving_replicas.py
+++ b/tests/test_leaving_replicas.py
@@ -196,6 +196,33 @@
     assert all(caller.complete for caller in callers)
 
 
+# A stream was ended for a silence that other replicas were allowed: placement forgot a
+# replica that leaves, and with it that it answers other requests.
+@pytest.mark.parametrize("fields", [[], [LEAVING]])
+def test_timeout_of_a_stream_is_extended_at_a_leaving_replica_too(fields):
+    async def act(harness, application, caller):
+        async def answer_others():
+            while True:
+                for name in ("i-1", "i-2"):
+                    harness.context.placement.record_answer(name)
+                await anyio.sleep(0.02)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(answer_others)
+            await caller.send_to(application)
+            group.cancel_scope.cancel()
+
+    def late(request):
+        head, first, second, end = stream([1, 2], "whole", fields)(request)
+        return [head, first, 0.55, second, end]
+
+    # The timeout is 0.38 s, extended to 0.9 s.
+    with_route = RESUMABLE_ROUTE._replace(pause_objective_s=0.3)
+    harness = GatewayHarness([late, stream([2], "whole")], with_route)
+    caller = harness.run(Caller(), act)
+    assert (caller.body, len(harness.server.requests)) == (event(1) + event(2), 1)
+
+
 def test_request_is_not_sent_if_its_replica_announces_while_it_connects():
     harness = GatewayHarness([signed()], ONCE_ROUTE)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -60,6 +60,19 @@
     assert chosen_replicas(placement) == {"a", "b"}
 
 
+def test_a_replica_that_is_no_longer_listed_is_known_while_it_serves(clock):
+    placement = create_placement(clock)
+    lease, others = take_lease(placement, "a"), placement._groups["g"].replicas[1:]
+    placement.update(others)
+    placement.record_answer("a")
+    assert placement.in_flight("a") == 1
+    assert placement.answered_within("a", 0.1)
+    assert chosen_replicas(placement) == {"b"}
+    placement.release(lease, False)
+    placement.update(others)
+    assert "a" not in placement._states
+
+
 def test_nodes_that_know_nothing_of_each_other_send_a_prefix_to_one_replica(clock):
     """Each of many nodes sees a prefix once; the replicas still get it cached."""
     names = [f"r{number:02d}" for number in range(40)]
