--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -26,6 +26,11 @@
 
 T = TypeVar("T")
 
+# Failed attempts that are no fault of the replica: they do not count towards its
+# ejection.
+SOUND_REPLICA_REASONS = frozenset(
+    (RefusalReason.UPSTREAM_FULL, RefusalReason.UPSTREAM_PAUSED)
+)
 _EXECUTION_RANK = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
 
 
@@ -184,9 +189,8 @@
         :param failure: how the attempt failed; None if it did not, or if that says
             nothing about the replica.
         """
-        # A full replica is not at fault: this does not count towards its ejection.
         counts_as_failure = (
-            failure is not None and failure.reason is not RefusalReason.UPSTREAM_FULL
+            failure is not None and failure.reason not in SOUND_REPLICA_REASONS
         )
         unreachable = failure is not None and _is_unreachable(failure)
         if self._context.placement.release(lease, counts_as_failure, unreachable):
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -36,6 +36,11 @@
 from .crash_watch import CrashWatch
 from .handover import AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
+from .no_replica import (
+    NO_REPLICA_REASONS,
+    no_replica_refusal,
+    overload_retry_after_s,
+)
 from .responder import Responder
 
 # Work that every request counts for when loads are compared; a call of a plain service
@@ -43,12 +48,6 @@
 BASE_WORK_TOKENS = 16.0
 # An engine reads about this many prompt tokens in the time of generating one token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
-# Retry delay stated in refusals where replicas are full: about the time of a few plain
-# calls.
-OVERLOAD_RETRY_AFTER_S = 0.3
-# Retry delay stated in refusals where no replica is available: a new replica or
-# configuration is usually known by then.
-NO_UPSTREAM_RETRY_AFTER_S = 1.0
 # Retry delay stated in refusals of prompts with a blamed part.
 BLAMED_PART_RETRY_AFTER_S = 30.0
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
@@ -216,7 +215,7 @@
         except UpstreamError as error:
             status = await self._give_up(error)
         except RefusalError as refusal:
-            if refusal.reason is not RefusalReason.UPSTREAM_LIMITED:
+            if refusal.reason not in NO_REPLICA_REASONS:
                 raise
             status = await self._send_error_answer()
             if status is None:
@@ -262,7 +261,9 @@
         if version is not None:
             lease = self._choose_replica(group, model, tried, excluded)
         if lease is None:
-            raise self._no_replica_refusal(group)
+            raise no_replica_refusal(
+                self._context.placement, group, self._proof.execution
+            )
         return AttemptPlan(rollout, version, model, lease)
 
     def _check_parts(self) -> None:
@@ -277,23 +278,6 @@
             BLAMED_PART_RETRY_AFTER_S,
         )
 
-    def _no_replica_refusal(self, group: str) -> RefusalError:
-        execution = self._proof.execution
-        limit_retry_after_s = self._context.placement.limit_retry_after_s(group)
-        if limit_retry_after_s is None:
-            return RefusalError(
-                RefusalReason.NO_UPSTREAM,
-                execution,
-                f"no replica of {self._service} is available",
-                NO_UPSTREAM_RETRY_AFTER_S,
-            )
-        return RefusalError(
-            RefusalReason.UPSTREAM_LIMITED,
-            execution,
-            f"all replicas of {group} have named limits, which are used up",
-            round(limit_retry_after_s, 2),
-        )
-
     def _choose_replica(
         self, group: str, model: str, tried: Sequence[str], excluded: str
     ) -> ReplicaLease | None:
@@ -420,6 +404,10 @@
             "connection_calls": response.connection_calls,
         }
         self._record_limit(plan.lease, head, sent_at)
+        if head.pause_s is not None and not head.misdirected:
+            self._context.record_pause(plan.lease.replica.name, head.pause_s)
+        if head.leaving and not head.misdirected:
+            self._context.view.record_leaving(plan.lease.replica)
         if head.misdirected:
             raise UpstreamError(
                 RefusalReason.UPSTREAM_REPLACED,
@@ -596,9 +584,9 @@
         if status is not None:
             return status
         execution = self._proof.execution
-        retry_after_s = (
-            OVERLOAD_RETRY_AFTER_S if execution is Execution.NOT_RUN else None
-        )
+        retry_after_s = None
+        if execution is Execution.NOT_RUN:
+            retry_after_s = overload_retry_after_s(self._context.placement, self._group)
         raise RefusalError(
             error.reason, execution, error.detail, retry_after_s
         ) from error
