Answer, log and count each error of a request's handling

Callers whose request met an error of a type that nobody had named, such as IndexError, AttributeError or a group of exceptions, got a closed connection: `_serve_or_refuse` named five types, and the rest reached the HTTP server, which wrote no line and no counter of ours.

Both interfaces now treat every Exception alike: `request_failed`, a counted refusal `internal`, and an answer, or a cut one if it had begun.

--- a/packages/node/src/lentilshore_node/callers/app.py
+++ b/packages/node/src/lentilshore_node/callers/app.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from lentilshore_kernel import log_event, refusal_counter
-from lentilshore_kernel.exceptions import LentilshoreError, RefusalError
+from lentilshore_kernel.exceptions import RefusalError
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing import Customer
 
@@ -67,7 +67,7 @@
             await self._route(scope, receive, responder)
         except RefusalError as refusal:
             await self._send_refusal(refusal, responder)
-        except (LentilshoreError, OSError, ValueError, KeyError, TypeError) as error:
+        except Exception as error:  # noqa: BLE001
             log_event("request_failed", error=type(error).__name__, detail=str(error))
             refusal = RefusalError(RefusalReason.INTERNAL, Execution.UNKNOWN)
             await self._send_refusal(refusal, responder)
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -9,7 +9,6 @@
 from lentilshore_kernel import log_event, refusal_counter
 from lentilshore_kernel.exceptions import (
     STATUS_BY_REASON,
-    LentilshoreError,
     RefusalError,
 )
 from lentilshore_kernel.types import Execution, RefusalReason
@@ -124,7 +123,7 @@
             await self._serve(head, scope["headers"], receive, responder)
         except RefusalError as refusal:
             await self._refuse(refusal, request_id, responder)
-        except (LentilshoreError, OSError, ValueError, KeyError, TypeError) as error:
+        except Exception as error:  # noqa: BLE001
             log_event(
                 "request_failed",
                 request=request_id or "-",
