Resume no stream with an answer of another status

A caller whose stream had begun got the head of a second answer: a replica that was to resume it answered 404 or another status below 500, and that answer was sent as a whole one. The HTTP server raises an error at the second head, so that the stream was cut with time and attempts left.

Such an answer now counts as garbled: the stream is resumed elsewhere.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -375,6 +375,7 @@
                 self._context.placement.record_answer(plan.lease.replica.name)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
+                self._check_may_begin(response)
                 return await self._relay_buffered(response, head, started_at)
 
     def _read_head(
@@ -406,6 +407,18 @@
             )
         return head
 
+    def _check_may_begin(self, response: Response) -> None:
+        """Check that an answer that is no stream does not follow part of a stream.
+
+        :raises UpstreamError: if it does.
+        """
+        if self._relay.started and response.status < 500:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_GARBLED,
+                Execution.UNKNOWN,
+                f"status {response.status} does not resume a stream",
+            )
+
     def _record_limit(
         self, lease: ReplicaLease, head: AnswerHead, sent_at: float
     ) -> None:
