Let no answer that can't be relayed take a request up

Callers got 500, 502 or a cut stream in place of a sound replica's answer: during a handover only a rejection kept the current attempt. A next replica that at once answered with 500, without a signature or without proof of a rejection counted as having taken the request up, and the current attempt was dropped for it.

The head is now checked as when it is relayed. A failure counts against its version as before. A try that may have run is not given back to the limit of its request tree.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -151,7 +151,7 @@
             request_id,
             self._loop,
             self._start_attempt,
-            self._read_head,
+            self._check_taken_up,
             self._record_unfollowed,
         )
         self._measurements = AttemptMeasurements(context, request, route)
@@ -373,9 +373,9 @@
             ) as response:
                 head = self._read_head(plan, response, started_at)
                 self._context.placement.record_answer(plan.lease.replica.name)
+                self._check_may_begin(response)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
-                self._check_may_begin(response)
                 return await self._relay_buffered(response, head, started_at)
 
     def _read_head(
@@ -407,12 +407,30 @@
             )
         return head
 
+    def _check_taken_up(
+        self, plan: AttemptPlan, response: Response, sent_at: float
+    ) -> None:
+        """Check that the answer to an attempt that was begun may be relayed.
+
+        :param sent_at: time at which the attempt began, on the node's clock, seconds.
+        :raises UpstreamError: if it may not.
+        """
+        head = self._read_head(plan, response, sent_at)
+        check_answer_head(response, head)
+        if response.status < 500:
+            self._check_may_begin(response)
+            return
+        if response.status != GATEWAY_TIMEOUT_STATUS:
+            source = (self._service, plan.version, plan.lease.replica.name)
+            self._context.evidence.record_answer(plan.rollout, source, True)
+        raise _failed_answer_error(response.status)
+
     def _check_may_begin(self, response: Response) -> None:
-        """Check that an answer that is no stream does not follow part of a stream.
+        """Check that only the rest of a stream follows a part of it.
 
-        :raises UpstreamError: if it does.
+        :raises UpstreamError: if another answer would.
         """
-        if self._relay.started and response.status < 500:
+        if self._relay.started and response.status != 200 and response.status < 500:
             raise UpstreamError(
                 RefusalReason.UPSTREAM_GARBLED,
                 Execution.UNKNOWN,
@@ -490,11 +508,7 @@
         answer = self._relay.read_answer(response, body)
         if response.status >= 500:
             self._error_answer = answer
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_FAILED,
-                Execution.RAN,
-                f"the replica answered with status {response.status}",
-            )
+            raise _failed_answer_error(response.status)
         self._measurements.record_answer_time(
             self._context.clock.monotonic() - started_at
         )
@@ -623,3 +637,11 @@
             answered_at - self._received_at,
             now - self._received_at,
         )
+
+
+def _failed_answer_error(status: int) -> UpstreamError:
+    return UpstreamError(
+        RefusalReason.UPSTREAM_FAILED,
+        Execution.RAN,
+        f"the replica answered with status {status}",
+    )
--- a/packages/node/src/lentilshore_node/delivery/handover.py
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -61,8 +61,8 @@
     :param request_id: identifier of the request, for the log.
     :param loop: the request's attempts, for their retry limits.
     :param send: opens a connection and sends an attempt.
-    :param check_head: raises UpstreamError if the head of an answer rejects the
-        request; called with the plan, the answer and the start of the attempt.
+    :param check_head: raises UpstreamError if an answer with this head can't be
+        relayed; called with the plan, the answer and the start of the attempt.
     :param record_failure: records an attempt that was not taken up, with its failure.
         Its call is None if nothing was sent.
     """
@@ -127,7 +127,8 @@
             self._next = begun
         except UpstreamError as error:
             failure = error
-            self._loop.give_back_retry()
+            if error.execution is Execution.NOT_RUN:
+                self._loop.give_back_retry()
             self._record_failure(begun, error)
             self._report_kept(error.reason.value)
         except RefusalError as refusal:
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -264,3 +264,32 @@
     assert (caller.status, caller.complete) == (200, True)
     assert len(harness.server.requests) == 1
     assert not harness.context.metrics.render().count(RetryDenial.ROUTE_ATTEMPTS.value)
+
+
+# Guards against EXPOSURE: failures during a handover count as those of their version.
+def test_a_failure_that_takes_no_request_up_counts_against_its_version():
+    outcomes = []
+
+    async def act(harness, application, caller):
+        evidence = harness.context.evidence
+        evidence.record_answer = lambda _, source, bad: outcomes.append((source, bad))
+        await caller.send_to(application)
+
+    scripts = [after(0.6, signed(b"whole")), failure]
+    harness = GatewayHarness(scripts, TWO_ATTEMPTS)
+    harness.run(Caller(), act)
+    (bad_source, bad), (_, sound) = outcomes
+    bad_replica = harness.server.requests[1][1]["x-expect-instance"]
+    assert (bad_source, bad, sound) == (("pool", "v1", bad_replica), True, False)
+
+
+# Guards against LOST: a stream that had begun was handed over to no replica.
+def test_a_silent_stream_goes_on_at_a_replica_that_takes_it_up():
+    def silent(fields):
+        return [stream_head(fields), chunk(event(1)), "hang"]
+
+    harness = GatewayHarness([silent, stream([2, 3], "whole")], TWO_STREAMS)
+    caller = harness.run(Caller())
+    assert caller.body == event(1) + event(2) + event(3)
+    assert caller.complete
+    assert harness.server.requests[1][1]["last-event-id"] == "1"
