Go on with a handover until the current attempt has answered

Callers got 502, 503 or a cut stream with time left, though a sound replica had their request: any byte of the current attempt, and the end of its connection, gave up the attempt that was being begun beside it. If those bytes were a rejection, a failure or part of an event, no attempt was left, or a third one was sent and paid for. Bytes that complete no event and parts of a slow body stopped every handover alike, so that such an answer was followed to the time limit.

Cause: the attempt was begun within the question for an extension of a timeout, which the connection cancels at each byte.

Change: `Handover` begins it in a task of its own. Events, an answer's head that may be relayed, and the end of the request end it; a later question and a failure of the current attempt wait for it. It counts as a possible run, and its lease is released, at the moment at which it is given up and not a step of the event loop later. While it is under way the reader of a failed answer looks at it, so that two replicas don't work on a request for long.

The protocol's `next_has_begun` waits; its callers and the stand-in of tests/test_attempts.py follow.

--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -140,7 +140,7 @@
         """Return None: only the retry budget and the deadline bound the attempts."""
         return None
 
-    def next_has_begun(self) -> bool:
+    async def next_has_begun(self) -> bool:
         """Return False: attempts follow one another."""
         return False
 
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -113,8 +113,11 @@
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
-    def next_has_begun(self) -> bool:
-        """Return whether the next attempt was begun before the last one ended."""
+    async def next_has_begun(self) -> bool:
+        """Return whether the next attempt was begun before the last one ended.
+
+        Waits until that is known.
+        """
 
 
 class AttemptLoop:
@@ -148,7 +151,7 @@
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
                 self._request.record_failure(lease, error)
-                if self._request.next_has_begun():
+                if await self._request.next_has_begun():
                     continue
                 denial = self._request.retry_denial() or self.take_retry(
                     error.execution
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -230,9 +230,12 @@
         self._plan = begun.plan if begun else self._make_plan(self._model, tried)
         return self._plan.lease
 
-    def next_has_begun(self) -> bool:
+    async def next_has_begun(self) -> bool:
         """Return whether a replica has taken up the next attempt."""
-        return self._handover.next_attempt is not None
+        if not await self._handover.settle():
+            return False
+        self.record_retry(RetryReason.STALLED)
+        return True
 
     def _make_plan(
         self, model: str, tried: Sequence[str], excluded: str = ""
@@ -460,14 +463,14 @@
         limit_s = self._timeout_limit_s
         if limit_s <= 0:
             return 0.0
-        extension_s = self._loaded_extension_s()
-        if extension_s > 0:
-            return min(limit_s, extension_s)
-        lease = self._plan.lease
-        if self._context.placement.eject_unreachable(lease):
-            self._loop.report_ejection(lease, unreachable=True)
-        if await self._hand_over(self._model, lease.replica.name):
-            self._context.metrics.count(retry_counter(RetryReason.STALLED))
+        if not self._handover.under_way:
+            extension_s = self._loaded_extension_s()
+            if extension_s > 0:
+                return min(limit_s, extension_s)
+            lease = self._plan.lease
+            if self._context.placement.eject_unreachable(lease):
+                self._loop.report_ejection(lease, unreachable=True)
+        if await self._hand_over(self._model, self._replica_name):
             return 0.0
         return min(limit_s, HANDOVER_INTERVAL_S)
 
@@ -488,7 +491,9 @@
         :param model: model of the next attempt.
         :param excluded: name of a replica that must not get it, empty for none.
         """
-        if self._is_last_attempt or self.retry_denial() is not None:
+        if not self._handover.under_way and (
+            self._is_last_attempt or self.retry_denial() is not None
+        ):
             return False
         return await self._handover.begin(
             partial(self._make_plan, model, self._loop.tried, excluded)
@@ -497,11 +502,16 @@
     async def _relay_buffered(
         self, response: Response, head: AnswerHead, started_at: float
     ) -> int:
+        check_answer_head(response, head)
+        if response.status < 500:
+            self._handover.abandon()
         total_s = None
-        if self._route.delivery_mode.repeatable and not self._is_last_attempt:
+        if self._handover.under_way:
+            # What is under way may end the reading at any time.
+            total_s = 0.0
+        elif self._route.delivery_mode.repeatable and not self._is_last_attempt:
             total_s = response.timeout_s
         body = await response.read(BUFFERED_ANSWER_LIMIT_BYTES, total_s)
-        check_answer_head(response, head)
         self._measurements.record_outcome(
             response.status >= 500 and response.status != GATEWAY_TIMEOUT_STATUS
         )
@@ -519,6 +529,7 @@
         self, response: Response, head: AnswerHead, started_at: float
     ) -> int | None:
         check_answer_head(response, head)
+        self._handover.abandon()
         self._measurements.record_first_event(
             self._context.clock.monotonic() - started_at
         )
@@ -536,6 +547,7 @@
 
     def record_events(self) -> None:
         """Record that the replica has sent events of a stream."""
+        self._handover.abandon()
         self._waiting_since = self._context.clock.monotonic()
         self._context.placement.record_answer(self._replica_name)
 
--- a/packages/node/src/lentilshore_node/delivery/handover.py
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -82,49 +82,90 @@
         self._send = send
         self._check_head = check_head
         self._record_failure = record_failure
-        self._next: BegunAttempt | None = None
+        # The attempt that was begun and is not followed yet.
+        self._begun: BegunAttempt | None = None
+        self._taken_up = False
+        # Ends once it is known whether a replica takes the attempt up.
+        self._beginning: asyncio.Task[bool] | None = None
+
+    @property
+    def under_way(self) -> bool:
+        """Whether an attempt was begun that is not followed yet."""
+        return self._beginning is not None or self._taken_up
 
     @property
     def next_attempt(self) -> BegunAttempt | None:
         """The attempt that has been taken up and not begun to be followed."""
-        return self._next
+        return self._begun if self._taken_up else None
 
     def take(self) -> BegunAttempt | None:
         """Return the next attempt, which the caller follows from now on."""
-        begun, self._next = self._next, None
+        begun = self.next_attempt
+        if begun is not None:
+            self._begun, self._taken_up = None, False
         return begun
 
+    def abandon(self) -> None:
+        """End the next attempt, since the current one has answered."""
+        begun = self._begun
+        if begun is not None and begun.call is not None:
+            self._record_failure(begun, _superseded_error())
+        elif begun is not None:
+            self._loop.give_back_retry()
+        self.discard()
+
     def discard(self) -> None:
         """End the next attempt if nobody follows it."""
-        begun = self.take()
-        if begun is not None:
-            self._end(begun, None)
+        beginning, self._beginning = self._beginning, None
+        if beginning is not None:
+            beginning.cancel()
+        if self._begun is not None:
+            self._end(self._begun.plan, None)
 
     async def begin(self, make_plan: Callable[[], AttemptPlan]) -> bool:
         """Begin the next attempt; return whether a replica has taken it up.
 
+        Cancelling this leaves the attempt under way; a later call waits for its end.
+
         :param make_plan: chooses a replica; raises RefusalError if there is none.
         """
+        if not self.under_way:
+            plan = self._plan(make_plan)
+            if plan is None:
+                return False
+            self._begun = BegunAttempt(plan, None, self._context.clock.monotonic())
+            self._beginning = asyncio.ensure_future(self._begin(self._begun))
+        return await self.settle()
+
+    async def settle(self) -> bool:
+        """Wait for the end of what is under way; return whether it was taken up."""
+        if self._beginning is not None:
+            await asyncio.shield(self._beginning)
+            self._beginning = None
+        return self._taken_up
+
+    def _plan(self, make_plan: Callable[[], AttemptPlan]) -> AttemptPlan | None:
         try:
             plan = make_plan()
         except RefusalError as refusal:
             self._report_kept(refusal.reason.value)
-            return False
+            return None
         denial = self._loop.take_retry(Execution.NOT_RUN)
         if denial is not None:
             self._loop.release(plan.lease, None)
             self._report_kept(denial.value)
-            return False
-        return await self._begin(plan)
+            return None
+        return plan
 
-    async def _begin(self, plan: AttemptPlan) -> bool:
-        begun = BegunAttempt(plan, None, self._context.clock.monotonic())
+    async def _begin(self, begun: BegunAttempt) -> bool:
         failure: UpstreamError | None = None
+        taken_up = False
         try:
             with raising_upstream_errors():
-                begun = begun._replace(call=await self._send(plan))
+                begun = begun._replace(call=await self._send(begun.plan))
+                self._begun = begun
                 await self._wait_for_rejection(begun)
-            self._next = begun
+            taken_up = self._taken_up = True
         except UpstreamError as error:
             failure = error
             if error.execution is Execution.NOT_RUN:
@@ -132,20 +173,22 @@
             self._record_failure(begun, error)
             self._report_kept(error.reason.value)
         except RefusalError as refusal:
+            self._loop.give_back_retry()
             self._report_kept(refusal.reason.value)
-        except asyncio.CancelledError:
-            if begun.call is not None:
-                self._record_failure(begun, _superseded_error())
-            raise
         finally:
-            if self._next is None:
-                self._end(begun, failure)
-        return self._next is not None
-
-    def _end(self, begun: BegunAttempt, failure: UpstreamError | None) -> None:
+            if not taken_up:
+                self._end(begun.plan, failure)
+        return taken_up
+
+    def _end(self, plan: AttemptPlan, failure: UpstreamError | None) -> None:
+        """End an attempt and release its lease, unless that was done."""
+        begun = self._begun
+        if begun is None or begun.plan is not plan:
+            return
+        self._begun, self._taken_up = None, False
         if begun.call is not None:
             begun.call.end()
-        self._loop.release(begun.plan.lease, failure)
+        self._loop.release(plan.lease, failure)
 
     async def _wait_for_rejection(self, begun: BegunAttempt) -> None:
         try:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -53,7 +53,7 @@
     def record_retry(self, reason):
         self.retried.append(reason)
 
-    def next_has_begun(self):
+    async def next_has_begun(self):
         return False
 
 
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -8,7 +8,7 @@
 
 from lentilshore_kernel.types import RetryDenial
 from lentilshore_routing.routes import DeliveryMode
-from tests.scripted import answer
+from tests.scripted import ScriptedServer, answer
 from tests.test_gateway import (
     REJECTED,
     SIGNED,
@@ -185,6 +185,39 @@
     assert caller.complete
 
 
+# Guards against TWICE: two replicas worked on a request for as long as the rest of an
+# answer took, since nothing looked at a handover that was under way.
+@pytest.mark.parametrize("status", ["200 OK", "500 Error"])
+def test_an_answer_that_halts_after_its_head_ends_one_of_two_attempts(status):
+    ends = []
+
+    def halting_body(fields):
+        data = signed(b"whole", status)(fields)[0]
+        return [0.6, data[:-2], "hang"]
+
+    class Server(ScriptedServer):
+        async def _serve_request(self, reader, writer, held_back):
+            begun_at = anyio.current_time()
+            number = len(self.requests)
+            try:
+                return await super()._serve_request(reader, writer, held_back)
+            finally:
+                ends.append((number, begun_at, anyio.current_time()))
+
+    slow = route(DeliveryMode.IDEMPOTENT, attempts=2, latency_objective_s=0.2)
+    harness = GatewayHarness([halting_body, ["hang"]], slow)
+    harness.server = Server([halting_body, ["hang"]])
+
+    async def act(harness, application, caller):
+        await caller.send_to(application)
+        await anyio.sleep(0.05)
+
+    harness.run(Caller(), act)
+    times = dict((number, (begun, end)) for number, begun, end in ends)
+    overlap_s = min(times[0][1], times[1][1]) - times[1][0]
+    assert overlap_s < 0.4
+
+
 def leases(harness):
     placement = harness.context.placement
     return sum(placement.in_flight(name) for name in ("i-1", "i-2"))
