Log of each failed attempt what its own answer said

The line of an attempt that ended while the next one was begun bore the status and identifier of the next one's answer, and that of the next one bore none: both shared one set of log fields. They are now kept for each lease.

tests/test_handover_races.py: 2 cases failed before, none now.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -125,8 +125,8 @@
         self._possible_runs = 0
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
-        # Log fields of the answer to the current attempt, empty before its head.
-        self._answer_log_fields: dict[str, str | int] = {}
+        # Log fields of the answers to the attempts, by lease.
+        self._answer_log_fields: dict[ReplicaLease, dict[str, str | int]] = {}
         # When the current wait for data from the replica began, on the node's clock.
         self._waiting_since = received_at
         self._proof = ExecutionProof()
@@ -311,7 +311,6 @@
         """Record an attempt that ended before it was followed."""
         self._attempts += 1
         elapsed_s = self._context.clock.monotonic() - begun.started_at
-        self._answer_log_fields = {}
         self._log_failure(begun.plan, error, elapsed_s)
         if begun.call is not None:
             self._possible_runs += error.execution is not Execution.NOT_RUN
@@ -344,7 +343,6 @@
         plan, begun = self._plan, self._handover.take()
         self._attempts += 1
         self._model = plan.model
-        self._answer_log_fields = {}
         self._attempt_started_at = (
             begun.started_at if begun else self._context.clock.monotonic()
         )
@@ -390,7 +388,7 @@
         :raises UpstreamError: if the replica did not run the request.
         """
         head = self._context.translator.read_head(response.status, response.headers)
-        self._answer_log_fields = {
+        self._answer_log_fields[plan.lease] = {
             "answer_status": response.status,
             "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
             "connection_calls": response.connection_calls,
@@ -634,7 +632,7 @@
             execution=error.execution.value,
             detail=error.detail,
             elapsed_ms=f"{elapsed_s * 1000:.1f}",
-            **self._answer_log_fields,
+            **self._answer_log_fields.get(plan.lease, {}),
         )
 
     def _outcome(self, status: int) -> Outcome:
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -4,6 +4,7 @@
 import gc
 
 import anyio
+import eliot
 import pytest
 
 from lentilshore_kernel.types import RetryDenial
@@ -326,3 +327,25 @@
     assert caller.body == event(1) + event(2) + event(3)
     assert caller.complete
     assert harness.server.requests[1][1]["last-event-id"] == "1"
+
+
+# The log told of the failed attempt what the next one's answer had said.
+@pytest.mark.parametrize("next_script", [signed(b"whole"), rejection])
+def test_the_log_of_an_attempt_names_its_own_answer(next_script):
+    lines = []
+    silent = after(0.6, signed(b"late"))
+
+    async def act(harness, application, caller):
+        eliot.add_destinations(lines.append)
+        try:
+            await caller.send_to(application)
+        finally:
+            eliot.remove_destination(lines.append)
+
+    GatewayHarness([silent, next_script], TWO_ATTEMPTS).run(Caller(), act)
+    failures = [m for m in lines if m["message_type"] == "attempt_failed"]
+    statuses = [(m["reason"], m.get("answer_status")) for m in failures]
+    expected = ("upstream_stalled", None)
+    if next_script is rejection:
+        expected = ("upstream_full", 503)
+    assert set(statuses) == {expected}
