--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -51,6 +51,7 @@
             logged.append(message)
 
     eliot.add_destinations(collect)
+    logged.clear()  # what earlier tests have logged
     yield logged
     eliot.remove_destination(collect)
 
