--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -337,6 +337,7 @@
 
     async def act(harness, application, caller):
         eliot.add_destinations(lines.append)
+        lines.clear()  # what earlier tests have logged
         try:
             await caller.send_to(application)
         finally:
