Ask for a retry before a replica is chosen for a handover

Each try to hand over a request chose a replica first, which counts as a request against a limit that the replica has named and notes its prefix as cached, and then asked for a retry. Without one it sent nothing: a silent request used up four requests a second of a limited replica, and callers there were refused.

`RetryPolicy.denial` tells what denies a retry without counting one; the stand-ins of budgets in tests follow.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -177,6 +177,13 @@
             scope.tree_id, scope.group, scope.repeatable, execution
         )
 
+    def retry_denial(self, execution: Execution) -> RetryDenial | None:
+        """Return what denies a retry, without taking one, see :meth:`take_retry`."""
+        scope = self._scope
+        return self._context.retries.denial(
+            scope.tree_id, scope.group, scope.repeatable, execution
+        )
+
     def give_back_retry(self) -> None:
         """Return a retry that a replica has rejected to the request's tree."""
         self._context.retries.give_back(self._scope.tree_id)
--- a/packages/node/src/lentilshore_node/delivery/handover.py
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -145,16 +145,17 @@
         return self._taken_up
 
     def _plan(self, make_plan: Callable[[], AttemptPlan]) -> AttemptPlan | None:
+        # A plan uses up part of a replica's limit, so that it is made last.
+        denial = self._loop.retry_denial(Execution.NOT_RUN)
+        if denial is not None:
+            self._report_kept(denial.value)
+            return None
         try:
             plan = make_plan()
         except RefusalError as refusal:
             self._report_kept(refusal.reason.value)
             return None
-        denial = self._loop.take_retry(Execution.NOT_RUN)
-        if denial is not None:
-            self._loop.release(plan.lease, None)
-            self._report_kept(denial.value)
-            return None
+        self._loop.take_retry(Execution.NOT_RUN)
         return plan
 
     async def _begin(self, begun: BegunAttempt) -> bool:
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -25,6 +25,9 @@
     def earn(self) -> None:
         """Count a first attempt."""
 
+    def can_spend(self) -> bool:
+        """Return whether a retry is allowed now."""
+
     def try_spend(self) -> bool:
         """Count a retry; return False if none is allowed now."""
 
@@ -56,12 +59,16 @@
         self._first_attempts.append(self._clock.monotonic())
         self._drop_expired(self._first_attempts)
 
-    def try_spend(self) -> bool:
-        """Count a retry; return False if none is allowed now."""
+    def can_spend(self) -> bool:
+        """Return whether a retry is allowed now."""
         self._drop_expired(self._first_attempts)
         self._drop_expired(self._retries)
         allowed = self._reserve + self._ratio * len(self._first_attempts)
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def try_spend(self) -> bool:
+        """Count a retry; return False if none is allowed now."""
+        if not self.can_spend():
             return False
         self._retries.append(self._clock.monotonic())
         return True
@@ -99,9 +106,13 @@
         """Count a first attempt."""
         self._balance = min(self._balance + self._ratio, self._capacity)
 
+    def can_spend(self) -> bool:
+        """Return whether a retry is left."""
+        return self._balance >= 1.0
+
     def try_spend(self) -> bool:
         """Take one retry from the bucket; return False if none is left."""
-        if self._balance < 1.0:
+        if not self.can_spend():
             return False
         self._balance -= 1.0
         return True
@@ -143,19 +154,29 @@
             certain.
         :returns: what denies the retry; None if it is allowed.
         """
-        if not repeatable and execution is not Execution.NOT_RUN:
-            return RetryDenial.UNREPEATABLE
-        retries = self._retries_by_tree.get(tree_id, 0)
-        if retries >= self._tree_retry_limit:
-            return RetryDenial.TREE_LIMIT
+        denial = self.denial(tree_id, group, repeatable, execution)
+        if denial is not None:
+            return denial
         if not self._budget(group).try_spend():
             return RetryDenial.BUDGET
-        self._retries_by_tree[tree_id] = retries + 1
+        self._retries_by_tree[tree_id] = self._retries_by_tree.get(tree_id, 0) + 1
         self._retries_by_tree.move_to_end(tree_id)
         if len(self._retries_by_tree) > TRACKED_TREES_LIMIT:
             self._retries_by_tree.popitem(last=False)
         return None
 
+    def denial(
+        self, tree_id: str, group: str, repeatable: bool, execution: Execution
+    ) -> RetryDenial | None:
+        """Return what denies a retry, without counting one, see :meth:`take`."""
+        if not repeatable and execution is not Execution.NOT_RUN:
+            return RetryDenial.UNREPEATABLE
+        if self._retries_by_tree.get(tree_id, 0) >= self._tree_retry_limit:
+            return RetryDenial.TREE_LIMIT
+        if not self._budget(group).can_spend():
+            return RetryDenial.BUDGET
+        return None
+
     def give_back(self, tree_id: str) -> None:
         """Return a retry to its tree after a replica has rejected it.
 
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -80,8 +80,12 @@
     def earn(self):
         """Count nothing."""
 
-    def try_spend(self):
+    def can_spend(self):
         """Allow the first retry."""
+        return not self._spent
+
+    def try_spend(self):
+        """Count a retry."""
         allowed, self._spent = not self._spent, True
         return allowed
 
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -67,10 +67,12 @@
     def earn(self):
         """Count nothing."""
 
-    def try_spend(self):
+    def can_spend(self):
         """Allow no retry."""
         return False
 
+    try_spend = can_spend
+
 
 async def without_budget(harness, application, caller):
     harness.context.retries._create_budget = NoRetries
