Report a silent replica as ejected once

Each try to hand over a request logged and counted `replica_rested` for a replica that was ejected already, four times a second and request.

tests/test_handover_costs.py: 2 cases failed before, none now.

--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -297,12 +297,14 @@
         """Eject a replica that has not answered a request in time.
 
         :param lease: lease of the request, which goes on.
-        :returns: whether the replica is ejected from now on.
+        :returns: whether the replica is ejected from now on, and was not before.
         """
         state = self._states.get(lease.replica.name)
         if state is None:
             return False
-        return self._eject_unreachable(state, lease, self._clock.monotonic())
+        now = self._clock.monotonic()
+        was_ejected = state.ejected_until > now
+        return self._eject_unreachable(state, lease, now) and not was_ejected
 
     def _eject_unreachable(
         self, state: _ReplicaState, lease: ReplicaLease, now: float
