--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -118,8 +118,11 @@
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
-    def next_has_begun(self) -> bool:
-        """Return whether the next attempt was begun before the last one ended."""
+    async def next_has_begun(self) -> bool:
+        """Return whether the next attempt was begun before the last one ended.
+
+        Waits until that is known.
+        """
 
 
 class AttemptLoop:
@@ -153,7 +156,7 @@
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
                 self._request.record_failure(lease, error)
-                if self._request.next_has_begun():
+                if await self._request.next_has_begun():
                     continue
                 denial = self._request.retry_denial() or self.take_retry(
                     error.execution
@@ -179,6 +182,13 @@
             scope.tree_id, scope.group, scope.repeatable, execution
         )
 
+    def retry_denial(self, execution: Execution) -> RetryDenial | None:
+        """Return what denies a retry, without taking one, see :meth:`take_retry`."""
+        scope = self._scope
+        return self._context.retries.denial(
+            scope.tree_id, scope.group, scope.repeatable, execution
+        )
+
     def give_back_retry(self) -> None:
         """Return a retry that a replica has rejected to the request's tree."""
         self._context.retries.give_back(self._scope.tree_id)
