Blame a part whose crashes overlap from the fifth on

Requests with such a part that come at once crash several replicas before the next one is sent, so that crashes in a row were too few. A part that was never answered is now blamed at five crashes, two of them in a row. Nodes keep no more answers than clear a part, so that what they tell becomes equal.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -26,6 +26,9 @@
 # that was.
 BLAME_CRASHES = 3
 ANSWERED_BLAME_CRASHES = 5
+# Crashes under which a part is blamed that was not answered before, if two of them at
+# least followed one another.
+OVERLAPPING_BLAME_CRASHES = 5
 # A blamed part has more crashes than this for each answer.
 CRASHES_PER_ANSWER = 4
 # A part explains crashes, before it is blamed, from this number of crashes in a row.
@@ -46,9 +49,8 @@
 MAX_PARTS = 128
 MAX_TOLD_PARTS = 32
 MAX_CRASHES = 8  # of one part, the newest
-MAX_ANSWERS = 4  # to one part, the newest
-# Answers to one part that other nodes should hear of soon: enough to clear it.
-URGENT_ANSWERS = MAX_CRASHES // CRASHES_PER_ANSWER
+# To one part, the newest; as many clear it of all its crashes.
+MAX_ANSWERS = MAX_CRASHES // CRASHES_PER_ANSWER
 MAX_ANSWERED_PARTS = 4_096
 MAX_ANSWERED_BEFORE = 1_000
 MAX_POSITION = 1_000
@@ -114,6 +116,14 @@
     last_request: str
 
 
+class _Score(NamedTuple):
+    """Crashes in a row, all crashes since the first of them, and answers since."""
+
+    chained: int = 0
+    crashes: int = 0
+    answers: int = 0
+
+
 class _Part:
     """A part under which a replica has crashed."""
 
@@ -124,9 +134,8 @@
         self.seen_at = -math.inf
         self.crashes: dict[str, _Crash] = {}
         self.answers: dict[str, float] = {}
-        # Results of the last review, without the crashes that other parts explain.
-        self.crash_count = 0
-        self.answer_count = 0
+        # Result of the last review, without the crashes that other parts explain.
+        self.score = _Score()
 
     @property
     def last_crash_at(self) -> float:
@@ -142,14 +151,19 @@
     @property
     def condemned(self) -> bool:
         """Whether the crashes suffice for blame."""
-        needed = ANSWERED_BLAME_CRASHES if self.answered else BLAME_CRASHES
-        allowed = CRASHES_PER_ANSWER * self.answer_count
-        return self.crash_count >= needed and self.crash_count > allowed
+        score = self.score
+        if score.chained <= CRASHES_PER_ANSWER * score.answers:
+            return False
+        if self.answered:
+            return score.chained >= ANSWERED_BLAME_CRASHES
+        overlapping = score.crashes >= OVERLAPPING_BLAME_CRASHES
+        return score.chained >= (SUSPECT_CRASHES if overlapping else BLAME_CRASHES)
 
     @property
     def explains_crashes(self) -> bool:
         """Whether the part is suspect enough to clear others of its crashes."""
-        suspect = self.crash_count >= SUSPECT_CRASHES and not self.answer_count
+        score = self.score
+        suspect = score.chained >= SUSPECT_CRASHES and not score.answers
         return suspect or self.condemned
 
     def preference(self) -> tuple[int, int, int, str]:
@@ -190,19 +204,24 @@
         self.answers[request] = at
         if len(self.answers) > MAX_ANSWERS:
             del self.answers[min(self.answers, key=lambda r: (self.answers[r], r))]
-        return len(self.answers) <= URGENT_ANSWERS
+            return False
+        return self.score.chained >= SUSPECT_CRASHES
 
-    def count(self, explained: set[str]) -> tuple[int, int]:
-        """Return the crashes in a row and the answers since the first of them.
+    def count(self, explained: set[str]) -> _Score:
+        """Return the score of the part.
 
         :param explained: digests of the replicas whose crashes don't count.
         """
         crashes = [c for c in self.crashes.values() if c.replica not in explained]
         chain = _chain(crashes)
         if not chain:
-            return 0, 0
+            return _Score()
         first_at = chain[0].ended_at
-        return len(chain), sum(at >= first_at for at in self.answers.values())
+        return _Score(
+            len(chain),
+            sum(crash.ended_at >= first_at for crash in crashes),
+            sum(at >= first_at for at in self.answers.values()),
+        )
 
     def forget_old(self, now: float) -> None:
         """Forget crashes that are too old to be told."""
@@ -213,7 +232,7 @@
     def news(self, now: float) -> PartNews:
         """Return what other nodes are told."""
         crashes = sorted(self.crashes.values(), key=lambda c: (-c.ended_at, c.replica))
-        if self.answer_count and not self.condemned:
+        if self.score.answers and not self.condemned:
             # The answers tell enough of a part that is cleared.
             crashes = crashes[:1]
         return PartNews(
@@ -303,7 +322,8 @@
         for _, digest in _candidates(parts):
             self._remember_answer(digest, request, now)
             part = self._parts.get(digest)
-            if part is not None:
+            # More answers would only make what nodes tell one another differ.
+            if part is not None and part.score.answers < MAX_ANSWERS:
                 urgent |= part.add_answer(request, now)
         if urgent:
             self._review()
@@ -340,9 +360,9 @@
             part = self._parts.get(digest)
             if part is None:
                 continue
-            crash_count, answer_count = part.count(explained)
-            sound = answer_count or part.answered and crash_count < SUSPECT_CRASHES
-            if crash_count and not sound:
+            score = part.count(explained)
+            once = part.answered and score.chained < SUSPECT_CRASHES
+            if score.chained and not score.answers and not once:
                 return False
         return True
 
@@ -356,7 +376,7 @@
         others = [
             part
             for part in self._parts.values()
-            if part.crash_count and not part.condemned
+            if part.score.chained and not part.condemned
         ]
         free = MAX_TOLD_PARTS - len(told)
         if len(others) > free:
@@ -438,7 +458,7 @@
         explained: set[str] = set()
         for part in sorted(self._parts.values(), key=_Part.preference):
             part.forget_old(now)
-            part.crash_count, part.answer_count = part.count(explained)
+            part.score = part.count(explained)
             if part.explains_crashes:
                 explained.update(part.crashes)
         self._forget(now)
