--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -56,6 +56,24 @@
         "call",
         "Store calls, by kind and result",
     ),
+    MetricFamily(
+        "retry_denied",
+        "lentilshore_denied_retries",
+        "cause",
+        "Attempts that failed and were not repeated, by cause",
+    ),
+    MetricFamily(
+        "attempt_kept",
+        "lentilshore_kept_attempts",
+        "cause",
+        "Timeouts after which no other attempt took the place of the first, by cause",
+    ),
+    MetricFamily(
+        "crash",
+        "lentilshore_replica_crashes",
+        "moment",
+        "Replicas that ended during a request, by the moment",
+    ),
     MetricFamily(
         "store.failed",
         "lentilshore_store_failures",
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -45,6 +45,7 @@
     UPSTREAM_FULL = "upstream_full"
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LIMITED = "upstream_limited"
+    PROMPT_PART_BLAMED = "prompt_part_blamed"
     ANSWER_MISMATCH = "answer_mismatch"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
@@ -74,6 +75,18 @@
     ESCALATED = "escalated"
 
 
+class RetryDenial(StrEnum):
+    """Closed enumeration of what keeps a failed attempt from being repeated."""
+
+    UNREPEATABLE = "unrepeatable"
+    ANSWER_STARTED = "answer_started"
+    ROUTE_ATTEMPTS = "route_attempts"
+    TIME_LEFT = "time_left"
+    TREE_LIMIT = "tree_limit"
+    BUDGET = "budget"
+    PROMPT_PART_SUSPECTED = "prompt_part_suspected"
+
+
 class StateChange(StrEnum):
     """Closed enumeration of the changes that a node sees in the fleet and in itself."""
 
@@ -86,6 +99,8 @@
     REPLICA_EJECTED = "replica_rested"
     REPLICA_LIMITED = "replica_limited"
     REPLICA_LIMIT_ENDED = "replica_limit_ended"
+    PROMPT_PART_BLAMED = "prompt_part_blamed"
+    PROMPT_PART_CLEARED = "prompt_part_cleared"
     ROLLOUT_SEEN = "rollout_seen"
     ROLLOUT_GONE = "rollout_gone"
     ROLLOUT_KEPT = "rollout_kept"
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -8,7 +8,7 @@
 
 from lentilshore_kernel.types import Execution
 from lentilshore_node.callers import forwarder
-from lentilshore_node.delivery import answers, attempts, delivery
+from lentilshore_node.delivery import answers, attempt_sender, attempts, delivery
 from lentilshore_node.state import fleet_view_updater
 from lentilshore_platform.translator import HeaderTranslator
 from lentilshore_routing import retries, staging, version_choice
@@ -168,10 +168,6 @@
     return False
 
 
-def _return_true(*_, **__):
-    return True
-
-
 def _return_none(*_, **__):
     return None
 
@@ -210,14 +206,14 @@
 
 
 MUTANTS = [
-    (sends_unrepeatable_requests_once, retries.RetryPolicy, "allow", _return_true),
+    (sends_unrepeatable_requests_once, retries.RetryPolicy, "take", _return_none),
     (
         denies_execution_only_if_proved,
         attempts.ExecutionProof,
         "execution",
         property(lambda self: Execution.NOT_RUN),
     ),
-    (keeps_to_the_attempt_limit, delivery.Delivery, "may_retry", _return_true),
+    (keeps_to_the_attempt_limit, delivery.Delivery, "retry_denial", _return_none),
     (
         relays_only_genuine_answers,
         HeaderTranslator,
@@ -235,7 +231,7 @@
     (refuses_unproved_keys, forwarder.Forwarder, "require_key_proof", _return_none),
     (
         avoids_draining_replicas,
-        delivery.Delivery,
+        attempt_sender.AttemptSender,
         "_check_replica_usable",
         _return_none,
     ),
