Keep the newest answers to a suspected part

A part that is answered all the time kept its first answers only, which were older than the crashes that count, so that random crashes every half second blamed a first part in test_replicas_that_crash_by_themselves_blame_no_part[0.5-6]. The newest answers count.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -322,8 +322,7 @@
         for _, digest in _candidates(parts):
             self._remember_answer(digest, request, now)
             part = self._parts.get(digest)
-            # More answers would only make what nodes tell one another differ.
-            if part is not None and part.score.answers < MAX_ANSWERS:
+            if part is not None:
                 urgent |= part.add_answer(request, now)
         if urgent:
             self._review()
