Tell others of answered parts that may explain crashes

Those that knew of the answers did not tell, since the crashes were explained. A part that all gateways are served has the same checksum everywhere, whichever answers they have got.

--- a/packages/node/src/lentilshore_node/peers/blame_exchange.py
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -275,7 +275,9 @@
 def checksum(item: PartNews) -> int:
     """Return a checksum of what is known of a part, its times excepted."""
     crashes = sorted(crash.replica for crash in item.crashes)
-    answers = sorted(answer.request for answer in item.answers)
+    # Each gateway gets other answers to a part that all are served.
+    known = () if item.settled else item.answers
+    answers = sorted(answer.request for answer in known)
     content = (item.position, item.answered_before, crashes, answers)
     return zlib.crc32(repr(content).encode())
 
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -101,6 +101,13 @@
     answered_before: int
     seen_age_s: float
 
+    @property
+    def settled(self) -> bool:
+        """Whether the part is cleared of all crashes told, whatever the answers are."""
+        crash_age_s = min(crash.age_s for crash in self.crashes)
+        since = sum(answer.age_s < crash_age_s for answer in self.answers)
+        return since >= MAX_ANSWERS
+
 
 class _Crash(NamedTuple):
     replica: str
@@ -166,6 +173,22 @@
         suspect = score.chained >= SUSPECT_CRASHES and not score.answers
         return suspect or self.condemned
 
+    @property
+    def settled(self) -> bool:
+        """Whether the part is cleared of all crashes so far."""
+        since = sum(at > self.last_crash_at for at in self.answers.values())
+        return since >= MAX_ANSWERS
+
+    @property
+    def is_told(self) -> bool:
+        """Whether other nodes are told of the part.
+
+        They may not know that it was answered, and let it explain crashes. Otherwise
+        they find out themselves that another part explains its own.
+        """
+        may_explain = self.answered and len(self.crashes) >= SUSPECT_CRASHES
+        return self.score.chained > 0 or may_explain
+
     def preference(self) -> tuple[int, int, int, str]:
         """Return the order in which parts are suspected of the same crash."""
         answered = self.answered_before + len(self.answers)
@@ -232,7 +255,8 @@
     def news(self, now: float) -> PartNews:
         """Return what other nodes are told."""
         crashes = sorted(self.crashes.values(), key=lambda c: (-c.ended_at, c.replica))
-        if self.score.answers and not self.condemned:
+        cleared = self.score.answers > 0 or not self.score.chained
+        if cleared and not self.condemned:
             # The answers tell enough of a part that is cleared.
             crashes = crashes[:1]
         return PartNews(
@@ -322,7 +346,7 @@
         for _, digest in _candidates(parts):
             self._remember_answer(digest, request, now)
             part = self._parts.get(digest)
-            if part is not None:
+            if part is not None and not part.settled:
                 urgent |= part.add_answer(request, now)
         if urgent:
             self._review()
@@ -369,18 +393,11 @@
         """Return what this node knows, for other nodes."""
         self._review_if_due()
         now = self._clock.monotonic()
-        told = [part for part in self._parts.values() if part.condemned]
-        told.sort(key=lambda part: part.seen_at, reverse=True)
-        del told[MAX_TOLD_PARTS:]
-        others = [
-            part
-            for part in self._parts.values()
-            if part.score.chained and not part.condemned
-        ]
-        free = MAX_TOLD_PARTS - len(told)
-        if len(others) > free:
-            others = self._random.sample(others, free)
-        return [part.news(now) for part in told + others]
+        told = [part for part in self._parts.values() if part.is_told]
+        # Where there are too many, the most suspect ones and a random choice.
+        self._random.shuffle(told)
+        told.sort(key=lambda part: (part.condemned, len(part.crashes)), reverse=True)
+        return [part.news(now) for part in told[:MAX_TOLD_PARTS]]
 
     def learn(self, news: Iterable[PartNews], asked_at: float) -> list[str]:
         """Accept what another node knows.
