--- a/packages/node/src/lentilshore_node/peers/blame_exchange.py
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -39,8 +39,10 @@
 # Interval while no other gateway answers.
 RETRY_INTERVAL_S = 0.4
 CALL_TIMEOUT_S = 0.3
-# Gateways to call in turn until one answers.
-MAX_PEERS_IN_TURN = 3
+# Gateways to ask in turn for a first answer after the start.
+MAX_FIRST_PEERS = 3
+# Gateways of the ring to tell in turn until one answers.
+MAX_NEXT_PEERS = 8
 # Others leave a gateway alone for this time after it has been out of reach.
 RECOVERY_S = MAX_FAILED_PEER_PAUSE_S
 # Failed calls in a row after which a gateway takes itself to be out of reach.
@@ -52,7 +54,7 @@
 SEEN_STEP_S = 15.0
 # Parts that are not blamed in one answer. Where more are suspected than a gateway
 # tells, two gateways seldom list the same ones.
-MAX_SUSPECTS_TOLD = 8
+MAX_SUSPECTS_TOLD = 6
 # Older news is not told, since the clocks by which it ends differ a little.
 MAX_TOLD_AGE_S = BLAME_QUIET_S - 5.0
 HEADERS = {"content-type": "application/msgpack"}
@@ -156,7 +158,7 @@
 
         Random ones alone would leave out some.
         """
-        for peer in self._directory.next_peers(MAX_PEERS_IN_TURN):
+        for peer in self._directory.next_peers(MAX_NEXT_PEERS):
             if await self._call(peer, parts) is not None:
                 return
 
@@ -174,7 +176,7 @@
         clock = self._context.clock
         await self._directory.wait_for_others()
         self._recovering_until = clock.monotonic() + RECOVERY_S
-        await self.ask(MAX_PEERS_IN_TURN)
+        await self.ask(MAX_FIRST_PEERS)
         while True:
             delay_s = self._interval_s() * (0.5 + self._context.random.random())
             due_at = clock.monotonic() + delay_s
