Count crashes in a row where they are seen

Whether a crash followed another was judged by times that news changed on its way, by up to some tenths of a second in a few hops. So gateways that were told took crashes in a row for crashes at one time and went on to send such requests, and, with calls that take up to 0.1 s longer, took five replicas that were lost at one time for crashes in a row and blamed a part that harms nothing.

The gateway that sees a crash now gives it a rank, one more than that of the crashes that it knew to have ended before it sent the request. The rank is told instead of the time of sending, and a chain has one crash of each rank.

--- a/packages/node/src/lentilshore_node/peers/blame_exchange.py
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -276,7 +276,7 @@
 
 def checksum(item: PartNews) -> int:
     """Return a checksum of what is known of a part, its times excepted."""
-    crashes = sorted(crash.replica for crash in item.crashes)
+    crashes = sorted((crash.replica, crash.rank) for crash in item.crashes)
     answers = sorted(answer.request for answer in item.answers)
     content = (item.position, item.answered_before, crashes, answers)
     return zlib.crc32(repr(content).encode())
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -54,6 +54,7 @@
 MAX_ANSWERED_PARTS = 4_096
 MAX_ANSWERED_BEFORE = 1_000
 MAX_POSITION = 1_000
+MAX_RANK = 1_000
 
 _PART_DIGEST = re.compile(r"[0-9a-f]{16}\Z")
 _SHORT_DIGEST = re.compile(r"[0-9a-f]{8}\Z")
@@ -63,12 +64,14 @@
     """Crash of a replica as it began an answer to a part.
 
     :param replica: digest of the replica's name, 8 hexadecimal digits.
-    :param sent_age_s: time since the request was sent to it, seconds.
+    :param rank: 1, or one more than the highest rank of the crashes after which the
+        request was sent. The node that saw the crash counts it: nodes' times differ by
+        more than some crashes are apart.
     :param age_s: time since its connection ended, seconds.
     """
 
     replica: str
-    sent_age_s: float
+    rank: int
     age_s: float
 
 
@@ -103,9 +106,12 @@
 
 
 class _Crash(NamedTuple):
+    """Crash of a replica; ``ended_by`` is the latest time that its news allows."""
+
     replica: str
-    sent_at: float
+    rank: int
     ended_at: float
+    ended_by: float
 
 
 class _Answers(NamedTuple):
@@ -181,14 +187,20 @@
             return True
         return self.condemned and now - self.seen_at <= BLAME_QUIET_S
 
+    def next_rank(self, sent_at: float) -> int:
+        """Return the rank of a crash under a request that was sent at a time."""
+        earlier = (c.rank for c in self.crashes.values() if c.ended_by < sent_at)
+        return min(MAX_RANK, 1 + max(earlier, default=0))
+
     def add_crash(self, crash: _Crash) -> bool:
         """Add a crash; return whether it was new."""
         known = self.crashes.get(crash.replica)
         if known is not None:
             # The time of the end stays, so that it doesn't change from node to node.
-            lasted_s = crash.ended_at - crash.sent_at
-            sent_at = min(known.sent_at, known.ended_at - lasted_s)
-            self.crashes[crash.replica] = known._replace(sent_at=sent_at)
+            rank = max(known.rank, crash.rank)
+            ended_by = min(known.ended_by, crash.ended_by)
+            known = known._replace(rank=rank, ended_by=ended_by)
+            self.crashes[crash.replica] = known
             return False
         self.crashes[crash.replica] = crash
         if len(self.crashes) > MAX_CRASHES:
@@ -239,7 +251,8 @@
             self.digest,
             self.position,
             tuple(
-                CrashNews(c.replica, now - c.sent_at, now - c.ended_at) for c in crashes
+                CrashNews(c.replica, c.rank, max(0.0, now - c.ended_at))
+                for c in crashes
             ),
             tuple(AnswerNews(r, now - at) for r, at in sorted(self.answers.items())),
             self.answered_before,
@@ -298,13 +311,13 @@
         :returns: digests of the parts that are blamed from now on.
         """
         now = self._clock.monotonic()
-        crash = _Crash(_short_digest(replica), min(sent_at, now), now)
+        name = _short_digest(replica)
         known = self.blamed_part(parts) is not None
         for position, digest in _candidates(parts):
             part = self._parts.get(digest) or _Part(digest)
             part.position = max(part.position, position)
             part.seen_at = now
-            part.add_crash(crash)
+            part.add_crash(_Crash(name, part.next_rank(sent_at), now, now))
             self._keep(part, now)
         newly = self._review()
         self._generation += bool(newly or not known)
@@ -407,18 +420,18 @@
         part = self._parts.get(news.part) or _Part(news.part)
         part.position = max(part.position, news.position)
         part.seen_at = max(part.seen_at, asked_at - news.seen_age_s)
+        now = self._clock.monotonic()
         urgent = False
         for told in news.crashes:
-            crash = _Crash(
-                told.replica, asked_at - told.sent_age_s, asked_at - told.age_s
-            )
+            ended_at, ended_by = asked_at - told.age_s, now - told.age_s
+            crash = _Crash(told.replica, told.rank, ended_at, ended_by)
             added = part.add_crash(crash)
             urgent |= added and news.part not in self._blamed
         for answer in news.answers:
             urgent |= part.add_answer(answer.request, asked_at - answer.age_s)
         urgent |= news.answered_before > 0 and not part.answered_before
         part.answered_before = max(part.answered_before, news.answered_before)
-        self._keep(part, self._clock.monotonic())
+        self._keep(part, now)
         return urgent
 
     def _keep(self, part: _Part, now: float) -> None:
@@ -483,14 +496,14 @@
 
 
 def _chain(crashes: Iterable[_Crash]) -> list[_Crash]:
-    """Return the crashes in a row that came last, each sent after the one before."""
+    """Return the crashes in a row that came last, the first one of each rank."""
     chain: list[_Crash] = []
-    for crash in sorted(crashes, key=lambda c: (c.ended_at, c.replica)):
+    for crash in sorted(crashes, key=lambda c: (c.rank, c.ended_at, c.replica)):
         if not chain:
             chain = [crash]
             continue
         last = chain[-1]
-        if crash.sent_at <= last.ended_at:
+        if crash.rank == last.rank:
             continue
         apart = crash.ended_at - last.ended_at > SUSPECT_S
         if apart and len(chain) < BLAME_CRASHES:
@@ -503,7 +516,6 @@
     ages = (
         news.seen_age_s,
         *(crash.age_s for crash in news.crashes),
-        *(crash.sent_age_s for crash in news.crashes),
         *(answer.age_s for answer in news.answers),
     )
     digests = (
@@ -514,7 +526,7 @@
         _PART_DIGEST.match(news.part) is not None
         and all(_SHORT_DIGEST.match(digest) for digest in digests)
         and all(math.isfinite(age) and age >= 0 for age in ages)
-        and all(crash.sent_age_s >= crash.age_s for crash in news.crashes)
+        and all(1 <= crash.rank <= MAX_RANK for crash in news.crashes)
         and 0 < len(news.crashes) <= MAX_CRASHES
         and len(news.answers) <= MAX_ANSWERS
         and 0 <= news.answered_before <= MAX_ANSWERED_BEFORE
--- a/tests/blame_fleet.py
+++ b/tests/blame_fleet.py
@@ -66,12 +66,12 @@
         if {callee, self._name} & fleet.silent:
             await fleet.clock.sleep(timeout_s)
             raise CallTimedOutError("silent")
-        await fleet.clock.sleep(CALL_DELAY_S)
+        await fleet.clock.sleep(fleet.delay_s())
         try:
             answer = answer_call(fleet.contexts[callee], body)
         except UnreadableBlameError:
             return HttpAnswer(400, {}, b"")
-        await fleet.clock.sleep(CALL_DELAY_S)
+        await fleet.clock.sleep(fleet.delay_s())
         assert len(answer) <= limit_bytes
         fields = [(b"host", str(address).encode())]
         fields += [(k.encode(), v.encode()) for k, v in headers.items()]
@@ -95,9 +95,10 @@
     """Gateways with their exchange; each has listed the others unless it is named.
 
     :param count: number of gateways.
+    :param jitter_s: greatest additional delay of a call and of an answer, seconds.
     """
 
-    def __init__(self, count, seed=1):
+    def __init__(self, count, seed=1, jitter_s=0.0):
         self.clock = FakeClock()
         self.dead, self.silent = set(), set()
         self.calls = []
@@ -105,6 +106,7 @@
         self.entries = [entry(n) for n in range(count)]
         self.contexts, self.directories, self.scopes = {}, {}, {}
         self._random = random.Random(seed)
+        self._jitter_s = jitter_s
         self._group = None
         for name in self.names:
             self._create(name)
@@ -124,6 +126,9 @@
             context.metrics,
         )
 
+    def delay_s(self):
+        return CALL_DELAY_S + self._jitter_s * self._random.random()
+
     def run(self, steps):
         """Run all gateways until some steps are done."""
 
