--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -26,6 +26,9 @@
 # that was.
 BLAME_CRASHES = 3
 ANSWERED_BLAME_CRASHES = 5
+# Crashes under which a part is blamed that was not answered before, if two of them at
+# least followed one another.
+OVERLAPPING_BLAME_CRASHES = 5
 # A blamed part has more crashes than this for each answer.
 CRASHES_PER_ANSWER = 4
 # A part explains crashes, before it is blamed, from this number of crashes in a row.
@@ -46,12 +49,12 @@
 MAX_PARTS = 128
 MAX_TOLD_PARTS = 32
 MAX_CRASHES = 8  # of one part, the newest
-MAX_ANSWERS = 4  # to one part, the newest
-# Answers to one part that other nodes should hear of soon: enough to clear it.
-URGENT_ANSWERS = MAX_CRASHES // CRASHES_PER_ANSWER
+# To one part, the newest; as many clear it of all its crashes.
+MAX_ANSWERS = MAX_CRASHES // CRASHES_PER_ANSWER
 MAX_ANSWERED_PARTS = 4_096
 MAX_ANSWERED_BEFORE = 1_000
 MAX_POSITION = 1_000
+MAX_RANK = 1_000
 
 _PART_DIGEST = re.compile(r"[0-9a-f]{16}\Z")
 _SHORT_DIGEST = re.compile(r"[0-9a-f]{8}\Z")
@@ -61,12 +64,14 @@
     """Crash of a replica as it began an answer to a part.
 
     :param replica: digest of the replica's name, 8 hexadecimal digits.
-    :param sent_age_s: time since the request was sent to it, seconds.
+    :param rank: 1, or one more than the highest rank of the crashes after which the
+        request was sent. The node that saw the crash counts it: nodes' times differ by
+        more than some crashes are apart.
     :param age_s: time since its connection ended, seconds.
     """
 
     replica: str
-    sent_age_s: float
+    rank: int
     age_s: float
 
 
@@ -99,11 +104,21 @@
     answered_before: int
     seen_age_s: float
 
+    @property
+    def settled(self) -> bool:
+        """Whether the part is cleared of all crashes told, whatever the answers are."""
+        crash_age_s = min(crash.age_s for crash in self.crashes)
+        since = sum(answer.age_s < crash_age_s for answer in self.answers)
+        return since >= MAX_ANSWERS
+
 
 class _Crash(NamedTuple):
+    """Crash of a replica; ``ended_by`` is the latest time that its news allows."""
+
     replica: str
-    sent_at: float
+    rank: int
     ended_at: float
+    ended_by: float
 
 
 class _Answers(NamedTuple):
@@ -114,6 +129,14 @@
     last_request: str
 
 
+class _Score(NamedTuple):
+    """Crashes in a row, all crashes since the first of them, and answers since."""
+
+    chained: int = 0
+    crashes: int = 0
+    answers: int = 0
+
+
 class _Part:
     """A part under which a replica has crashed."""
 
@@ -124,9 +147,8 @@
         self.seen_at = -math.inf
         self.crashes: dict[str, _Crash] = {}
         self.answers: dict[str, float] = {}
-        # Results of the last review, without the crashes that other parts explain.
-        self.crash_count = 0
-        self.answer_count = 0
+        # Result of the last review, without the crashes that other parts explain.
+        self.score = _Score()
 
     @property
     def last_crash_at(self) -> float:
@@ -142,16 +164,37 @@
     @property
     def condemned(self) -> bool:
         """Whether the crashes suffice for blame."""
-        needed = ANSWERED_BLAME_CRASHES if self.answered else BLAME_CRASHES
-        allowed = CRASHES_PER_ANSWER * self.answer_count
-        return self.crash_count >= needed and self.crash_count > allowed
+        score = self.score
+        if score.chained <= CRASHES_PER_ANSWER * score.answers:
+            return False
+        if self.answered:
+            return score.chained >= ANSWERED_BLAME_CRASHES
+        overlapping = score.crashes >= OVERLAPPING_BLAME_CRASHES
+        return score.chained >= (SUSPECT_CRASHES if overlapping else BLAME_CRASHES)
 
     @property
     def explains_crashes(self) -> bool:
         """Whether the part is suspect enough to clear others of its crashes."""
-        suspect = self.crash_count >= SUSPECT_CRASHES and not self.answer_count
+        score = self.score
+        suspect = score.chained >= SUSPECT_CRASHES and not score.answers
         return suspect or self.condemned
 
+    @property
+    def settled(self) -> bool:
+        """Whether the part is cleared of all crashes so far."""
+        since = sum(at > self.last_crash_at for at in self.answers.values())
+        return since >= MAX_ANSWERS
+
+    @property
+    def is_told(self) -> bool:
+        """Whether other nodes are told of the part.
+
+        They may not know that it was answered, and let it explain crashes. Otherwise
+        they find out themselves that another part explains its own.
+        """
+        may_explain = self.answered and len(self.crashes) >= SUSPECT_CRASHES
+        return self.score.chained > 0 or may_explain
+
     def preference(self) -> tuple[int, int, int, str]:
         """Return the order in which parts are suspected of the same crash."""
         answered = self.answered_before + len(self.answers)
@@ -167,14 +210,20 @@
             return True
         return self.condemned and now - self.seen_at <= BLAME_QUIET_S
 
+    def next_rank(self, sent_at: float) -> int:
+        """Return the rank of a crash under a request that was sent at a time."""
+        earlier = (c.rank for c in self.crashes.values() if c.ended_by < sent_at)
+        return min(MAX_RANK, 1 + max(earlier, default=0))
+
     def add_crash(self, crash: _Crash) -> bool:
         """Add a crash; return whether it was new."""
         known = self.crashes.get(crash.replica)
         if known is not None:
             # The time of the end stays, so that it doesn't change from node to node.
-            lasted_s = crash.ended_at - crash.sent_at
-            sent_at = min(known.sent_at, known.ended_at - lasted_s)
-            self.crashes[crash.replica] = known._replace(sent_at=sent_at)
+            rank = max(known.rank, crash.rank)
+            ended_by = min(known.ended_by, crash.ended_by)
+            known = known._replace(rank=rank, ended_by=ended_by)
+            self.crashes[crash.replica] = known
             return False
         self.crashes[crash.replica] = crash
         if len(self.crashes) > MAX_CRASHES:
@@ -190,19 +239,24 @@
         self.answers[request] = at
         if len(self.answers) > MAX_ANSWERS:
             del self.answers[min(self.answers, key=lambda r: (self.answers[r], r))]
-        return len(self.answers) <= URGENT_ANSWERS
+            return False
+        return self.score.chained >= SUSPECT_CRASHES
 
-    def count(self, explained: set[str]) -> tuple[int, int]:
-        """Return the crashes in a row and the answers since the first of them.
+    def count(self, explained: set[str]) -> _Score:
+        """Return the score of the part.
 
         :param explained: digests of the replicas whose crashes don't count.
         """
         crashes = [c for c in self.crashes.values() if c.replica not in explained]
         chain = _chain(crashes)
         if not chain:
-            return 0, 0
+            return _Score()
         first_at = chain[0].ended_at
-        return len(chain), sum(at >= first_at for at in self.answers.values())
+        return _Score(
+            len(chain),
+            sum(crash.ended_at >= first_at for crash in crashes),
+            sum(at >= first_at for at in self.answers.values()),
+        )
 
     def forget_old(self, now: float) -> None:
         """Forget crashes that are too old to be told."""
@@ -213,14 +267,16 @@
     def news(self, now: float) -> PartNews:
         """Return what other nodes are told."""
         crashes = sorted(self.crashes.values(), key=lambda c: (-c.ended_at, c.replica))
-        if self.answer_count and not self.condemned:
+        cleared = self.score.answers > 0 or not self.score.chained
+        if cleared and not self.condemned:
             # The answers tell enough of a part that is cleared.
             crashes = crashes[:1]
         return PartNews(
             self.digest,
             self.position,
             tuple(
-                CrashNews(c.replica, now - c.sent_at, now - c.ended_at) for c in crashes
+                CrashNews(c.replica, c.rank, max(0.0, now - c.ended_at))
+                for c in crashes
             ),
             tuple(AnswerNews(r, now - at) for r, at in sorted(self.answers.items())),
             self.answered_before,
@@ -279,13 +335,13 @@
         :returns: digests of the parts that are blamed from now on.
         """
         now = self._clock.monotonic()
-        crash = _Crash(_short_digest(replica), min(sent_at, now), now)
+        name = _short_digest(replica)
         known = self.blamed_part(parts) is not None
         for position, digest in _candidates(parts):
             part = self._parts.get(digest) or _Part(digest)
             part.position = max(part.position, position)
             part.seen_at = now
-            part.add_crash(crash)
+            part.add_crash(_Crash(name, part.next_rank(sent_at), now, now))
             self._keep(part, now)
         newly = self._review()
         self._generation += bool(newly or not known)
@@ -303,7 +359,7 @@
         for _, digest in _candidates(parts):
             self._remember_answer(digest, request, now)
             part = self._parts.get(digest)
-            if part is not None:
+            if part is not None and not part.settled:
                 urgent |= part.add_answer(request, now)
         if urgent:
             self._review()
@@ -340,9 +396,9 @@
             part = self._parts.get(digest)
             if part is None:
                 continue
-            crash_count, answer_count = part.count(explained)
-            sound = answer_count or part.answered and crash_count < SUSPECT_CRASHES
-            if crash_count and not sound:
+            score = part.count(explained)
+            once = part.answered and score.chained < SUSPECT_CRASHES
+            if score.chained and not score.answers and not once:
                 return False
         return True
 
@@ -350,18 +406,11 @@
         """Return what this node knows, for other nodes."""
         self._review_if_due()
         now = self._clock.monotonic()
-        told = [part for part in self._parts.values() if part.condemned]
-        told.sort(key=lambda part: part.seen_at, reverse=True)
-        del told[MAX_TOLD_PARTS:]
-        others = [
-            part
-            for part in self._parts.values()
-            if part.crash_count and not part.condemned
-        ]
-        free = MAX_TOLD_PARTS - len(told)
-        if len(others) > free:
-            others = self._random.sample(others, free)
-        return [part.news(now) for part in told + others]
+        told = [part for part in self._parts.values() if part.is_told]
+        # Where there are too many, the most suspect ones and a random choice.
+        self._random.shuffle(told)
+        told.sort(key=lambda part: (part.condemned, len(part.crashes)), reverse=True)
+        return [part.news(now) for part in told[:MAX_TOLD_PARTS]]
 
     def learn(self, news: Iterable[PartNews], asked_at: float) -> list[str]:
         """Accept what another node knows.
@@ -388,18 +437,18 @@
         part = self._parts.get(news.part) or _Part(news.part)
         part.position = max(part.position, news.position)
         part.seen_at = max(part.seen_at, asked_at - news.seen_age_s)
+        now = self._clock.monotonic()
         urgent = False
         for told in news.crashes:
-            crash = _Crash(
-                told.replica, asked_at - told.sent_age_s, asked_at - told.age_s
-            )
+            ended_at, ended_by = asked_at - told.age_s, now - told.age_s
+            crash = _Crash(told.replica, told.rank, ended_at, ended_by)
             added = part.add_crash(crash)
             urgent |= added and news.part not in self._blamed
         for answer in news.answers:
             urgent |= part.add_answer(answer.request, asked_at - answer.age_s)
         urgent |= news.answered_before > 0 and not part.answered_before
         part.answered_before = max(part.answered_before, news.answered_before)
-        self._keep(part, self._clock.monotonic())
+        self._keep(part, now)
         return urgent
 
     def _keep(self, part: _Part, now: float) -> None:
@@ -438,7 +487,7 @@
         explained: set[str] = set()
         for part in sorted(self._parts.values(), key=_Part.preference):
             part.forget_old(now)
-            part.crash_count, part.answer_count = part.count(explained)
+            part.score = part.count(explained)
             if part.explains_crashes:
                 explained.update(part.crashes)
         self._forget(now)
@@ -464,14 +513,14 @@
 
 
 def _chain(crashes: Iterable[_Crash]) -> list[_Crash]:
-    """Return the crashes in a row that came last, each sent after the one before."""
+    """Return the crashes in a row that came last, the first one of each rank."""
     chain: list[_Crash] = []
-    for crash in sorted(crashes, key=lambda c: (c.ended_at, c.replica)):
+    for crash in sorted(crashes, key=lambda c: (c.rank, c.ended_at, c.replica)):
         if not chain:
             chain = [crash]
             continue
         last = chain[-1]
-        if crash.sent_at <= last.ended_at:
+        if crash.rank == last.rank:
             continue
         apart = crash.ended_at - last.ended_at > SUSPECT_S
         if apart and len(chain) < BLAME_CRASHES:
@@ -484,7 +533,6 @@
     ages = (
         news.seen_age_s,
         *(crash.age_s for crash in news.crashes),
-        *(crash.sent_age_s for crash in news.crashes),
         *(answer.age_s for answer in news.answers),
     )
     digests = (
@@ -495,7 +543,7 @@
         _PART_DIGEST.match(news.part) is not None
         and all(_SHORT_DIGEST.match(digest) for digest in digests)
         and all(math.isfinite(age) and age >= 0 for age in ages)
-        and all(crash.sent_age_s >= crash.age_s for crash in news.crashes)
+        and all(1 <= crash.rank <= MAX_RANK for crash in news.crashes)
         and 0 < len(news.crashes) <= MAX_CRASHES
         and len(news.answers) <= MAX_ANSWERS
         and 0 <= news.answered_before <= MAX_ANSWERED_BEFORE
