Soak: parts of prompts that end replicas, and checks of BUDGET and LOST

Callers saw requests with one part in their prompts end one replica after the other, and sound requests find none. The soak had no such fault and restarted replicas under their old identity.

`--crashing-parts N`: N parts end each replica that begins to answer on them, 0.05 to 0.13 s after the head; it is back after some seconds as another replica at its address, which refuses connections meanwhile. BUDGET counts sends from 3 s after the fifth crash on, LOST compares how often sound streams begin before the first crash and from 6 s after the fifth on. With 0, replicas are killed at random, and no request may be refused for its parts, as in the runs without the option.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from tests.soak import crashes
 from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
@@ -32,6 +33,7 @@
 
 SIZES = {
     "small": Size(3, {"register": 3, "pool": 2}, 24, 0.05),
+    "medium": Size(5, {"register": 2, "pool": 5}, 40, 0.1),
     "usual": Size(8, {"register": 4, "pool": 8}, 60, 0.15),
     "large": Size(60, {"register": 20, "pool": 70}, 200, 0.8),
 }
@@ -41,9 +43,16 @@
     """Run the soak with a seed; return the problems and the outcomes."""
     # One source of randomness each, so that the faults of a seed do not depend on how
     # many requests were sent meanwhile.
-    plan_random, fleet_random, load_random, rollout_random, limit_random = (
+    (
+        plan_random,
+        fleet_random,
+        load_random,
+        rollout_random,
+        limit_random,
+        prompt_random,
+    ) = (
         random.Random(f"{seed} {part}")
-        for part in ("plan", "fleet", "load", "rollout", "limit")
+        for part in ("plan", "fleet", "load", "rollout", "limit", "prompt")
     )
     started_at = time.monotonic()
     directory.mkdir(parents=True)
@@ -51,8 +60,12 @@
     host = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
     fleet = Fleet(directory, host, options.code, fleet_random)
     keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
-    mix = LASTING_MIX if options.silences else USUAL_MIX
-    callers = Callers(fleet, keys, load_random, f"r{seed}", mix)
+    mix, prompts = LASTING_MIX if options.silences else USUAL_MIX, None
+    if options.crashing_parts is not None:
+        fleet.crashing_parts = [f"bad{n:x}" for n in range(options.crashing_parts)]
+        prompts = crashes.Prompts(prompt_random, fleet.crashing_parts)
+        mix = crashes.MIX
+    callers = Callers(fleet, keys, load_random, f"r{seed}", mix, prompts)
 
     def write_log(text):
         log.write(f"{time.time():.3f} {time.monotonic() - started_at:.1f} {text}\n")
@@ -60,6 +73,8 @@
     faults = (fleet, keys, plan_random, write_log)
     if options.silences:
         plan = SilencePlan(*faults)
+    elif options.crashing_parts is not None:
+        plan = crashes.CrashPlan(*faults)
     else:
         plan = Plan(*faults, options.rejections, options.limits)
     try:
@@ -110,6 +125,13 @@
         action="store_true",
         help="sound replicas are silent for a moment, with planned work, no more",
     )
+    parser.add_argument(
+        "--crashing-parts",
+        type=int,
+        metavar="N",
+        help="N parts of prompts end replicas, with planned work; with 0, replicas are "
+        "killed at random",
+    )
     parser.add_argument(
         "--keep", action="store_true", help="keep the logs of seeds that broke nothing"
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -43,6 +43,7 @@
     line: str
     body_hash: str
     at: float
+    prompt: tuple | None = None
 
 
 class Seen(NamedTuple):
@@ -65,14 +66,16 @@
     :param fleet: the gateways.
     :param keys: customers by key, changed while the callers run.
     :param mix: weights of the kinds of requests.
+    :param prompts: draws the prompts of streams, if they are not the usual ones.
     """
 
-    def __init__(self, fleet, keys, random, prefix, mix):
+    def __init__(self, fleet, keys, random, prefix, mix, prompts=None):
         self._fleet = fleet
         self._keys = keys
         self._random = random
         self._prefix = prefix
         self._mix = mix
+        self._prompts = prompts
         self._count = 0
         self.sent = {}
         self.seen = {}
@@ -139,11 +142,15 @@
             "Authorization": f"Bearer {key}",
             "Session": f"s{self._random.randrange(20)}",
         }
+        prompt = None
         if kind in STREAMS:
             fields["X-Token-Usage"] = "400,60"
             fields["X-Prompt-Prefix"] = f"{self._random.randrange(9):x}:300,{name}:100"
+            if self._prompts is not None:
+                prompt = self._prompts.draw()
+                fields["X-Prompt-Prefix"] = prompt.header(name)
         line = f"POST {path}x?n={self._count} HTTP/1.1"
         digest = hashlib.sha256(body).hexdigest()
         now = time.time()
-        sent = Sent(name, kind, gateway, key, customer, line, digest, now)
+        sent = Sent(name, kind, gateway, key, customer, line, digest, now, prompt)
         return sent, encode(line, fields, body), deadline_s
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,7 +5,8 @@
 from collections import Counter, defaultdict
 
 from tests.soak.callers import KINDS, PROMISE_STATUSES, STREAMS
-from tests.soak.fleet import GRACE_S, REVOKE_MS
+from tests.soak.crashes import BLAMED, CrashCheck
+from tests.soak.fleet import AFTERMATH_S, GRACE_S, REVOKE_MS
 from tests.soak.limits import limit_problems
 from tests.soak.replica import expected_events
 from tests.soak.silences import lost_problems
@@ -68,9 +69,17 @@
                 for g in self._fleet.gateways
             }
             found += lost_problems(self._callers, self._runs, stops)
+        found += CrashCheck(self._callers, self._limits, self._is_in_touch).problems()
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
 
+    def _is_in_touch(self, gateway, at):
+        if self._fleet.disturbances.touch({gateway}, at, at):
+            return False
+        child = next(g for g in self._fleet.gateways if g.name == gateway)
+        planned = [end.asked_at for end in child.ends if end.asked_at]
+        return not any(0 <= at - t <= AFTERMATH_S for t in child.starts + planned)
+
     def outcomes(self):
         """Return how many requests ended how."""
         counted = Counter()
@@ -125,6 +134,8 @@
             where = ", ".join(r["replica"] for r in runs)
             refused = f"{sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
             yield f"REFUSED {refused}: ran at {where}"
+        if BLAMED in seen.body and not self._fleet.crashing_parts:
+            yield f"BLAMED {sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
         if seen.status == 200:
             yield from self._check_success(sent, seen)
         if seen.status is None and not seen.left and runs:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,13 +11,14 @@
 from typing import NamedTuple
 
 from tests.soak.proxy import Link
-from tests.soak.replica import FAULT_PATH
+from tests.soak.replica import CRASH_STATUS, FAULT_PATH
 from tests.soak.store import CONTROL_PATH
 from tests.soak.wire import encode, read_message
 
 ROOT = Path(__file__).parents[2]
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
+CRASH_DOWN_S = 3.5
 CALL_TIMEOUT_S = 5.0
 # After a fault ends, its traces may last this long.
 AFTERMATH_S = 3.0
@@ -105,6 +106,7 @@
         self._wanted = True
         self.address = ""
         self.started = asyncio.Event()
+        self.starts = []
         self.ends = []
         self.stop_asked_at = None
         # Set while the process must stay down.
@@ -131,6 +133,7 @@
                     env=self._environment,
                 )
             self.stop_asked_at = None
+            self.starts.append(time.time())
             if not self._logs_out:
                 line = (await self._process.stdout.readline()).decode()
                 # Empty if the process ended before it listened.
@@ -140,6 +143,8 @@
             ready = b"event=node_started" in self._log.read_bytes()[log_start:]
             self.ends.append(End(status, self.stop_asked_at, time.time(), ready))
             self.started.clear()
+            if status == CRASH_STATUS:
+                await asyncio.sleep(CRASH_DOWN_S)
             await asyncio.sleep(RESTART_DELAY_S)
 
     def send_signal(self, number):
@@ -190,6 +195,9 @@
         self.silences = Disturbances(SILENCE_AFTERMATH_S)
         # Share of the requests, and a number of repeats beside it.
         self.retry_budget = (0.9, 52)
+        # Parts of prompts that end replicas, None if replicas keep their identity and
+        # are behind links, which accept connections while a replica is down.
+        self.crashing_parts = None
         self.gateways = []
         self.replicas = {}
         # By name of a gateway or replica, and (gateway, "store") and ("peer", gateway).
@@ -245,12 +253,13 @@
         store_link = await self._link((name, "store"), self.store.address)
         replica = ReplicaProcess(name, service, version, link)
         host = f"{self._host}.{next(self._numbers)}"
+        starts = count(1)
 
         def command():
             # The port of its first start, so that it comes back where it was.
             port = replica.child.address.rpartition(":")[2]
             options = {
-                "id": name,
+                "id": name if self.crashing_parts is None else f"{name}-{next(starts)}",
                 "service": service,
                 "version": version,
                 "streams": service == "pool",
@@ -259,7 +268,8 @@
                 "seed": self._random.randrange(1 << 30),
                 "runs": str(self.runs_file),
                 "store": store_link.address,
-                "advertised": link.address,
+                "advertised": link.address if self.crashing_parts is None else "",
+                "crashing_parts": self.crashing_parts or (),
                 "host": host,
                 "port": int(port or 0),
             }
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -19,6 +19,9 @@
 SLOW_WORK_S = (0.1, 3.0)
 STREAM_STEP_S = 0.03
 LONG_STEPS_S = (0.05, 0.15, 0.3)
+# A replica that a part of a prompt ends writes for this time before.
+CRASH_AFTER_S = (0.05, 0.13)
+CRASH_STATUS = 86
 FAULT_PATH = "/soak/faults"
 KEEP_ALIVE_S = 5
 NOT_RUN = {"X-Not-Executed": "1"}
@@ -28,8 +31,8 @@
     """One replica.
 
     :param options: ``id``, ``service``, ``version``, ``streams``, ``slots``, ``queue``,
-        ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses), ``host``,
-        ``port``.
+        ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses; empty for
+        its own), ``host``, ``port``, ``crashing_parts`` (of prompts).
     """
 
     def __init__(self, options):
@@ -51,7 +54,9 @@
         """Serve until the process is ended."""
         host, port = self._options["host"], self._options["port"]
         server = await asyncio.start_server(self._serve_connection, host, port)
-        print(f"listening {host}:{server.sockets[0].getsockname()[1]}", flush=True)
+        address = f"{host}:{server.sockets[0].getsockname()[1]}"
+        self._options["advertised"] = self._options["advertised"] or address
+        print(f"listening {address}", flush=True)
         await self._beat()
 
     def _hit(self, fault):
@@ -215,6 +220,7 @@
             "X-Confidence": str(self._random.randrange(101)),
         }
         writer.write(encode("HTTP/1.1 200 OK", self._name_limit(fields)))
+        await self._crash_if_told(request, writer)
         for number in range(first, event_count(name) + 1):
             await asyncio.wait({gone}, timeout=step_s)
             if gone.done():
@@ -234,6 +240,16 @@
         await writer.drain()
         return "answered"
 
+    async def _crash_if_told(self, request, writer):
+        """End the process in the first event if a part of the prompt does so."""
+        prefix = request.fields.get("x-prompt-prefix", "")
+        parts = {entry.split(":")[0] for entry in prefix.split(",")[:-1]}
+        for part in parts.intersection(self._options["crashing_parts"]):
+            await writer.drain()
+            await asyncio.sleep(self._random.uniform(*CRASH_AFTER_S))
+            self._record("crash", request, part=part, born=self._born, limit=None)
+            os._exit(CRASH_STATUS)
+
     async def _reject(self, status, fields, writer, late):
         await self._send(f"HTTP/1.1 {status}", fields, b"", writer, late)
         return True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,9 @@
 # TWICE, and 105, REFUSED: a repeated rejection of an earlier attempt, which bears the
 # same identifier, was.
 # 302, LOST: a silence of a replica ended requests that no other replica could take.
+# 402, BUDGET and LOST: requests with one part of a prompt went on to end replicas, and
+# sound ones found none. 421 has shown nothing: no part is blamed for replicas that are
+# killed at random.
 @pytest.mark.parametrize(
     ("seed", "options"),
     [
@@ -21,6 +24,8 @@
         (105, ["--rejections"]),
         (201, ["--limits"]),
         (302, ["--silences"]),
+        (402, ["--crashing-parts=1", "--size=medium"]),
+        (421, ["--crashing-parts=0", "--size=medium"]),
     ],
     ids=lambda value: str(value) if isinstance(value, int) else "".join(value),
 )
