--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -9,6 +9,7 @@
 from lentilshore_kernel import log_event, refusal_counter
 from lentilshore_kernel.exceptions import (
     STATUS_BY_REASON,
+    LentilshoreError,
     RefusalError,
 )
 from lentilshore_kernel.types import Execution, RefusalReason
