--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,6 +5,7 @@
 from lentilshore_node.clients.http_client import HttpClient, encode_request
 from lentilshore_node.clients.http_connection import (
     CallBrokenError,
+    CallCutError,
     CallGarbledError,
     CallNotSentError,
     CallTimedOutError,
@@ -57,12 +58,12 @@
         ([b"HTTP/1.1 100 Continue\r\n\r\n", answer(b"abc")], (200, b"abc")),
         ([answer(b"", "204 No Content", framed=False)], (204, b"")),
         ([answer(b"abc", framed=False), "close"], (200, b"abc")),
-        ([answer(b"abc", framed=False), 0.02, "reset"], CallBrokenError),
-        ([answer(b"abc")[:-1], "close"], CallBrokenError),
-        ([CHUNKED.encode() + b"2\r\nab\r\n", "close"], CallBrokenError),
+        ([answer(b"abc", framed=False), 0.02, "reset"], CallCutError),
+        ([answer(b"abc")[:-1], "close"], CallCutError),
+        ([CHUNKED.encode() + b"2\r\nab\r\n", "close"], CallCutError),
         ([b"no answer at all\r\n\r\n", "hang"], CallGarbledError),
-        (["close"], CallBrokenError),
-        (["reset"], CallBrokenError),
+        (["close"], CallCutError),
+        (["reset"], CallCutError),
     ],
 )
 def test_exchange_returns_whole_answer_or_raises(script, expected):
