--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -354,3 +354,23 @@
     if next_script is rejection:
         expected = ("upstream_full", 503)
     assert set(statuses) == {expected}
+
+
+# Guards against TWICE: two replicas worked on a request for longer than it takes to
+# know that the next one has taken it up.
+def test_a_replica_that_takes_a_request_up_soon_relieves_the_first():
+    ends = {}
+
+    class Server(ScriptedServer):
+        async def _serve_request(self, reader, writer, held_back):
+            number, begun_at = self.connections, anyio.current_time()
+            try:
+                return await super()._serve_request(reader, writer, held_back)
+            finally:
+                ends.setdefault(number, (begun_at, anyio.current_time()))
+
+    harness = GatewayHarness([], TWO_ATTEMPTS)
+    harness.server = Server([["hang"], after(1.0, signed(b"whole"))])
+    caller = harness.run(Caller())
+    assert caller.body == b"whole"
+    assert ends[1][1] - ends[2][0] < 0.4
