Ask again for a retry of a request that was handed over

Callers got 502 or a cut stream with most of their time left: their attempt, or the answer of a smaller model, was given up for a replica that rejected the request later than 0.2 s, and the service's budget had no retry at that moment. Two replicas may not work on a request for long, so that the attempt before can't be kept until then.

Such a request asks again every 0.25 s while it has time. `retry_awaited` tells of it, and each denial is counted. Requests none of whose attempts was given up end as before.

--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -140,6 +140,10 @@
         """Return None: only the retry budget and the deadline bound the attempts."""
         return None
 
+    async def wait_for_budget(self) -> bool:
+        """Return False: a retry that is denied is not asked for again."""
+        return False
+
     async def next_has_begun(self) -> bool:
         """Return False: attempts follow one another."""
         return False
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -113,6 +113,12 @@
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
+    async def wait_for_budget(self) -> bool:
+        """Wait for a while if a retry that the budget denies is to be asked for again.
+
+        :returns: whether it is.
+        """
+
     async def next_has_begun(self) -> bool:
         """Return whether the next attempt was begun before the last one ended.
 
@@ -153,9 +159,7 @@
                 self._request.record_failure(lease, error)
                 if await self._request.next_has_begun():
                     continue
-                denial = self._request.retry_denial() or self.take_retry(
-                    error.execution
-                )
+                denial = await self._take_retry(error)
                 if denial is not None:
                     self._report_denial(denial, error)
                     raise
@@ -177,6 +181,14 @@
             scope.tree_id, scope.group, scope.repeatable, execution
         )
 
+    async def _take_retry(self, error: UpstreamError) -> RetryDenial | None:
+        while True:
+            denial = self._request.retry_denial() or self.take_retry(error.execution)
+            if denial is not RetryDenial.BUDGET:
+                return denial
+            if not await self._request.wait_for_budget():
+                return denial
+
     def retry_denial(self, execution: Execution) -> RetryDenial | None:
         """Return what denies a retry, without taking one, see :meth:`take_retry`."""
         scope = self._scope
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -8,7 +8,7 @@
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
-from lentilshore_kernel.metrics import retry_counter
+from lentilshore_kernel.metrics import retry_counter, retry_denial_counter
 from lentilshore_kernel.types import (
     Execution,
     RefusalReason,
@@ -155,6 +155,8 @@
             self._record_unfollowed,
         )
         self._measurements = AttemptMeasurements(context, request, route)
+        # Whether an attempt was given up that might still have answered.
+        self._handed_over = False
         # A replica's last answer with a status of 500 or above, sent if all attempts
         # fail.
         self._error_answer: Answer | None = None
@@ -230,6 +232,15 @@
         self._plan = begun.plan if begun else self._make_plan(self._model, tried)
         return self._plan.lease
 
+    async def wait_for_budget(self) -> bool:
+        """Wait if an attempt was given up that might still have answered."""
+        if not self._handed_over:
+            return False
+        self._context.metrics.count(retry_denial_counter(RetryDenial.BUDGET))
+        log_event("retry_awaited", request=self._request.request_id)
+        await self._context.clock.sleep(HANDOVER_INTERVAL_S)
+        return True
+
     async def next_has_begun(self) -> bool:
         """Return whether a replica has taken up the next attempt."""
         if not await self._handover.settle():
@@ -341,6 +352,7 @@
         :returns: status of the answer, None to repeat the request on a larger model.
         """
         plan, begun = self._plan, self._handover.take()
+        self._handed_over = self._handed_over or begun is not None
         self._attempts += 1
         self._model = plan.model
         self._attempt_started_at = (
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -53,6 +53,9 @@
     def record_retry(self, reason):
         self.retried.append(reason)
 
+    async def wait_for_budget(self):
+        return False
+
     async def next_has_begun(self):
         return False
 
