Answer a whole request though no request follows it

Callers that sent stray bytes after a whole request, at once or while it was served, got a closed connection: no answer at all, or a stream cut midway, though a replica was at work on it. The refusal of those bytes shut the connection down for writing, which the answer under way then could not use.

The answer to a request that was read as a whole now ends its connection. What follows the request is discarded, counted and logged as before. A request that is itself broken off by such bytes is refused as before.

--- a/packages/node/src/lentilshore_node/callers/caller_protocol.py
+++ b/packages/node/src/lentilshore_node/callers/caller_protocol.py
@@ -50,6 +50,12 @@
         self._head_too_large = False
         self._refused = False
 
+    @property
+    def _answer_due(self) -> bool:
+        """Whether the last request was read as a whole and is not answered yet."""
+        cycle = self.cycle
+        return not (cycle is None or cycle.response_complete or cycle.more_body)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; end the connection if a head is invalid."""
         if self._refused or self.transport.is_closing():
@@ -114,10 +120,14 @@
             status=refusal.status,
             detail=refusal.detail,
         )
+        self._refused = True
+        if self._answer_due:
+            # The answer to the whole request before ends the connection.
+            self.cycle.keep_alive = False
+            return
         # An answer under way must not be followed by bytes of another one.
         if self.cycle is None or self.cycle.response_complete:
             self.transport.write(_encode_answer(refusal))
-        self._refused = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.loop.call_later(LINGER_S, self.transport.close)
