--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -374,3 +374,37 @@
     caller = harness.run(Caller())
     assert caller.body == b"whole"
     assert ends[1][1] - ends[2][0] < 0.4
+
+
+# Guards against LOST: a key that can't be proved any more ended the current attempt.
+@pytest.mark.parametrize("lost_after_s", [0.1, 0.3])
+def test_a_lost_proof_of_the_key_ends_no_attempt_that_was_sent(lost_after_s):
+    async def act(harness, application, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            await anyio.sleep(lost_after_s)
+            view = harness.context.view
+            view._confirmed_at = harness.context.clock.monotonic() - 4.7
+
+    scripts = [after(0.7, signed(b"whole")), after(0.1, rejection)]
+    harness = GatewayHarness(scripts, IDEMPOTENT)
+    caller = harness.run(Caller(), act)
+    assert (caller.status, caller.body) == (200, b"whole")
+    assert len(harness.server.requests) == (1 if lost_after_s < 0.25 else 2)
+
+
+# The answer of a smaller model waits in a full buffer while a larger one is asked.
+def test_an_answer_that_fills_its_buffer_during_an_escalation_comes_whole():
+    events = [b"id: %d\ndata: %s\n\n" % (n, b"x" * 60_000) for n in range(1, 21)]
+
+    def unsure(fields):
+        head = [SIGNED, echo(fields), "Transfer-Encoding: chunked", "X-Confidence: 10"]
+        chunks = [chunk(part) for part in events]
+        return [answer(b"", fields=head, framed=False), *chunks, b"0\r\n\r\n"]
+
+    cascade = route(DeliveryMode.STREAM_RESUMABLE, models=("s", "l"))
+    harness = GatewayHarness([unsure, after(0.15, rejection)], cascade)
+    caller = harness.run(Caller([(b"x-model", b"*")]))
+    assert caller.body == b"".join(events)
+    assert caller.complete
+    assert [f["x-model"] for _, f, _ in harness.server.requests] == ["s", "l"]
