Keep no answer in hand back for a slow connection

A stream whose model was unsure reached its caller up to a second late: its events waited while the connection to a larger model's replica was opened, which may take 1 s or the rest of the time.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -33,7 +33,7 @@
 from .answers import Answer, AnswerRelay, check_answer_head
 from .attempt_sender import LOGGED_ID_LIMIT, AttemptSender
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
-from .handover import AttemptPlan, BegunAttempt, Handover
+from .handover import TAKE_UP_S, AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
 from .responder import Responder
 
@@ -63,6 +63,9 @@
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
 # Time between two tries to hand over a request whose replica is silent.
 HANDOVER_INTERVAL_S = 0.25
+# Longest time for which an answer in hand waits for a larger model's replica to take
+# the request up. The connection may take as long as the rest.
+ESCALATION_WAIT_S = 2 * TAKE_UP_S
 
 
 class Outcome(NamedTuple):
@@ -585,7 +588,11 @@
         )
         if not should_escalate(head.confidence, expected_s, remaining_s):
             return False
-        if not await self._hand_over(larger):
+        taken_up = False
+        with self._context.clock.timeout(ESCALATION_WAIT_S):
+            taken_up = await self._hand_over(larger)
+        if not taken_up:
+            self._handover.abandon()
             return False
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
         if self._context.log_sampler.should_log(self._request.request_id):
