--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -8,7 +8,7 @@
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
-from lentilshore_kernel.metrics import retry_counter
+from lentilshore_kernel.metrics import retry_counter, retry_denial_counter
 from lentilshore_kernel.types import (
     Execution,
     RefusalReason,
@@ -34,7 +34,7 @@
 from .attempt_sender import LOGGED_ID_LIMIT, AttemptSender
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
 from .crash_watch import CrashWatch
-from .handover import AttemptPlan, BegunAttempt, Handover
+from .handover import TAKE_UP_S, AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
 from .no_replica import (
     NO_REPLICA_REASONS,
@@ -65,6 +65,9 @@
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
 # Time between two tries to hand over a request whose replica is silent.
 HANDOVER_INTERVAL_S = 0.25
+# Longest time for which an answer in hand waits for a larger model's replica to take
+# the request up. The connection may take as long as the rest.
+ESCALATION_WAIT_S = 2 * TAKE_UP_S
 
 
 class Outcome(NamedTuple):
@@ -158,6 +161,8 @@
         )
         self._measurements = AttemptMeasurements(context, request, route)
         self._crashes = CrashWatch(context, request)
+        # Whether an attempt was given up that might still have answered.
+        self._handed_over = False
         # A replica's last answer with a status of 500 or above, sent if all attempts
         # fail.
         self._error_answer: Answer | None = None
@@ -233,6 +238,15 @@
         self._plan = begun.plan if begun else self._make_plan(self._model, tried)
         return self._plan.lease
 
+    async def wait_for_budget(self) -> bool:
+        """Wait if an attempt was given up that might still have answered."""
+        if not self._handed_over:
+            return False
+        self._context.metrics.count(retry_denial_counter(RetryDenial.BUDGET))
+        log_event("retry_awaited", request=self._request.request_id)
+        await self._context.clock.sleep(HANDOVER_INTERVAL_S)
+        return True
+
     async def next_has_begun(self) -> bool:
         """Return whether a replica has taken up the next attempt."""
         if not await self._handover.settle():
@@ -347,6 +361,7 @@
         :returns: status of the answer, None to repeat the request on a larger model.
         """
         plan, begun = self._plan, self._handover.take()
+        self._handed_over = self._handed_over or begun is not None
         self._attempts += 1
         self._model = plan.model
         self._attempt_started_at = (
@@ -595,7 +610,11 @@
         )
         if not should_escalate(head.confidence, expected_s, remaining_s):
             return False
-        if not await self._hand_over(larger):
+        taken_up = False
+        with self._context.clock.timeout(ESCALATION_WAIT_S):
+            taken_up = await self._hand_over(larger)
+        if not taken_up:
+            self._handover.abandon()
             return False
         self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
         if self._context.log_sampler.should_log(self._request.request_id):
