--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -26,6 +26,11 @@
 
 T = TypeVar("T")
 
+# Failed attempts that are no fault of the replica: they do not count towards its
+# ejection.
+SOUND_REPLICA_REASONS = frozenset(
+    (RefusalReason.UPSTREAM_FULL, RefusalReason.UPSTREAM_PAUSED)
+)
 _EXECUTION_RANK = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
 
 
@@ -113,8 +118,11 @@
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
-    def next_has_begun(self) -> bool:
-        """Return whether the next attempt was begun before the last one ended."""
+    async def next_has_begun(self) -> bool:
+        """Return whether the next attempt was begun before the last one ended.
+
+        Waits until that is known.
+        """
 
 
 class AttemptLoop:
@@ -148,7 +156,7 @@
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
                 self._request.record_failure(lease, error)
-                if self._request.next_has_begun():
+                if await self._request.next_has_begun():
                     continue
                 denial = self._request.retry_denial() or self.take_retry(
                     error.execution
@@ -174,6 +182,13 @@
             scope.tree_id, scope.group, scope.repeatable, execution
         )
 
+    def retry_denial(self, execution: Execution) -> RetryDenial | None:
+        """Return what denies a retry, without taking one, see :meth:`take_retry`."""
+        scope = self._scope
+        return self._context.retries.denial(
+            scope.tree_id, scope.group, scope.repeatable, execution
+        )
+
     def give_back_retry(self) -> None:
         """Return a retry that a replica has rejected to the request's tree."""
         self._context.retries.give_back(self._scope.tree_id)
@@ -184,9 +199,8 @@
         :param failure: how the attempt failed; None if it did not, or if that says
             nothing about the replica.
         """
-        # A full replica is not at fault: this does not count towards its ejection.
         counts_as_failure = (
-            failure is not None and failure.reason is not RefusalReason.UPSTREAM_FULL
+            failure is not None and failure.reason not in SOUND_REPLICA_REASONS
         )
         unreachable = failure is not None and _is_unreachable(failure)
         if self._context.placement.release(lease, counts_as_failure, unreachable):
--- a/tests/limited_replicas.py
+++ b/tests/limited_replicas.py
@@ -109,7 +109,7 @@
         fields = dict(line.lower().split(": ", 1) for line in lines)
         replica = self._replicas[fields["x-expect-instance"]]
         replica.arrive(self._gateway)
-        return _Call(self._clock, partial(self._respond, fields, replica))
+        return ScriptedCall(self._clock, partial(self._respond, fields, replica))
 
     def _respond(self, fields, replica):
         status, extra, parts = self._answer(fields)
@@ -121,13 +121,15 @@
         limit = replica.tell(self._gateway)
         if limit is not None:
             headers["server-limit"] = f"{limit:g}"
-        return _Response(status, headers, parts)
+        return ScriptedResponse(status, headers, parts)
 
     async def close(self):
         pass
 
 
-class _Call:
+class ScriptedCall:
+    """Call that is answered after a while."""
+
     def __init__(self, clock, respond):
         self._clock = clock
         self._respond = respond
@@ -143,7 +145,9 @@
         pass
 
 
-class _Response:
+class ScriptedResponse:
+    """Answer whose parts arrive at once."""
+
     def __init__(self, status, headers, parts):
         self.status, self.headers = status, headers
         self.fields = [(k.encode(), v.encode()) for k, v in headers.items()]
@@ -151,6 +155,9 @@
         self.timeout_s = 1.0
         self._parts = parts
 
+    def raise_if_broken(self):
+        pass
+
     async def read(self, limit_bytes=0, total_s=None):
         return b"".join(self._parts)
 
