Survive news of a part without crashes

A gateway that answered with a part that has no crashes ended the task that exchanges crashes: whether the part is settled was asked before the news was found unsound. test_a_gateway_believes_only_sound_answers failed before.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -107,7 +107,7 @@
     @property
     def settled(self) -> bool:
         """Whether the part is cleared of all crashes told, whatever the answers are."""
-        crash_age_s = min(crash.age_s for crash in self.crashes)
+        crash_age_s = min((crash.age_s for crash in self.crashes), default=0.0)
         since = sum(answer.age_s < crash_age_s for answer in self.answers)
         return since >= MAX_ANSWERS
 
