--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -107,7 +107,7 @@
     @property
     def settled(self) -> bool:
         """Whether the part is cleared of all crashes told, whatever the answers are."""
-        crash_age_s = min(crash.age_s for crash in self.crashes)
+        crash_age_s = min((crash.age_s for crash in self.crashes), default=0.0)
         since = sum(answer.age_s < crash_age_s for answer in self.answers)
         return since >= MAX_ANSWERS
 
@@ -192,8 +192,9 @@
         They may not know that it was answered, and let it explain crashes. Otherwise
         they find out themselves that another part explains its own.
         """
-        may_explain = self.answered and len(self.crashes) >= SUSPECT_CRASHES
-        return self.score.chained > 0 or may_explain
+        if len(self.crashes) < SUSPECT_CRASHES:
+            return self.score.chained > 0 and not self.settled
+        return self.score.chained > 0 or self.answered
 
     def preference(self) -> tuple[int, int, int, str]:
         """Return the order in which parts are suspected of the same crash."""
