--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -480,17 +480,16 @@
             self._review()
 
     def _review(self) -> list[str]:
-        """Blame parts, the most suspect first: it explains the crashes of others.
+        """Blame parts by all that is known now.
 
         :returns: digests of the parts that are blamed from now on.
         """
         now = self._reviewed_at = self._clock.monotonic()
-        explained: set[str] = set()
-        for part in sorted(self._parts.values(), key=_Part.preference):
+        for part in self._parts.values():
             part.forget_old(now)
-            part.score = part.count(explained)
-            if part.explains_crashes:
-                explained.update(part.crashes)
+        known: set[str] = set()
+        while not (found := self._score_parts(known)) <= known:
+            known |= found
         self._forget(now)
         before = self._blamed
         self._blamed = {
@@ -498,6 +497,22 @@
         }
         return sorted(self._blamed - before)
 
+    def _score_parts(self, condemned: set[str]) -> set[str]:
+        """Score all parts, the most suspect first: it explains crashes of the others.
+
+        :param condemned: digests of parts that come before all others.
+        :returns: digests of the parts that are condemned.
+        """
+        explained: set[str] = set()
+        for part in sorted(
+            self._parts.values(),
+            key=lambda part: (part.digest not in condemned, part.preference()),
+        ):
+            part.score = part.count(explained)
+            if part.explains_crashes:
+                explained.update(part.crashes)
+        return {part.digest for part in self._parts.values() if part.condemned}
+
     def _forget(self, now: float) -> None:
         """Forget parts that are of no interest, and those beyond the bound."""
         kept = [part for part in self._parts.values() if part.is_kept(now)]
