--- /dev/null
+++ b/tests/test_crash_blame_fleet.py
@@ -0,0 +1,129 @@
+"""Blame of prompt parts in fleets of many gateways, with their decisions but no I/O."""
+
+import pytest
+
+from lentilshore_routing.crash_blame import part_digest
+from tests.crash_fleet import ALLOWED_SENDS, Traffic, World
+
+MAX_BYTES_PER_S = 8_000  # of one gateway, in both directions
+MAX_SPREAD_S = 1.0
+LASTS_S = 20.0
+TWO, FOUR = ("bad-0", "bad-1"), ("bad-0", "bad-1", "bad-2", "bad-3")
+SOUND = Traffic(bad=())
+
+
+def digests(traffic):
+    return {part_digest(bad) for bad in traffic.bad}
+
+
+def check(world, lasts_s=LASTS_S):
+    """Check that bad requests were soon sent no more, and sound ones always."""
+    traffic = world.traffic
+    assert [bad for bad in traffic.bad if world.late_sends(bad) > ALLOWED_SENDS] == []
+    assert world.refused_sound == 0
+    assert world.blamed() <= digests(traffic)
+    total = sum(gateway.bytes for gateway in world.gateways.values())
+    assert total <= MAX_BYTES_PER_S * lasts_s * len(world.gateways)
+
+
+@pytest.mark.parametrize("position", [0, 1])
+@pytest.mark.parametrize("per_s", [0.3, 1.0, 5.0])
+@pytest.mark.parametrize("count", [7, 79, 340])
+def test_a_part_that_crashes_replicas_is_soon_sent_no_more(count, per_s, position):
+    traffic = Traffic(bad_per_s=per_s, bad_position=position)
+    world = World(count, traffic).warm_up().start_bad().run(LASTS_S)
+    assert world.crashes["bad-0"]
+    check(world)
+
+
+# Five replicas crashed before the second request with the part was sent after a crash,
+# so that they looked like replicas lost at one time.
+def test_crashes_that_all_overlap_are_told_from_replicas_lost_at_one_time():
+    traffic = Traffic(bad_per_s=5, bad_position=0)
+    check(World(7, traffic, seed=41).warm_up().start_bad().run(LASTS_S))
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("position", [0, 1])
+@pytest.mark.parametrize("per_s", [0.3, 1.0, 5.0])
+@pytest.mark.parametrize("bad", [TWO, FOUR], ids=len)
+def test_several_bad_parts_at_once(bad, per_s, position, seed):
+    traffic = Traffic(bad=bad, bad_per_s=per_s, bad_position=position)
+    check(World(7, traffic, seed).warm_up().start_bad().run(LASTS_S))
+
+
+@pytest.mark.parametrize(("count", "bad"), [(79, TWO), (79, FOUR), (340, TWO)])
+def test_several_bad_parts_at_once_in_a_large_fleet(count, bad):
+    world = World(count, Traffic(bad=bad)).warm_up().start_bad().run(LASTS_S)
+    check(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("position", [0, 1])
+def test_several_bad_parts_among_few_sound_requests(position, seed):
+    traffic = Traffic(FOUR, position, sound_per_s=1.0, first_count=4)
+    check(World(7, traffic, seed).warm_up(60.0).start_bad().run(LASTS_S))
+
+
+@pytest.mark.parametrize("count", [7, 79, 340])
+def test_all_gateways_know_of_blame_within_a_second(count):
+    world = World(count, Traffic()).warm_up().start_bad()
+    while not world.blamed():
+        world.run(0.05)
+    world.run(MAX_SPREAD_S)
+    assert {tuple(g.blame.blamed) for g in world.gateways.values()} == {
+        (part_digest("bad-0"),)
+    }
+
+
+@pytest.mark.parametrize("count", [7, 79])
+def test_gateways_that_are_cut_off_learn_of_blame_when_they_return(count):
+    world = World(count, Traffic()).warm_up()
+    names = list(world.gateways)[: max(2, count // 8)]
+    for name in names:
+        world.cut(name, 12.0)
+    world.start_bad().run(30.0)
+    check(world, 30.0)
+    for name in names:
+        assert world.gateways[name].blame.blamed == [part_digest("bad-0")]
+
+
+@pytest.mark.parametrize("count", [7, 79, 340])
+def test_gateways_that_have_just_started_learn_of_blame(count):
+    world = World(count, Traffic()).warm_up().start_bad().run(15.0)
+    names = list(world.gateways)[: max(2, count // 8)]
+    for name in names:
+        world.kill(name, 1.0)
+    # Started after 1 s, they reach the others 0.5 s later at the latest; a call may be
+    # lost.
+    world.run(1.5 + MAX_SPREAD_S)
+    for name in names:
+        assert world.gateways[name].blame.blamed == [part_digest("bad-0")]
+    check(world.run(5.0), 22.5)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("nested", [True, False])
+@pytest.mark.parametrize(("firsts", "seconds"), [(3, 200), (12, 300), (40, 500)])
+def test_replicas_that_crash_for_other_reasons_blame_no_part(
+    firsts, seconds, nested, seed
+):
+    traffic = SOUND._replace(
+        first_count=firsts, second_count=seconds, nested=nested, sound_per_s=40.0
+    )
+    world = World(7, traffic, seed, replicas=8).warm_up(5.0)
+    for pause_s in (5.0, 5.0, *[0.7] * 20):
+        world.crash_replicas(5 if pause_s > 1 else 1)
+        world.run(pause_s)
+        assert world.blamed() == set()
+    assert world.refused_sound == 0
+
+
+@pytest.mark.parametrize("count", [7, 79])
+def test_blame_ends_after_the_last_request_with_the_part(count):
+    world = World(count, Traffic(sound_per_s=1.0)).warm_up().start_bad().run(15.0)
+    assert world.blamed()
+    world.stop_bad()
+    world.run(90.0)
+    assert world.blamed() == set()
+    assert not any(gateway.blame.active for gateway in world.gateways.values())
