--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -157,7 +157,7 @@
             await self._serve(head, scope["headers"], receive, responder)
         except RefusalError as refusal:
             await self._refuse(refusal, request_id, responder)
-        except (LentilshoreError, OSError, ValueError, KeyError, TypeError) as error:
+        except Exception as error:  # noqa: BLE001
             log_event(
                 "request_failed",
                 request=request_id or "-",
--- a/packages/node/src/lentilshore_node/delivery/attempt_sender.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_sender.py
@@ -141,6 +141,12 @@
                 Execution.NOT_RUN,
                 "the replica is draining, removed or of a version no longer allowed",
             )
+        if self._context.placement.paused(name):
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_PAUSED,
+                Execution.NOT_RUN,
+                "the replica wants nothing from this node for some time",
+            )
 
     def _may_reuse_connection(self, address: Address) -> bool:
         """Return whether this request may go out on a connection that carried others.
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -36,6 +36,11 @@
 from .crash_watch import CrashWatch
 from .handover import AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
+from .no_replica import (
+    NO_REPLICA_REASONS,
+    no_replica_refusal,
+    overload_retry_after_s,
+)
 from .responder import Responder
 
 # Work that every request counts for when loads are compared; a call of a plain service
@@ -43,12 +48,6 @@
 BASE_WORK_TOKENS = 16.0
 # An engine reads about this many prompt tokens in the time of generating one token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
-# Retry delay stated in refusals where replicas are full: about the time of a few plain
-# calls.
-OVERLOAD_RETRY_AFTER_S = 0.3
-# Retry delay stated in refusals where no replica is available: a new replica or
-# configuration is usually known by then.
-NO_UPSTREAM_RETRY_AFTER_S = 1.0
 # Retry delay stated in refusals of prompts with a blamed part.
 BLAMED_PART_RETRY_AFTER_S = 30.0
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
@@ -128,8 +127,8 @@
         self._possible_runs = 0
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
-        # Log fields of the answer to the current attempt, empty before its head.
-        self._answer_log_fields: dict[str, str | int] = {}
+        # Log fields of the answers to the attempts, by lease.
+        self._answer_log_fields: dict[ReplicaLease, dict[str, str | int]] = {}
         # When the current wait for data from the replica began, on the node's clock.
         self._waiting_since = received_at
         self._proof = ExecutionProof()
@@ -154,7 +153,7 @@
             request_id,
             self._loop,
             self._start_attempt,
-            self._read_head,
+            self._check_taken_up,
             self._record_unfollowed,
         )
         self._measurements = AttemptMeasurements(context, request, route)
@@ -216,7 +215,7 @@
         except UpstreamError as error:
             status = await self._give_up(error)
         except RefusalError as refusal:
-            if refusal.reason is not RefusalReason.UPSTREAM_LIMITED:
+            if refusal.reason not in NO_REPLICA_REASONS:
                 raise
             status = await self._send_error_answer()
             if status is None:
@@ -234,9 +233,12 @@
         self._plan = begun.plan if begun else self._make_plan(self._model, tried)
         return self._plan.lease
 
-    def next_has_begun(self) -> bool:
+    async def next_has_begun(self) -> bool:
         """Return whether a replica has taken up the next attempt."""
-        return self._handover.next_attempt is not None
+        if not await self._handover.settle():
+            return False
+        self.record_retry(RetryReason.STALLED)
+        return True
 
     def _make_plan(
         self, model: str, tried: Sequence[str], excluded: str = ""
@@ -262,7 +264,9 @@
         if version is not None:
             lease = self._choose_replica(group, model, tried, excluded)
         if lease is None:
-            raise self._no_replica_refusal(group)
+            raise no_replica_refusal(
+                self._context.placement, group, self._proof.execution
+            )
         return AttemptPlan(rollout, version, model, lease)
 
     def _check_parts(self) -> None:
@@ -277,23 +281,6 @@
             BLAMED_PART_RETRY_AFTER_S,
         )
 
-    def _no_replica_refusal(self, group: str) -> RefusalError:
-        execution = self._proof.execution
-        limit_retry_after_s = self._context.placement.limit_retry_after_s(group)
-        if limit_retry_after_s is None:
-            return RefusalError(
-                RefusalReason.NO_UPSTREAM,
-                execution,
-                f"no replica of {self._service} is available",
-                NO_UPSTREAM_RETRY_AFTER_S,
-            )
-        return RefusalError(
-            RefusalReason.UPSTREAM_LIMITED,
-            execution,
-            f"all replicas of {group} have named limits, which are used up",
-            round(limit_retry_after_s, 2),
-        )
-
     def _choose_replica(
         self, group: str, model: str, tried: Sequence[str], excluded: str
     ) -> ReplicaLease | None:
@@ -327,7 +314,6 @@
         """Record an attempt that ended before it was followed."""
         self._attempts += 1
         elapsed_s = self._context.clock.monotonic() - begun.started_at
-        self._answer_log_fields = {}
         self._log_failure(begun.plan, error, elapsed_s)
         if begun.call is not None:
             self._possible_runs += error.execution is not Execution.NOT_RUN
@@ -363,7 +349,6 @@
         plan, begun = self._plan, self._handover.take()
         self._attempts += 1
         self._model = plan.model
-        self._answer_log_fields = {}
         self._attempt_started_at = (
             begun.started_at if begun else self._context.clock.monotonic()
         )
@@ -401,6 +386,7 @@
                 head = self._read_head(plan, response, started_at)
                 self._crashes.record_head()
                 self._context.placement.record_answer(plan.lease.replica.name)
+                self._check_may_begin(response)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
                 return await self._relay_buffered(response, head, started_at)
@@ -414,12 +400,16 @@
         :raises UpstreamError: if the replica did not run the request.
         """
         head = self._context.translator.read_head(response.status, response.headers)
-        self._answer_log_fields = {
+        self._answer_log_fields[plan.lease] = {
             "answer_status": response.status,
             "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
             "connection_calls": response.connection_calls,
         }
         self._record_limit(plan.lease, head, sent_at)
+        if head.pause_s is not None and not head.misdirected:
+            self._context.record_pause(plan.lease.replica.name, head.pause_s)
+        if head.leaving and not head.misdirected:
+            self._context.view.record_leaving(plan.lease.replica)
         if head.misdirected:
             raise UpstreamError(
                 RefusalReason.UPSTREAM_REPLACED,
@@ -434,6 +424,36 @@
             )
         return head
 
+    def _check_taken_up(
+        self, plan: AttemptPlan, response: Response, sent_at: float
+    ) -> None:
+        """Check that the answer to an attempt that was begun may be relayed.
+
+        :param sent_at: time at which the attempt began, on the node's clock, seconds.
+        :raises UpstreamError: if it may not.
+        """
+        head = self._read_head(plan, response, sent_at)
+        check_answer_head(response, head)
+        if response.status < 500:
+            self._check_may_begin(response)
+            return
+        if response.status != GATEWAY_TIMEOUT_STATUS:
+            source = (self._service, plan.version, plan.lease.replica.name)
+            self._context.evidence.record_answer(plan.rollout, source, True)
+        raise _failed_answer_error(response.status)
+
+    def _check_may_begin(self, response: Response) -> None:
+        """Check that only the rest of a stream follows a part of it.
+
+        :raises UpstreamError: if another answer would.
+        """
+        if self._relay.started and response.status != 200 and response.status < 500:
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_GARBLED,
+                Execution.UNKNOWN,
+                f"status {response.status} does not resume a stream",
+            )
+
     def _record_limit(
         self, lease: ReplicaLease, head: AnswerHead, sent_at: float
     ) -> None:
@@ -457,14 +477,14 @@
         limit_s = self._timeout_limit_s
         if limit_s <= 0:
             return 0.0
-        extension_s = self._loaded_extension_s()
-        if extension_s > 0:
-            return min(limit_s, extension_s)
-        lease = self._plan.lease
-        if self._context.placement.eject_unreachable(lease):
-            self._loop.report_ejection(lease, unreachable=True)
-        if await self._hand_over(self._model, lease.replica.name):
-            self._context.metrics.count(retry_counter(RetryReason.STALLED))
+        if not self._handover.under_way:
+            extension_s = self._loaded_extension_s()
+            if extension_s > 0:
+                return min(limit_s, extension_s)
+            lease = self._plan.lease
+            if self._context.placement.eject_unreachable(lease):
+                self._loop.report_ejection(lease, unreachable=True)
+        if await self._hand_over(self._model, self._replica_name):
             return 0.0
         return min(limit_s, HANDOVER_INTERVAL_S)
 
@@ -485,9 +505,11 @@
         :param model: model of the next attempt.
         :param excluded: name of a replica that must not get it, empty for none.
         """
-        if self._is_last_attempt or self.retry_denial() is not None:
-            return False
-        if not self._context.blame.may_retry(self._request.parts):
+        if not self._handover.under_way and (
+            self._is_last_attempt
+            or self.retry_denial() is not None
+            or not self._context.blame.may_retry(self._request.parts)
+        ):
             return False
         return await self._handover.begin(
             partial(self._make_plan, model, self._loop.tried, excluded)
@@ -496,11 +518,16 @@
     async def _relay_buffered(
         self, response: Response, head: AnswerHead, started_at: float
     ) -> int:
+        check_answer_head(response, head)
+        if response.status < 500:
+            self._handover.abandon()
         total_s = None
-        if self._route.delivery_mode.repeatable and not self._is_last_attempt:
+        if self._handover.under_way:
+            # What is under way may end the reading at any time.
+            total_s = 0.0
+        elif self._route.delivery_mode.repeatable and not self._is_last_attempt:
             total_s = response.timeout_s
         body = await response.read(BUFFERED_ANSWER_LIMIT_BYTES, total_s)
-        check_answer_head(response, head)
         self._crashes.record_whole()
         self._measurements.record_outcome(
             response.status >= 500 and response.status != GATEWAY_TIMEOUT_STATUS
@@ -508,11 +535,7 @@
         answer = self._relay.read_answer(response, body)
         if response.status >= 500:
             self._error_answer = answer
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_FAILED,
-                Execution.RAN,
-                f"the replica answered with status {response.status}",
-            )
+            raise _failed_answer_error(response.status)
         self._measurements.record_answer_time(
             self._context.clock.monotonic() - started_at
         )
@@ -523,6 +546,7 @@
         self, response: Response, head: AnswerHead, started_at: float
     ) -> int | None:
         check_answer_head(response, head)
+        self._handover.abandon()
         self._measurements.record_first_event(
             self._context.clock.monotonic() - started_at
         )
@@ -542,6 +566,7 @@
 
     def record_events(self) -> None:
         """Record that the replica has sent events of a stream."""
+        self._handover.abandon()
         self._waiting_since = self._context.clock.monotonic()
         self._crashes.record_events()
         self._context.placement.record_answer(self._replica_name)
@@ -596,9 +621,9 @@
         if status is not None:
             return status
         execution = self._proof.execution
-        retry_after_s = (
-            OVERLOAD_RETRY_AFTER_S if execution is Execution.NOT_RUN else None
-        )
+        retry_after_s = None
+        if execution is Execution.NOT_RUN:
+            retry_after_s = overload_retry_after_s(self._context.placement, self._group)
         raise RefusalError(
             error.reason, execution, error.detail, retry_after_s
         ) from error
@@ -629,7 +654,7 @@
             execution=error.execution.value,
             detail=error.detail,
             elapsed_ms=f"{elapsed_s * 1000:.1f}",
-            **self._answer_log_fields,
+            **self._answer_log_fields.get(plan.lease, {}),
         )
 
     def _outcome(self, status: int) -> Outcome:
@@ -644,3 +669,11 @@
             answered_at - self._received_at,
             now - self._received_at,
         )
+
+
+def _failed_answer_error(status: int) -> UpstreamError:
+    return UpstreamError(
+        RefusalReason.UPSTREAM_FAILED,
+        Execution.RAN,
+        f"the replica answered with status {status}",
+    )
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -30,6 +30,7 @@
 # may import only types and protocols from other modules.
 DECISION_MODULES = {
     "lentilshore_node.delivery.delivery",
+    "lentilshore_node.delivery.no_replica",
     "lentilshore_node.callers.forwarder",
     "lentilshore_node.state.fleet_view_updater",
     "lentilshore_node.state.rollout_controller",
@@ -42,6 +43,7 @@
     "lentilshore_routing.first_event_times",
     "lentilshore_routing.model_choice",
     "lentilshore_routing.replica_limits",
+    "lentilshore_routing.replica_pauses",
     "lentilshore_routing.retries",
     "lentilshore_routing.rollouts",
     "lentilshore_routing.staging",
@@ -51,7 +53,8 @@
 # Names that only the users' platform uses; the product must not depend on them.
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-response-signature|x-expect-instance|x-not-executed"
-    r"|server-limit|x-prompt-prefix|x-token-usage|x-confidence|x-deadline-ms|x-tenant"
+    r"|server-limit|server-leaving|x-prompt-prefix|x-token-usage|x-confidence"
+    r"|x-deadline-ms|x-tenant"
     r"|/lentilshore/|traffic_split|gap_aim_ms|path_prefix|api_keys|as_of|wait_ms",
     re.IGNORECASE,
 )
