Soak: answers cut midway, some without length and chunks

An answer may have neither length nor chunks and end with its connection. The soak's replicas sent none, and cut streams only by a reset between two events.

`--cuts`: a share of the answers has neither; streams are reset before or inside an event or closed inside one, plain answers are reset. ORDER and MIXED check what callers got; LOST names a resumable stream that ends cut with attempts and time left.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.soak import crashes
+from tests.soak import crashes, cuts
 from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
@@ -65,6 +65,8 @@
         fleet.crashing_parts = [f"bad{n:x}" for n in range(options.crashing_parts)]
         prompts = crashes.Prompts(prompt_random, fleet.crashing_parts)
         mix = crashes.MIX
+    elif options.cuts:
+        mix = cuts.MIX
     callers = Callers(fleet, keys, load_random, f"r{seed}", mix, prompts)
 
     def write_log(text):
@@ -75,6 +77,8 @@
         plan = SilencePlan(*faults)
     elif options.crashing_parts is not None:
         plan = crashes.CrashPlan(*faults)
+    elif options.cuts:
+        plan = cuts.CutPlan(*faults)
     else:
         plan = Plan(*faults, options.rejections, options.limits)
     try:
@@ -125,6 +129,11 @@
         action="store_true",
         help="sound replicas are silent for a moment, with planned work, no more",
     )
+    parser.add_argument(
+        "--cuts",
+        action="store_true",
+        help="replicas cut answers midway, some without length and chunks",
+    )
     parser.add_argument(
         "--crashing-parts",
         type=int,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,6 +6,7 @@
 
 from tests.soak.callers import KINDS, PROMISE_STATUSES, STREAMS
 from tests.soak.crashes import BLAMED, CrashCheck
+from tests.soak.cuts import cut_problems
 from tests.soak.fleet import AFTERMATH_S, GRACE_S, REVOKE_MS
 from tests.soak.limits import limit_problems
 from tests.soak.replica import expected_events
@@ -69,6 +70,10 @@
                 for g in self._fleet.gateways
             }
             found += lost_problems(self._callers, self._runs, stops)
+        if self._fleet.unframed_share:
+            found += cut_problems(
+                self._callers, self._runs, self._fleet.disturbances.touch
+            )
         found += CrashCheck(self._callers, self._limits, self._is_in_touch).problems()
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -6,7 +6,7 @@
 
 from tests.soak.callers import STREAMS
 from tests.soak.fleet import AFTERMATH_S
-from tests.soak.plan import Plan, lasting_routes
+from tests.soak.plan import Plan
 
 MIX = {"once": 1, "safe": 1, "stream": 6, "tail": 2, "long": 2}
 SECOND_PARTS = 60
@@ -78,14 +78,12 @@
 
     def __init__(self, fleet, keys, random, log):
         super().__init__(fleet, keys, random, log)
+        self._has_lasting_routes = True
         self._actions = {self.change_config: 2, self.reload_settings: 1}
         self._gap_s = 2.0
         if not fleet.crashing_parts:
             self._actions = {self.kill_replica: 1}
 
-    def _routes(self):
-        return super()._routes() + lasting_routes()
-
 
 class CrashCheck:
     """Checks of what gateways did about crashing parts.
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -198,6 +198,8 @@
         # Parts of prompts that end replicas, None if replicas keep their identity and
         # are behind links, which accept connections while a replica is down.
         self.crashing_parts = None
+        # Share of the answers that have neither length nor chunks.
+        self.unframed_share = 0.0
         self.gateways = []
         self.replicas = {}
         # By name of a gateway or replica, and (gateway, "store") and ("peer", gateway).
@@ -270,6 +272,7 @@
                 "store": store_link.address,
                 "advertised": link.address if self.crashing_parts is None else "",
                 "crashing_parts": self.crashing_parts or (),
+                "unframed_share": self.unframed_share,
                 "host": host,
                 "port": int(port or 0),
             }
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -43,6 +43,7 @@
         self._version = 0
         self._timeout_ms = 800
         self._idle_ms = 15_000
+        self._has_lasting_routes = False
         self.withdrawn = {}
         self._actions = {
             self.stop_gateways: 3,
@@ -230,10 +231,7 @@
     async def break_replicas(self, lasts_s):
         """Have replicas fail a share of their requests in several ways."""
         broken = self._some(self._live_replicas(), 0.8)
-        kinds = self._random.sample(REPLICA_FAULTS, self._random.randint(1, 3))
-        faults = {kind: self._random.uniform(0.02, 0.5) for kind in kinds}
-        if self._rejections_only:
-            faults = {"shed": 0.5, "extra": 0.5}
+        faults = self._draw_faults()
         for replica in broken:
             await self._set_faults(replica, faults)
         await asyncio.sleep(lasts_s)
@@ -241,6 +239,11 @@
             if replica.child.running and not replica.leaving:
                 await self._set_faults(replica, {})
 
+    def _draw_faults(self):
+        kinds = self._random.sample(REPLICA_FAULTS, self._random.randint(1, 3))
+        faults = {kind: self._random.uniform(0.02, 0.5) for kind in kinds}
+        return {"shed": 0.5, "extra": 0.5} if self._rejections_only else faults
+
     async def disturb_links(self, lasts_s):
         """Delay, silence or cut links one way, or refuse new connections on them."""
         fault = self._random.choice(
@@ -332,11 +335,10 @@
         ]
         routes[0]["kind"], routes[1]["kind"] = "non_idempotent", "idempotent"
         routes[2] |= {"resumable": True, "sizes": list(MODELS)}
-        return routes
+        return routes + _lasting_routes() if self._has_lasting_routes else routes
 
 
-def lasting_routes():
-    """Return the routes of requests that last longer."""
+def _lasting_routes():
     plain = _route("register", LASTING_TIMEOUT_MS, 2000)
     stream = _route("pool", LASTING_TIMEOUT_MS, 2000) | {"kind": "streaming"}
     routes = [
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -32,7 +32,8 @@
 
     :param options: ``id``, ``service``, ``version``, ``streams``, ``slots``, ``queue``,
         ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses; empty for
-        its own), ``host``, ``port``, ``crashing_parts`` (of prompts).
+        its own), ``host``, ``port``, ``crashing_parts`` (of prompts),
+        ``unframed_share`` (of answers that have neither length nor chunks).
     """
 
     def __init__(self, options):
@@ -44,8 +45,8 @@
         self._slots = asyncio.Semaphore(options["slots"])
         self._waiting = 0
         self._born = int(time.time() * 1000)
-        # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed;
-        # limit: requests a second that are named in answers.
+        # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed,
+        # cut (of events); limit: requests a second that are named in answers.
         self._faults = {}
         self._state = "ready"
         self._run_count = 0
@@ -198,12 +199,20 @@
             return "lost"
         name = request.fields["x-attempt-id"]
         body = f"{name} by {self._options['id']}".encode()
+        if "cut" in self._faults and self._hit("cut"):
+            writer.write(encode("HTTP/1.1 200 OK", {"X-Attempt-Id": name}) + body[:-1])
+            await writer.drain()
+            reset(writer)
+            return "lost"
         status = "500 Error" if self._hit("error") else "200 OK"
         fields = {
             "X-Attempt-Id": name,
             "X-Response-Signature": hashlib.sha256(body).hexdigest(),
             "Keep-Alive": f"timeout={KEEP_ALIVE_S}",
         }
+        if self._is_unframed():
+            writer.write(encode(f"HTTP/1.1 {status}", fields) + body)
+            return "unframed"
         await self._send(f"HTTP/1.1 {status}", fields, body, writer, late)
         return "answered"
 
@@ -219,6 +228,10 @@
             "Transfer-Encoding": "chunked",
             "X-Confidence": str(self._random.randrange(101)),
         }
+        frame = encode_chunk
+        if self._is_unframed():
+            del fields["Transfer-Encoding"]
+            frame = bytes
         writer.write(encode("HTTP/1.1 200 OK", self._name_limit(fields)))
         await self._crash_if_told(request, writer)
         for number in range(first, event_count(name) + 1):
@@ -234,12 +247,30 @@
                 reset(writer)
                 return "lost"
             event = b"id: %d\ndata: %s/%d\n\n" % (number, name.encode(), number)
-            writer.write(encode_chunk(event))
+            if "cut" in self._faults and self._hit("cut"):
+                return await self._cut_event(event, frame, writer)
+            writer.write(frame(event))
             await writer.drain()
+        if frame is bytes:
+            return "unframed"
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return "answered"
 
+    def _is_unframed(self):
+        share = self._options["unframed_share"]
+        return share > 0 and self._random.random() < share
+
+    async def _cut_event(self, event, frame, writer):
+        """Reset the connection before or inside an event, or close it inside one."""
+        part = event[: self._random.randrange(len(event))]
+        if part:
+            writer.write(frame(part))
+            await writer.drain()
+        if not part or self._random.random() < 0.5:
+            reset(writer)
+        return "lost"
+
     async def _crash_if_told(self, request, writer):
         """End the process in the first event if a part of the prompt does so."""
         prefix = request.fields.get("x-prompt-prefix", "")
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -6,7 +6,7 @@
 
 from tests.soak.callers import KINDS
 from tests.soak.fleet import GRACE_S
-from tests.soak.plan import Plan, lasting_routes
+from tests.soak.plan import Plan
 
 LASTING_MIX = {"slow": 3, "slow-once": 1, "long": 3, "long-sized": 3, "long-tail": 1}
 SILENCE_S = 1.2
@@ -25,6 +25,7 @@
 
     def __init__(self, fleet, keys, random, log):
         super().__init__(fleet, keys, random, log)
+        self._has_lasting_routes = True
         fleet.retry_budget = random.choice(RETRY_BUDGETS)
         self._heard_until = {}
         self._actions = {
@@ -63,9 +64,6 @@
         self._idle_ms = self._random.choice(IDLE_TIMEOUTS_MS)
         await self.write_config()
 
-    def _routes(self):
-        return super()._routes() + lasting_routes()
-
 
 def lost_problems(callers, runs, stops):
     """Return a line for each request that ended early though nothing broke it off.
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -61,6 +61,9 @@
             await _read_chunks(reader, body)
         elif "content-length" in head.fields:
             body += await reader.readexactly(int(head.fields["content-length"]))
+        elif head.start[0].startswith("HTTP/"):
+            while data := await reader.read(HEAD_LIMIT_BYTES):
+                body += data
     except asyncio.IncompleteReadError as error:
         return head._replace(body=bytes(body + error.partial), complete=False)
     except (ConnectionError, ValueError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 # 302, LOST: a silence of a replica ended requests that no other replica could take.
 # 402, BUDGET and LOST: requests with one part of a prompt went on to end replicas, and
 # sound ones found none. 421 has shown nothing: no part is blamed for replicas that are
-# killed at random.
+# killed at random. 501 has shown nothing: streams cut midway are resumed.
 @pytest.mark.parametrize(
     ("seed", "options"),
     [
@@ -26,6 +26,7 @@
         (302, ["--silences"]),
         (402, ["--crashing-parts=1", "--size=medium"]),
         (421, ["--crashing-parts=0", "--size=medium"]),
+        (501, ["--cuts", "--seconds=6"]),
     ],
     ids=lambda value: str(value) if isinstance(value, int) else "".join(value),
 )
