Soak: replicas that say that they leave or when to come back

A replica that leaves may send `Server-Leaving: 1` with its answers, and a rejection with 503 may name a time in `Retry-After`. The soak's replicas did neither.

`--hints`: replicas that drain say so in all answers, half of them without a report to the store, and a share of the rejections names 1 to 3 s. DRAIN: no request that was sent later than `drain_ms` after a gateway passed on such an answer reaches that replica from it. BUDGET: no more than two requests reach a replica from a gateway between 0.5 s after a rejection and the end of its time. A restart of the gateway excuses it.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.soak import crashes, cuts
+from tests.soak import crashes, cuts, hints
 from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
@@ -79,6 +79,8 @@
         plan = crashes.CrashPlan(*faults)
     elif options.cuts:
         plan = cuts.CutPlan(*faults)
+    elif options.hints:
+        plan = hints.HintPlan(*faults)
     else:
         plan = Plan(*faults, options.rejections, options.limits)
     try:
@@ -134,6 +136,11 @@
         action="store_true",
         help="replicas cut answers midway, some without length and chunks",
     )
+    parser.add_argument(
+        "--hints",
+        action="store_true",
+        help="replicas say that they leave, and when to come back after a rejection",
+    )
     parser.add_argument(
         "--crashing-parts",
         type=int,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,7 @@
 from tests.soak.crashes import BLAMED, CrashCheck
 from tests.soak.cuts import cut_problems
 from tests.soak.fleet import AFTERMATH_S, GRACE_S, REVOKE_MS
+from tests.soak.hints import hint_problems
 from tests.soak.limits import limit_problems
 from tests.soak.replica import expected_events
 from tests.soak.silences import lost_problems
@@ -74,6 +75,8 @@
             found += cut_problems(
                 self._callers, self._runs, self._fleet.disturbances.touch
             )
+        if self._fleet.gives_hints:
+            found += hint_problems(self._callers, self._limits, self._was_interrupted)
         found += CrashCheck(self._callers, self._limits, self._is_in_touch).problems()
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
@@ -85,6 +88,12 @@
         planned = [end.asked_at for end in child.ends if end.asked_at]
         return not any(0 <= at - t <= AFTERMATH_S for t in child.starts + planned)
 
+    def _was_interrupted(self, gateway, begin, end):
+        child = next(g for g in self._fleet.gateways if g.name == gateway)
+        if any(begin <= start <= end for start in child.starts):
+            return True
+        return self._fleet.disturbances.touch({gateway}, begin, end)
+
     def outcomes(self):
         """Return how many requests ended how."""
         counted = Counter()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -31,7 +31,7 @@
 front = "{host}:{port}"
 ready = "{host}:{ready_port}"
 [bounds]
-drain_ms = 2000
+drain_ms = {drain_ms}
 revoke_ms = {revoke_ms}
 config_apply_ms = 2000
 session_s = 5
@@ -44,6 +44,7 @@
 address = "{store}"
 value_bytes = 1048576
 """
+DRAIN_MS = 2000
 REVOKE_MS = 5000
 FIRST_VERSION = "v1"
 GATEWAY_PORT, READY_PORT, METRICS_PORT = 7301, 7302, 7340
@@ -200,6 +201,8 @@
         self.crashing_parts = None
         # Share of the answers that have neither length nor chunks.
         self.unframed_share = 0.0
+        # Whether replicas say in their answers that they leave.
+        self.gives_hints = False
         self.gateways = []
         self.replicas = {}
         # By name of a gateway or replica, and (gateway, "store") and ("peer", gateway).
@@ -273,6 +276,7 @@
                 "advertised": link.address if self.crashing_parts is None else "",
                 "crashing_parts": self.crashing_parts or (),
                 "unframed_share": self.unframed_share,
+                "gives_hints": self.gives_hints,
                 "host": host,
                 "port": int(port or 0),
             }
@@ -320,6 +324,7 @@
             ready_port=READY_PORT,
             metrics_port=METRICS_PORT,
             store=store,
+            drain_ms=DRAIN_MS,
             revoke_ms=REVOKE_MS,
             retry_budget=self.retry_budget,
             grace_s=grace_s,
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -18,6 +18,7 @@
 WORK_S = (0.005, 0.06)
 SLOW_WORK_S = (0.1, 3.0)
 STREAM_STEP_S = 0.03
+RETRY_AFTER_S = (1.0, 3.0)
 LONG_STEPS_S = (0.05, 0.15, 0.3)
 # A replica that a part of a prompt ends writes for this time before.
 CRASH_AFTER_S = (0.05, 0.13)
@@ -33,7 +34,8 @@
     :param options: ``id``, ``service``, ``version``, ``streams``, ``slots``, ``queue``,
         ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses; empty for
         its own), ``host``, ``port``, ``crashing_parts`` (of prompts),
-        ``unframed_share`` (of answers that have neither length nor chunks).
+        ``unframed_share`` (of answers that have neither length nor chunks),
+        ``gives_hints`` (whether it says that it leaves).
     """
 
     def __init__(self, options):
@@ -46,7 +48,8 @@
         self._waiting = 0
         self._born = int(time.time() * 1000)
         # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed,
-        # cut (of events); limit: requests a second that are named in answers.
+        # cut (of events), retry_after (of rejections); limit: requests a second that
+        # are named in answers.
         self._faults = {}
         self._state = "ready"
         self._run_count = 0
@@ -74,7 +77,7 @@
         }
         os.write(self._runs, json.dumps(line).encode() + b"\n")
 
-    def _record_limit(self, event, fields):
+    def _record_limit(self, event, fields, **values):
         """Record that a request arrives, or that its answer names the limit."""
         line = {
             "event": event,
@@ -83,11 +86,23 @@
             "born": self._born,
             "limit": self._faults.get("limit"),
             "time": time.time(),
+            **values,
         }
         os.write(self._runs, json.dumps(line).encode() + b"\n")
 
+    def _retry_after(self, request):
+        """Return the header of a rejection that names a time, or none."""
+        if "retry_after" not in self._faults or not self._hit("retry_after"):
+            return {}
+        seconds = round(self._random.uniform(*RETRY_AFTER_S), 1)
+        self._record_limit("retry_after", request.fields, seconds=seconds)
+        return {"Retry-After": f"{seconds}"}
+
     def _name_limit(self, fields):
-        """Return the headers of an answer with the limit, if there is one."""
+        """Return the headers of an answer, with the limit if there is one."""
+        if self._options["gives_hints"] and self._state in ("draining", "leaving"):
+            self._record_limit("leaving", fields)
+            fields = fields | {"Server-Leaving": "1"}
         limit = self._faults.get("limit")
         if limit is None:
             return fields
@@ -126,7 +141,7 @@
             return await self._reject("400 Bad Request", NOT_RUN, writer, late)
         full = self._slots.locked() and self._waiting >= self._options["queue"]
         if full or self._hit("shed"):
-            fields = echo | NOT_RUN
+            fields = echo | NOT_RUN | self._retry_after(request)
             return await self._reject("503 Service Unavailable", fields, writer, late)
         gone = asyncio.create_task(reader.read(1))
         try:
@@ -312,7 +327,7 @@
                     "zone": "dc-1",
                     "version": self._options["version"],
                     "slots": self._options["slots"],
-                    "state": self._state,
+                    "state": "ready" if self._state == "leaving" else self._state,
                     "cold_remaining_ms": 0,
                     "sequence": sequence,
                     "born": self._born,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 # 402, BUDGET and LOST: requests with one part of a prompt went on to end replicas, and
 # sound ones found none. 421 has shown nothing: no part is blamed for replicas that are
 # killed at random. 501 has shown nothing: streams cut midway are resumed.
+# 601, BUDGET and DRAIN: Retry-After and Server-Leaving of replicas were not followed.
 @pytest.mark.parametrize(
     ("seed", "options"),
     [
@@ -27,6 +28,7 @@
         (402, ["--crashing-parts=1", "--size=medium"]),
         (421, ["--crashing-parts=0", "--size=medium"]),
         (501, ["--cuts", "--seconds=6"]),
+        (601, ["--hints"]),
     ],
     ids=lambda value: str(value) if isinstance(value, int) else "".join(value),
 )
