Prefer the part that explains most crashes

A sound part that had met three of four bad parts was blamed, as a later part of the prompt, before a first part with more crashes (fleet of 7 without I/O, 4 bad first parts, 1 request a second each: 24 late sends). Of parts that were answered as often, the one with the most crashes now comes first, then the later one.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -179,6 +179,13 @@
         suspect = score.chained >= SUSPECT_CRASHES and not score.answers
         return suspect or self.condemned
 
+    @property
+    def cleared(self) -> bool:
+        """Whether answers or other parts clear the part, so that a crash can wait."""
+        if self.condemned or not self.crashes:
+            return False
+        return self.score.answers > 0 or (self.answered and not self.score.chained)
+
     @property
     def settled(self) -> bool:
         """Whether the part is cleared of all crashes so far."""
@@ -199,7 +206,7 @@
     def preference(self) -> tuple[int, int, int, str]:
         """Return the order in which parts are suspected of the same crash."""
         answered = self.answered_before + len(self.answers)
-        return answered, -self.position, -len(self.crashes), self.digest
+        return answered, -len(self.crashes), -self.position, self.digest
 
     def is_blamed(self, now: float) -> bool:
         """Return whether requests with the part are refused."""
@@ -436,6 +443,7 @@
         if not _is_recent(news):
             return False
         part = self._parts.get(news.part) or _Part(news.part)
+        decided = part.cleared or news.part in self._blamed
         part.position = max(part.position, news.position)
         part.seen_at = max(part.seen_at, asked_at - news.seen_age_s)
         now = self._clock.monotonic()
@@ -443,8 +451,7 @@
         for told in news.crashes:
             ended_at, ended_by = asked_at - told.age_s, now - told.age_s
             crash = _Crash(told.replica, told.rank, ended_at, ended_by)
-            added = part.add_crash(crash)
-            urgent |= added and news.part not in self._blamed
+            urgent |= part.add_crash(crash) and not decided
         for answer in news.answers:
             urgent |= part.add_answer(answer.request, asked_at - answer.age_s)
         urgent |= news.answered_before > 0 and not part.answered_before
