--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -40,6 +40,7 @@
     "lentilshore_node.peers.limit_exchange",
     "lentilshore_node.peers.relay",
     "lentilshore_node.state.rollout_progress",
+    "lentilshore_routing.crash_blame",
     "lentilshore_routing.first_event_times",
     "lentilshore_routing.model_choice",
     "lentilshore_routing.replica_limits",
