Wait no longer than 3 s for a retry of a request that was handed over

A request whose next replica rejected it late asked for a retry until its time was up, 25 s for a long stream. It now ends 3 s after the handover if the budget still denies the retry. tests/test_handover*.py pass.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from functools import partial
 from typing import NamedTuple
@@ -68,6 +69,8 @@
 # Longest time for which an answer in hand waits for a larger model's replica to take
 # the request up. The connection may take as long as the rest.
 ESCALATION_WAIT_S = 2 * TAKE_UP_S
+# Longest time after a handover for which a retry is asked for again.
+BUDGET_WAIT_S = 3.0
 
 
 class Outcome(NamedTuple):
@@ -161,8 +164,9 @@
         )
         self._measurements = AttemptMeasurements(context, request, route)
         self._crashes = CrashWatch(context, request)
-        # Whether an attempt was given up that might still have answered.
-        self._handed_over = False
+        # When an attempt was last given up that might still have answered, on the
+        # node's clock.
+        self._handed_over_at = -math.inf
         # A replica's last answer with a status of 500 or above, sent if all attempts
         # fail.
         self._error_answer: Answer | None = None
@@ -240,7 +244,8 @@
 
     async def wait_for_budget(self) -> bool:
         """Wait if an attempt was given up that might still have answered."""
-        if not self._handed_over:
+        now = self._context.clock.monotonic()
+        if now - self._handed_over_at >= BUDGET_WAIT_S:
             return False
         self._context.metrics.count(retry_denial_counter(RetryDenial.BUDGET))
         log_event("retry_awaited", request=self._request.request_id)
@@ -361,7 +366,8 @@
         :returns: status of the answer, None to repeat the request on a larger model.
         """
         plan, begun = self._plan, self._handover.take()
-        self._handed_over = self._handed_over or begun is not None
+        if begun is not None:
+            self._handed_over_at = self._context.clock.monotonic()
         self._attempts += 1
         self._model = plan.model
         self._attempt_started_at = (
