--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -342,8 +342,8 @@
         """Return what denies another attempt, None for nothing.
 
         None is allowed while a part of its prompt may have ended a replica, once a
-        stream that can't be resumed has started, once the
-        route's attempts are used up, or shortly before the deadline.
+        stream that can't be resumed has started, once the route's attempts are used
+        up, or shortly before the deadline.
         """
         if self._crashes.suspected:
             return RetryDenial.PROMPT_PART_SUSPECTED
