Ask a third replica at once after the second has run a request and failed

The next try now follows after 0.01 s if the one before it may have run; the route's attempts bound it. tests/test_silent_replicas.py: the new case failed before and passes now.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -66,6 +66,8 @@
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
 # Time between two tries to hand over a request whose replica is silent.
 HANDOVER_INTERVAL_S = 0.25
+# The same after a replica has run the request and failed.
+RETRY_AT_ONCE_S = 0.01
 # Longest time for which an answer in hand waits for a larger model's replica to take
 # the request up. The connection may take as long as the rest.
 ESCALATION_WAIT_S = 2 * TAKE_UP_S
@@ -505,9 +507,14 @@
             lease = self._plan.lease
             if self._context.placement.eject_unreachable(lease):
                 self._loop.report_ejection(lease, unreachable=True)
+        possible_runs = self._possible_runs
         if await self._hand_over(self._model, self._replica_name):
             return 0.0
-        return min(limit_s, HANDOVER_INTERVAL_S)
+        # Where another replica has run the request and failed, this one must not work
+        # on for long.
+        failed_run = self._possible_runs > possible_runs
+        pause_s = RETRY_AT_ONCE_S if failed_run else HANDOVER_INTERVAL_S
+        return min(limit_s, pause_s)
 
     def _loaded_extension_s(self) -> float:
         """Return the extension for a replica that has just answered some request."""
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -156,6 +156,17 @@
     assert (caller.status, len(harness.server.requests)) == (504, 2)
 
 
+# Guards against TWICE: after a second replica had run the request and failed, the first
+# one worked on alone for a quarter of a second before a third was asked.
+def test_a_third_replica_is_asked_at_once_after_the_second_has_failed():
+    failed = signed(b"failed", "500 Error")
+    harness = GatewayHarness([accepted, failed, signed(b"whole")], IDEMPOTENT)
+    # The deadline comes before the usual time between two tries.
+    caller = harness.run(Caller([(b"x-deadline-ms", b"450")]))
+    assert (caller.status, caller.body) == (200, b"whole")
+    assert len(harness.server.requests) == 3
+
+
 async def _return_zero(*_):
     return 0.0
 
