Split delivery.py: choice of a replica, heads of answers, larger models

No behaviour changes. Tests that patched private methods name the new classes. The tests of gateways, handovers, limits, pauses and their mutants pass.

--- a/packages/node/src/lentilshore_node/callers/forwarder.py
+++ b/packages/node/src/lentilshore_node/callers/forwarder.py
@@ -7,7 +7,8 @@
 from lentilshore_routing.routes import KeyOwner, Route
 
 from ..clients.forwarding import ForwardRequest
-from ..delivery.delivery import Delivery, Outcome
+from ..delivery.delivery import Delivery
+from ..delivery.outcome import Outcome
 from ..delivery.responder import Responder
 from ..state.gateway_context import GatewayContext
 
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -18,7 +18,7 @@
 
 from ..clients.forwarding import ForwardRequest
 from ..clients.http_connection import HeaderFields
-from ..delivery.delivery import Outcome
+from ..delivery.outcome import Outcome
 from ..delivery.responder import (
     CLOSE_CONNECTION,
     AsgiResponder,
--- /dev/null
+++ b/packages/node/src/lentilshore_node/delivery/attempt_planner.py
@@ -0,0 +1,112 @@
+"""Chooses the version and the replica that an attempt of a request is sent to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from lentilshore_kernel.exceptions import RefusalError
+from lentilshore_kernel.types import RefusalReason
+from lentilshore_routing.placement import ReplicaLease
+from lentilshore_routing.routes import Route, shared_prefix
+
+from ..clients.forwarding import ForwardRequest
+from ..state.gateway_context import GatewayContext
+from .attempts import ExecutionProof
+from .handover import AttemptPlan
+from .no_replica import no_replica_refusal
+
+# Work that every request counts for when loads are compared; a call of a plain service
+# counts for no more than this.
+BASE_WORK_TOKENS = 16.0
+# An engine reads about this many prompt tokens in the time of generating one token.
+PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
+# Retry delay stated in refusals of prompts with a blamed part.
+BLAMED_PART_RETRY_AFTER_S = 30.0
+
+
+class AttemptPlanner:
+    """Plans the attempts of one request.
+
+    :param context: context of the gateway.
+    :param check_key: raises RefusalError if the caller's key may have been withdrawn.
+    :param request: the caller's request.
+    :param route: route of the request.
+    :param service: service that gets the request.
+    :param proof: knows whether the request has run.
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        check_key: Callable[[Route], None],
+        request: ForwardRequest,
+        route: Route,
+        service: str,
+        proof: ExecutionProof,
+    ) -> None:
+        self._context = context
+        self._check_key = check_key
+        self._request = request
+        self._route = route
+        self._service = service
+        self._proof = proof
+
+    def plan(self, model: str, tried: Sequence[str], excluded: str = "") -> AttemptPlan:
+        """Choose a version and a replica for an attempt.
+
+        :param model: model of the attempt, empty where the route names none.
+        :param tried: names of replicas at which attempts have failed.
+        :param excluded: name of a replica that must not be chosen, and besides which
+            an ejected one is not chosen either; empty for none.
+        :raises RefusalError: ``no_upstream`` if no replica is available,
+            ``key_unproved`` if the caller's key may have been withdrawn, or
+            ``prompt_part_blamed`` if a part of the prompt crashes replicas.
+        """
+        self._check_key(self._route)
+        self._check_parts()
+        view = self._context.view
+        rollout = view.rollouts.get(self._service)
+        version = self._context.version_chooser.choose(
+            rollout,
+            view.version_counts(self._service),
+            self._request.session,
+            self._context.random.random(),
+            self._context.clock.monotonic(),
+        )
+        group = f"{self._service}@{version or ''}"
+        lease = None
+        if version is not None:
+            lease = self._choose_replica(group, model, tried, excluded)
+        if lease is None:
+            raise no_replica_refusal(
+                self._context.placement, group, self._proof.execution
+            )
+        return AttemptPlan(rollout, version, model, lease)
+
+    def _check_parts(self) -> None:
+        """Refuse a request with a part that ends the replicas that answer it."""
+        part = self._context.blame.blamed_part(self._request.parts)
+        if part is None:
+            return
+        raise RefusalError(
+            RefusalReason.PROMPT_PART_BLAMED,
+            self._proof.execution,
+            f"replicas ended as they answered prompts with the part {part}",
+            BLAMED_PART_RETRY_AFTER_S,
+        )
+
+    def _choose_replica(
+        self, group: str, model: str, tried: Sequence[str], excluded: str
+    ) -> ReplicaLease | None:
+        request, placement = self._request, self._context.placement
+        prefix, _ = shared_prefix(request.parts, model)
+        work = BASE_WORK_TOKENS
+        if self._route.delivery_mode.streaming:
+            work += request.prompt_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
+            work += request.output_tokens
+        if not excluded:
+            return placement.choose_untried_first(group, work, prefix, tried=tried)
+        for names in ([*tried, excluded], [excluded]):
+            if placement.has_usable(group, names):
+                return placement.choose(group, work, prefix, excluded=names)
+        return None
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Callable, Sequence
 from functools import partial
-from typing import NamedTuple
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
@@ -16,9 +15,9 @@
     RetryDenial,
     RetryReason,
 )
-from lentilshore_routing.model_choice import first_model, larger_model, should_escalate
+from lentilshore_routing.model_choice import first_model
 from lentilshore_routing.placement import ReplicaLease
-from lentilshore_routing.routes import DeliveryMode, KeyOwner, Route, shared_prefix
+from lentilshore_routing.routes import DeliveryMode, KeyOwner, Route
 from lentilshore_routing.timeouts import (
     answer_timeout_s,
     next_event_timeout_s,
@@ -31,26 +30,23 @@
 from ..clients.http_client import Call
 from ..clients.http_connection import Response
 from ..state.gateway_context import GatewayContext
+from .answer_heads import (
+    GATEWAY_TIMEOUT_STATUS,
+    AnswerHeads,
+    failed_answer_error,
+)
 from .answers import Answer, AnswerRelay, check_answer_head
-from .attempt_sender import LOGGED_ID_LIMIT, AttemptSender
+from .attempt_planner import AttemptPlanner
+from .attempt_sender import AttemptSender
 from .attempts import AttemptLoop, ExecutionProof, RetryScope
 from .crash_watch import CrashWatch
+from .escalation import Escalation
 from .handover import TAKE_UP_S, AttemptPlan, BegunAttempt, Handover
 from .measurements import AttemptMeasurements
-from .no_replica import (
-    NO_REPLICA_REASONS,
-    no_replica_refusal,
-    overload_retry_after_s,
-)
+from .no_replica import NO_REPLICA_REASONS, overload_retry_after_s
+from .outcome import Outcome
 from .responder import Responder
 
-# Work that every request counts for when loads are compared; a call of a plain service
-# counts for no more than this.
-BASE_WORK_TOKENS = 16.0
-# An engine reads about this many prompt tokens in the time of generating one token.
-PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
-# Retry delay stated in refusals of prompts with a blamed part.
-BLAMED_PART_RETRY_AFTER_S = 30.0
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
 # not extended.
 REPLICA_SILENCE_S = 0.7
@@ -59,9 +55,6 @@
 # The last timeout ends this long before the caller's deadline, so that the failure is
 # attributed to the replica and reported to the caller.
 DEADLINE_MARGIN_S = 0.01
-# A replica answers with this status at the deadline. That is not counted as an error of
-# the replica's version, since it says nothing about the version.
-GATEWAY_TIMEOUT_STATUS = 504
 # Limit of an answer that is not streamed.
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
 # Time between two tries to hand over a request whose replica is silent.
@@ -75,27 +68,6 @@
 BUDGET_WAIT_S = 3.0
 
 
-class Outcome(NamedTuple):
-    """Result of a request, for logs and metrics.
-
-    :param status: status that the caller got.
-    :param attempts: number of times that the request was sent to a replica.
-    :param lease: the last replica, with its load when it was chosen.
-    :param version: version of that replica.
-    :param model: the last model used, empty where the route names none.
-    :param first_s: time to the answer or its first event, seconds.
-    :param total_s: time to the end of the answer, seconds.
-    """
-
-    status: int
-    attempts: int
-    lease: ReplicaLease | None
-    version: str
-    model: str
-    first_s: float
-    total_s: float
-
-
 class Delivery:
     """Sends one request to replicas until one answers, and relays the answer.
 
@@ -135,8 +107,6 @@
         self._possible_runs = 0
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
-        # Log fields of the answers to the attempts, by lease.
-        self._answer_log_fields: dict[ReplicaLease, dict[str, str | int]] = {}
         # When the current wait for data from the replica began, on the node's clock.
         self._waiting_since = received_at
         self._proof = ExecutionProof()
@@ -145,7 +115,11 @@
             request_id, request_id, self._service, route.delivery_mode.repeatable
         )
         self._loop = AttemptLoop(context, self, scope)
+        self._planner = AttemptPlanner(
+            context, check_key, request, route, self._service, self._proof
+        )
         self._relay = AnswerRelay(context, responder, request.resume_after)
+        self._heads = AnswerHeads(context, self._service, self._relay)
         self._sender = AttemptSender(
             context,
             check_key,
@@ -161,10 +135,13 @@
             request_id,
             self._loop,
             self._start_attempt,
-            self._check_taken_up,
+            self._heads.check_taken_up,
             self._record_unfollowed,
         )
         self._measurements = AttemptMeasurements(context, request, route)
+        self._escalation = Escalation(
+            context, request, route, self._measurements, received_at
+        )
         self._crashes = CrashWatch(context, request)
         # When an attempt was last given up that might still have answered, on the
         # node's clock.
@@ -241,7 +218,7 @@
             ``key_unproved`` if the caller's key may have been withdrawn.
         """
         begun = self._handover.next_attempt
-        self._plan = begun.plan if begun else self._make_plan(self._model, tried)
+        self._plan = begun.plan if begun else self._planner.plan(self._model, tried)
         return self._plan.lease
 
     async def wait_for_budget(self) -> bool:
@@ -261,63 +238,6 @@
         self.record_retry(RetryReason.STALLED)
         return True
 
-    def _make_plan(
-        self, model: str, tried: Sequence[str], excluded: str = ""
-    ) -> AttemptPlan:
-        """Choose a version and a replica for an attempt, see :meth:`choose_replica`.
-
-        :param excluded: name of a replica that must not be chosen, and besides which
-            an ejected one is not chosen either; empty for none.
-        """
-        self._check_key(self._route)
-        self._check_parts()
-        view = self._context.view
-        rollout = view.rollouts.get(self._service)
-        version = self._context.version_chooser.choose(
-            rollout,
-            view.version_counts(self._service),
-            self._request.session,
-            self._context.random.random(),
-            self._context.clock.monotonic(),
-        )
-        group = f"{self._service}@{version or ''}"
-        lease = None
-        if version is not None:
-            lease = self._choose_replica(group, model, tried, excluded)
-        if lease is None:
-            raise no_replica_refusal(
-                self._context.placement, group, self._proof.execution
-            )
-        return AttemptPlan(rollout, version, model, lease)
-
-    def _check_parts(self) -> None:
-        """Refuse a request with a part that ends the replicas that answer it."""
-        part = self._context.blame.blamed_part(self._request.parts)
-        if part is None:
-            return
-        raise RefusalError(
-            RefusalReason.PROMPT_PART_BLAMED,
-            self._proof.execution,
-            f"replicas ended as they answered prompts with the part {part}",
-            BLAMED_PART_RETRY_AFTER_S,
-        )
-
-    def _choose_replica(
-        self, group: str, model: str, tried: Sequence[str], excluded: str
-    ) -> ReplicaLease | None:
-        request, placement = self._request, self._context.placement
-        prefix, _ = shared_prefix(request.parts, model)
-        work = BASE_WORK_TOKENS
-        if self._route.delivery_mode.streaming:
-            work += request.prompt_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
-            work += request.output_tokens
-        if not excluded:
-            return placement.choose_untried_first(group, work, prefix, tried=tried)
-        for names in ([*tried, excluded], [excluded]):
-            if placement.has_usable(group, names):
-                return placement.choose(group, work, prefix, excluded=names)
-        return None
-
     def record_failure(self, lease: ReplicaLease, error: UpstreamError) -> None:
         """Record a failed attempt; the time until a timeout counts as a latency."""
         elapsed_s = self._context.clock.monotonic() - self._attempt_started_at
@@ -406,88 +326,14 @@
             async with self._sender.exchange(
                 plan, begun, timeout_s, extend_timeout
             ) as response:
-                head = self._read_head(plan, response, started_at)
+                head = self._heads.read(plan, response, started_at)
                 self._crashes.record_head()
                 self._context.placement.record_answer(plan.lease.replica.name)
-                self._check_may_begin(response)
+                self._heads.check_may_begin(response)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
                 return await self._relay_buffered(response, head, started_at)
 
-    def _read_head(
-        self, plan: AttemptPlan, response: Response, sent_at: float
-    ) -> AnswerHead:
-        """Return the head of the answer to an attempt.
-
-        :param sent_at: time at which the attempt began, on the node's clock, seconds.
-        :raises UpstreamError: if the replica did not run the request.
-        """
-        head = self._context.translator.read_head(response.status, response.headers)
-        self._answer_log_fields[plan.lease] = {
-            "answer_status": response.status,
-            "answer_id": head.request_id[:LOGGED_ID_LIMIT] or "none",
-            "connection_calls": response.connection_calls,
-        }
-        self._record_limit(plan.lease, head, sent_at)
-        if head.pause_s is not None and not head.misdirected:
-            self._context.record_pause(plan.lease.replica.name, head.pause_s)
-        if head.leaving and not head.misdirected:
-            self._context.view.record_leaving(plan.lease.replica)
-        if head.misdirected:
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_REPLACED,
-                Execution.NOT_RUN,
-                "another replica answers at the address of the chosen one",
-            )
-        if head.not_run:
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_FULL,
-                Execution.NOT_RUN,
-                f"the replica did not run the request: status {response.status}",
-            )
-        return head
-
-    def _check_taken_up(
-        self, plan: AttemptPlan, response: Response, sent_at: float
-    ) -> None:
-        """Check that the answer to an attempt that was begun may be relayed.
-
-        :param sent_at: time at which the attempt began, on the node's clock, seconds.
-        :raises UpstreamError: if it may not.
-        """
-        head = self._read_head(plan, response, sent_at)
-        check_answer_head(response, head)
-        if response.status < 500:
-            self._check_may_begin(response)
-            return
-        if response.status != GATEWAY_TIMEOUT_STATUS:
-            source = (self._service, plan.version, plan.lease.replica.name)
-            self._context.evidence.record_answer(plan.rollout, source, True)
-        raise _failed_answer_error(response.status)
-
-    def _check_may_begin(self, response: Response) -> None:
-        """Check that only the rest of a stream follows a part of it.
-
-        :raises UpstreamError: if another answer would.
-        """
-        if self._relay.started and response.status != 200 and response.status < 500:
-            raise UpstreamError(
-                RefusalReason.UPSTREAM_GARBLED,
-                Execution.UNKNOWN,
-                f"status {response.status} does not resume a stream",
-            )
-
-    def _record_limit(
-        self, lease: ReplicaLease, head: AnswerHead, sent_at: float
-    ) -> None:
-        """Record whether the replica names a limit.
-
-        Only an answer that bears its signature proves that it names none.
-        """
-        if head.misdirected or (head.limit_per_s is None and not head.unaltered):
-            return
-        self._context.record_limit(lease.replica.name, head.limit_per_s, sent_at)
-
     async def _start_attempt(self, plan: AttemptPlan) -> Call:
         return await self._sender.start(plan, self._timeout_limit_s)
 
@@ -540,7 +386,7 @@
         ):
             return False
         return await self._handover.begin(
-            partial(self._make_plan, model, self._loop.tried, excluded)
+            partial(self._planner.plan, model, self._loop.tried, excluded)
         )
 
     async def _relay_buffered(
@@ -563,7 +409,7 @@
         answer = self._relay.read_answer(response, body)
         if response.status >= 500:
             self._error_answer = answer
-            raise _failed_answer_error(response.status)
+            raise failed_answer_error(response.status)
         self._measurements.record_answer_time(
             self._context.clock.monotonic() - started_at
         )
@@ -612,34 +458,16 @@
             return False
         if not self._route.delivery_mode.repeatable or self._is_last_attempt:
             return False
-        larger = larger_model(self._route.models, self._model)
-        if larger is None or not self._context.placement.has_capacity(self._group):
-            return False
-        expected_s = self._measurements.expected_first_event_s(larger)
-        remaining_s = (
-            self._received_at
-            + self._route.latency_objective_s
-            - self._context.clock.monotonic()
-        )
-        if not should_escalate(head.confidence, expected_s, remaining_s):
+        larger = self._escalation.choose_model(head, self._model, self._group)
+        if larger is None:
             return False
         taken_up = False
         with self._context.clock.timeout(ESCALATION_WAIT_S):
-            taken_up = await self._hand_over(larger)
+            taken_up = await self._hand_over(larger.name)
         if not taken_up:
             self._handover.abandon()
             return False
-        self._context.metrics.count(retry_counter(RetryReason.ESCALATED))
-        if self._context.log_sampler.should_log(self._request.request_id):
-            log_event(
-                "model_escalated",
-                request=self._request.request_id,
-                model=self._model,
-                larger=larger,
-                confidence=head.confidence,
-                expected_ms=f"{expected_s * 1000:.0f}",
-                remaining_ms=f"{remaining_s * 1000:.0f}",
-            )
+        self._escalation.record(head, self._model, larger)
         return True
 
     def _end_attempt(self, execution: Execution) -> None:
@@ -686,7 +514,7 @@
             execution=error.execution.value,
             detail=error.detail,
             elapsed_ms=f"{elapsed_s * 1000:.1f}",
-            **self._answer_log_fields.get(plan.lease, {}),
+            **self._heads.log_fields(plan.lease),
         )
 
     def _outcome(self, status: int) -> Outcome:
@@ -701,11 +529,3 @@
             answered_at - self._received_at,
             now - self._received_at,
         )
-
-
-def _failed_answer_error(status: int) -> UpstreamError:
-    return UpstreamError(
-        RefusalReason.UPSTREAM_FAILED,
-        Execution.RAN,
-        f"the replica answered with status {status}",
-    )
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -29,7 +29,10 @@
 # Modules of the product that hold decisions, state or recovery. The platform adapter
 # may import only types and protocols from other modules.
 DECISION_MODULES = {
+    "lentilshore_node.delivery.answer_heads",
+    "lentilshore_node.delivery.attempt_planner",
     "lentilshore_node.delivery.delivery",
+    "lentilshore_node.delivery.escalation",
     "lentilshore_node.delivery.no_replica",
     "lentilshore_node.callers.forwarder",
     "lentilshore_node.state.fleet_view_updater",
--- a/tests/test_handover_mutants.py
+++ b/tests/test_handover_mutants.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lentilshore_node.delivery import handover
+from lentilshore_node.delivery.answer_heads import AnswerHeads
 from lentilshore_node.delivery.delivery import Delivery
 from lentilshore_node.delivery.handover import Handover
 from lentilshore_routing.placement import Placement
@@ -62,9 +63,9 @@
         _rejection_is_taken_up,
     ),
     "failures take a request up": (
-        Delivery,
-        "_check_taken_up",
-        Delivery._read_head,
+        AnswerHeads,
+        "check_taken_up",
+        AnswerHeads.read,
         lambda: races.test_an_answer_that_cannot_be_relayed_takes_no_request_up(
             races.failure,
             races.after(0.6, races.signed(b"whole")),
@@ -111,8 +112,8 @@
         lambda: costs.test_a_silent_replica_is_reported_as_ejected_once("rejections"),
     ),
     "a stream takes any status": (
-        Delivery,
-        "_check_may_begin",
+        AnswerHeads,
+        "check_may_begin",
         _do_nothing,
         lambda: races.test_an_answer_with_another_status_does_not_resume_a_stream(
             "404 None"
--- a/tests/test_limit_mutants.py
+++ b/tests/test_limit_mutants.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lentilshore_node.delivery.delivery import Delivery
+from lentilshore_node.delivery.answer_heads import AnswerHeads
 from lentilshore_platform import translator
 from lentilshore_routing import placement, replica_limits
 from lentilshore_routing.replica_limits import ReplicaLimits
@@ -213,7 +213,7 @@
     ),
     "answers are not looked at": (
         serves_requests_within_the_limit,
-        patch.object(Delivery, "_record_limit", lambda *_: None),
+        patch.object(AnswerHeads, "_record_limit", lambda *_: None),
     ),
 }
 
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -14,7 +14,7 @@
 from lentilshore_node.clients.fleet_source import GatewayEntry
 from lentilshore_node.clients.http_client import HttpAnswer
 from lentilshore_node.clients.http_connection import CallNotSentError, CallTimedOutError
-from lentilshore_node.delivery.delivery import Delivery
+from lentilshore_node.delivery.answer_heads import AnswerHeads
 from lentilshore_node.peers.limit_exchange import LimitExchange, encode_limits
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_platform.translator import HeaderTranslator
@@ -253,17 +253,12 @@
     context.record_limit("i-1", 2.5, 0.0)
     fleet.clock.advance(1.0)
     head = HeaderTranslator().read_head(status, headers)
-    delivery = Delivery(context, None, _request(), fleet._route, None, 0.0, None)
+    heads = AnswerHeads(context, "pool", None)
     lease = ReplicaLease(record("i-1").replica, 0, False, 0)
-    delivery._record_limit(lease, head, fleet.clock.monotonic())
+    heads._record_limit(lease, head, fleet.clock.monotonic())
     assert (context.limits.limit_per_s("i-1") is None) is ends
 
 
-def _request():
-    fields = [(b"host", b"h"), (b"x-attempt-id", b"a")]
-    return HeaderTranslator().read_request("GET", b"/p/x", "/p/x", fields)
-
-
 def test_an_answer_to_a_request_sent_before_the_limit_was_named_does_not_end_it():
     clock = FakeClock()
     limits = ReplicaLimits("n0", clock, random.Random(1))
