Log what a request had tried when a retry is denied

Requests ended with 502 after several rejections, and the line that denied the retry told neither how many attempts had not run, nor at how many replicas they were, nor how many replicas were left to try, nor the time left.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -115,6 +115,16 @@
         answer that was already sent. Retry budgets are checked separately.
         """
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the request's deadline, seconds."""
+
+    def untried_count(self, tried: Sequence[str]) -> int:
+        """Return how many replicas may be sent the request that it was not sent to.
+
+        :param tried: names of replicas at which attempts have failed.
+        """
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
@@ -146,6 +156,8 @@
         self._request = request
         self._scope = scope
         self._tried: list[str] = []
+        # Number of attempts that a replica rejected or that reached none.
+        self._not_run_count = 0
 
     async def run(self, send: Callable[[ReplicaLease], Awaitable[T]]) -> T:
         """Return the first answer.
@@ -161,6 +173,7 @@
                 return await self._send(lease, send)
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
+                self._not_run_count += error.execution is Execution.NOT_RUN
                 self._request.record_failure(lease, error)
                 if await self._request.next_has_begun():
                     continue
@@ -235,6 +248,10 @@
             request=self._scope.request_id,
             cause=denial.value,
             attempts=len(self._tried),
+            not_run=self._not_run_count,
+            replicas=len(set(self._tried)),
+            untried=self._request.untried_count(self._tried),
+            remaining_ms=f"{self._request.remaining_s * 1000:.0f}",
             failure=error.reason.value,
         )
 
--- a/packages/node/src/lentilshore_node/delivery/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -125,6 +125,15 @@
         """Return False: attempts follow one another."""
         return False
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the request's deadline, seconds."""
+        return self._job.remaining_s
+
+    def untried_count(self, tried: Sequence[str]) -> int:
+        """Return how many replicas may be sent the request that it was not sent to."""
+        return self._context.placement.sendable_count(self._version_name, tried)
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
         self._job.record_retry(reason)
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -358,6 +358,15 @@
             return RetryDenial.TIME_LEFT
         return None
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the request's deadline, seconds."""
+        return self._remaining_s
+
+    def untried_count(self, tried: Sequence[str]) -> int:
+        """Return how many replicas may be sent the request that it was not sent to."""
+        return self._context.placement.sendable_count(self._group, tried)
+
     def record_retry(self, reason: RetryReason) -> None:
         """Count a retry in the metrics."""
         self._context.metrics.count(retry_counter(reason))
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -234,10 +234,18 @@
 
     def has_capacity(self, group: str) -> bool:
         """Return whether a replica of a group may be sent a request now."""
+        return self.sendable_count(group) > 0
+
+    def sendable_count(self, group: str, excluded: Sequence[str] = ()) -> int:
+        """Return how many replicas of a group may be sent a request now.
+
+        :param excluded: names of replicas that don't count.
+        """
         replica_group = self._groups.get(group)
         if replica_group is None:
-            return False
-        return any(self._may_send(r.name) for r in replica_group.replicas)
+            return 0
+        names = (r.name for r in replica_group.replicas if r.name not in excluded)
+        return sum(self._may_send(name) for name in names)
 
     def pause(self, name: str, duration_s: float) -> bool:
         """Send a replica nothing for some time, see :meth:`ReplicaPauses.pause`."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,7 @@
 import random
 
 import anyio
+import eliot
 import pytest
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
@@ -35,6 +36,8 @@
 
 
 class FakeRequest:
+    remaining_s = 5.0
+
     def __init__(self, context, repeatable=True, attempts=10):
         self.scope = RetryScope("r-1", "r-1", "g", repeatable)
         self.retried = []
@@ -53,6 +56,9 @@
     def record_retry(self, reason):
         self.retried.append(reason)
 
+    def untried_count(self, tried):
+        return self._context.placement.sendable_count("g", tried)
+
     async def wait_for_budget(self):
         return False
 
@@ -241,3 +247,22 @@
     with pytest.raises(UpstreamError):
         run(context, request, failures)
     assert context.metrics.totals[f"retry_denied.{denial}"] == 1
+
+
+# The line of a denied retry tells what did not run, and what was not tried.
+def test_a_denied_retry_is_logged_with_what_was_tried():
+    context, lines = FakeContext(), []
+    context.retries = RetryPolicy(1)
+    failures = [(RefusalReason.UPSTREAM_STALLED, UNKNOWN)]
+    failures.append((RefusalReason.UPSTREAM_FULL, NOT_RUN))
+    eliot.add_destinations(lines.append)
+    lines.clear()  # what earlier tests have logged
+    try:
+        with pytest.raises(UpstreamError):
+            run(context, FakeRequest(context), failures)
+    finally:
+        eliot.remove_destination(lines.append)
+    line = next(m for m in lines if m["message_type"] == "retry_denied")
+    told = {name: line[name] for name in ("attempts", "not_run", "replicas", "untried")}
+    assert told == {"attempts": 2, "not_run": 1, "replicas": 2, "untried": 0}
+    assert line["remaining_ms"] == "5000"
