Describe what was tried for calls of plain services too

Requests now name the group of their replicas and the time left, and the loop counts the replicas itself. tests/test_callers.py, test_requests.py and test_attempts.py pass.

--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -148,6 +148,16 @@
         """Return False: attempts follow one another."""
         return False
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the call's deadline, seconds."""
+        return self._job.remaining_s
+
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the call."""
+        return self._request.service
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the call is sent again."""
         self._job.record_retry(reason)
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -119,11 +119,9 @@
     def remaining_s(self) -> float:
         """Time until the request's deadline, seconds."""
 
-    def untried_count(self, tried: Sequence[str]) -> int:
-        """Return how many replicas may be sent the request that it was not sent to.
-
-        :param tried: names of replicas at which attempts have failed.
-        """
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the request."""
 
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
@@ -243,6 +241,7 @@
 
     def _report_denial(self, denial: RetryDenial, error: UpstreamError) -> None:
         self._context.metrics.count(retry_denial_counter(denial))
+        group = self._request.replica_group
         log_event(
             "retry_denied",
             request=self._scope.request_id,
@@ -250,7 +249,7 @@
             attempts=len(self._tried),
             not_run=self._not_run_count,
             replicas=len(set(self._tried)),
-            untried=self._request.untried_count(self._tried),
+            untried=self._context.placement.sendable_count(group, self._tried),
             remaining_ms=f"{self._request.remaining_s * 1000:.0f}",
             failure=error.reason.value,
         )
--- a/packages/node/src/lentilshore_node/delivery/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -130,9 +130,10 @@
         """Time until the request's deadline, seconds."""
         return self._job.remaining_s
 
-    def untried_count(self, tried: Sequence[str]) -> int:
-        """Return how many replicas may be sent the request that it was not sent to."""
-        return self._context.placement.sendable_count(self._version_name, tried)
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the request."""
+        return self._version_name
 
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -283,9 +283,10 @@
         """Time until the request's deadline, seconds."""
         return self._remaining_s
 
-    def untried_count(self, tried: Sequence[str]) -> int:
-        """Return how many replicas may be sent the request that it was not sent to."""
-        return self._context.placement.sendable_count(self._group, tried)
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the request."""
+        return self._group
 
     def record_retry(self, reason: RetryReason) -> None:
         """Count a retry in the metrics."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -37,6 +37,7 @@
 
 class FakeRequest:
     remaining_s = 5.0
+    replica_group = "g"
 
     def __init__(self, context, repeatable=True, attempts=10):
         self.scope = RetryScope("r-1", "r-1", "g", repeatable)
@@ -56,9 +57,6 @@
     def record_retry(self, reason):
         self.retried.append(reason)
 
-    def untried_count(self, tried):
-        return self._context.placement.sendable_count("g", tried)
-
     async def wait_for_budget(self):
         return False
 
