--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -115,6 +115,14 @@
         answer that was already sent. Retry budgets are checked separately.
         """
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the request's deadline, seconds."""
+
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the request."""
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
@@ -146,6 +154,8 @@
         self._request = request
         self._scope = scope
         self._tried: list[str] = []
+        # Number of attempts that a replica rejected or that reached none.
+        self._not_run_count = 0
 
     async def run(self, send: Callable[[ReplicaLease], Awaitable[T]]) -> T:
         """Return the first answer.
@@ -161,6 +171,7 @@
                 return await self._send(lease, send)
             except UpstreamError as error:
                 self._tried.append(lease.replica.name)
+                self._not_run_count += error.execution is Execution.NOT_RUN
                 self._request.record_failure(lease, error)
                 if await self._request.next_has_begun():
                     continue
@@ -230,11 +241,16 @@
 
     def _report_denial(self, denial: RetryDenial, error: UpstreamError) -> None:
         self._context.metrics.count(retry_denial_counter(denial))
+        group = self._request.replica_group
         log_event(
             "retry_denied",
             request=self._scope.request_id,
             cause=denial.value,
             attempts=len(self._tried),
+            not_run=self._not_run_count,
+            replicas=len(set(self._tried)),
+            untried=self._context.placement.sendable_count(group, self._tried),
+            remaining_ms=f"{self._request.remaining_s * 1000:.0f}",
             failure=error.reason.value,
         )
 
--- a/packages/node/src/lentilshore_node/delivery/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -125,6 +125,16 @@
         """Return False: attempts follow one another."""
         return False
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the request's deadline, seconds."""
+        return self._job.remaining_s
+
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the request."""
+        return self._version_name
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
         self._job.record_retry(reason)
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -278,6 +278,16 @@
             return RetryDenial.TIME_LEFT
         return None
 
+    @property
+    def remaining_s(self) -> float:
+        """Time until the request's deadline, seconds."""
+        return self._remaining_s
+
+    @property
+    def replica_group(self) -> str:
+        """Group of the replicas that may serve the request."""
+        return self._group
+
     def record_retry(self, reason: RetryReason) -> None:
         """Count a retry in the metrics."""
         self._context.metrics.count(retry_counter(reason))
