Count a vanished replica's grace from when it may have been removed

Callers saw nothing; a replica that had left got requests 2,037 and 2,039 ms after its entry was removed, with 2,000 allowed (DRAIN).

Cause: the grace counted from the reading of the removal, less the delay of the last failed call. Delays before that call were lost: answers of a gateway that no longer reached the store and still vouched for what it knew, repeated calls, a new list after a gap of the history. A cut gateway also held a call for 1.0 s beyond the time for which it vouches.

Change: changes carry the time after which they were made, which follows from the last proof that there were none, over all calls and gateways. The grace counts from that. After 3 s without the store it counts from the reading as before, since entries may have lapsed. A gateway stops waiting on behalf of another when it no longer reads the store.

--- a/packages/node/src/lentilshore_node/clients/fleet_source.py
+++ b/packages/node/src/lentilshore_node/clients/fleet_source.py
@@ -38,16 +38,16 @@
 
     :param changes: the changes.
     :param revision: revision up to which all changes are included.
-    :param age_s: time by which they may be out of date when the call begins, seconds;
-        0 if the store itself was asked.
-    :param delay_s: time for which they may have been missed, because another gateway
-        was asked in vain before, seconds.
+    :param complete_at: time up to which they are known to be complete, on the node's
+        clock, seconds; None if that is the beginning of the call.
+    :param made_after: time after which all of them were made, as another gateway knows
+        it, on the node's clock, seconds; None if the store itself was asked.
     """
 
     changes: list[Change[T]]
     revision: StoreRevision
-    age_s: float = 0.0
-    delay_s: float = 0.0
+    complete_at: float | None = None
+    made_after: float | None = None
 
 
 class TableReading(NamedTuple):
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -19,7 +19,6 @@
 from lentilshore_routing.rollout_record import Rollout
 
 from ..clients.fleet_source import (
-    Change,
     Changes,
     Collection,
     FleetSource,
@@ -29,6 +28,7 @@
 )
 from ..clients.http_client import HttpClient
 from ..clients.http_connection import CallBrokenError, CallNotSentError
+from ..state.change_log import ChangeLog
 from ..state.fleet_view_updater import READ_INTERVAL_SHARE, WATCH_WAIT_S
 from ..state.gateway_context import (
     PEER_PATHS,
@@ -41,6 +41,12 @@
 from .blame_exchange import BLAME_PATH, answer_call
 from .gateway_directory import MAX_PEERS_ASKED, GatewayDirectory
 from .limit_exchange import LIMITS_PATH, encode_limits
+from .relay_messages import (
+    ConfigurationState,
+    RelayedChanges,
+    decode_changes,
+    encode_changes,
+)
 
 T = TypeVar("T")
 
@@ -61,32 +67,6 @@
 REVISION_LIMIT = 2**62
 
 
-class ConfigurationState(msgspec.Struct):
-    """Newest configuration that a gateway knows.
-
-    :param era: era of the store.
-    :param version: version of the configuration.
-    :param age_s: time since it was known to be the newest, seconds.
-    """
-
-    era: int
-    version: int
-    age_s: float
-
-
-class RelayedChanges(msgspec.Struct, Generic[T]):
-    """Changes of a collection after a revision.
-
-    :param number: revision up to which they are complete, in the era asked for.
-    :param age_s: time since they were known to be complete, seconds.
-    :param changes: the latest change of each item.
-    """
-
-    number: int
-    age_s: float
-    changes: list[Change[T]]
-
-
 class RelayServer:
     """Answers other gateways from this gateway's view.
 
@@ -142,16 +122,31 @@
         if log is None or era is None or number is None or timeout_ms is None:
             self._context.metrics.count("relay.malformed")
             return None
+        asked_at = self._context.clock.monotonic()
         after = StoreRevision(era, number)
-        found = log.changes_after(after)
-        if found is not None and not found.changes and timeout_ms:
-            await log.wait_for_change(timeout_ms / 1000)
-            found = log.changes_after(after)
+        found = await self._wait_for_changes(log, after, timeout_ms / 1000)
         if found is None or not self._reaches_store:
             return None
-        return msgspec.msgpack.encode(
-            RelayedChanges(found.revision.number, found.age_s, found.changes)
-        )
+        return encode_changes(found, asked_at, self._context.clock.monotonic())
+
+    async def _wait_for_changes(
+        self, log: ChangeLog, after: StoreRevision, timeout_s: float
+    ) -> Changes | None:
+        """Return the changes after a revision, waiting for one if there is none.
+
+        The wait ends early when this gateway no longer reaches the store.
+        """
+        clock, view = self._context.clock, self._context.view
+        ends_at = clock.monotonic() + timeout_s
+        max_age_s = configuration_max_age_s(self._context.bounds)
+        while True:
+            found = log.changes_after(after)
+            if found is None or found.changes:
+                return found
+            wait_s = min(ends_at - clock.monotonic(), max_age_s - view.confirmed_age_s)
+            if wait_s <= 0.0:
+                return found
+            await log.wait_for_change(wait_s)
 
 
 class PeerClient:
@@ -264,12 +259,11 @@
             peer_wait_s,
             max_peers=1,
         )
+        now = self._clock.monotonic()
         if answer is None:
-            delay_s = self._clock.monotonic() - asked_at
             changes = await self._collection.watch(after, wait_s)
-            return changes._replace(delay_s=delay_s)
-        revision = StoreRevision(after.era, max(after.number, answer.number))
-        return Changes(answer.changes, revision, answer.age_s)
+            return changes._replace(complete_at=now)
+        return decode_changes(answer, after, asked_at, now)
 
 
 class RelayedSource:
--- /dev/null
+++ b/packages/node/src/lentilshore_node/peers/relay_messages.py
@@ -0,0 +1,87 @@
+"""Messages in which gateways tell one another what they have read from the store."""
+
+from __future__ import annotations
+
+import math
+from typing import Generic, TypeVar
+
+import msgspec
+
+from lentilshore_kernel.types import StoreRevision
+
+from ..clients.fleet_source import Change, Changes
+
+T = TypeVar("T")
+
+
+class ConfigurationState(msgspec.Struct):
+    """Newest configuration that a gateway knows.
+
+    :param era: era of the store.
+    :param version: version of the configuration.
+    :param age_s: time since it was known to be the newest, seconds.
+    """
+
+    era: int
+    version: int
+    age_s: float
+
+
+class RelayedChanges(msgspec.Struct, Generic[T]):
+    """Changes of a collection after a revision.
+
+    :param number: revision up to which they are complete, in the era asked for.
+    :param age_s: time since they were known to be complete, seconds.
+    :param changes: the latest change of each item.
+    :param news_age_s: greatest time since one of them was made, seconds; None if it
+        isn't known.
+    :param waited_s: time from the call until the ages were determined, seconds.
+    """
+
+    number: int
+    age_s: float
+    changes: list[Change[T]]
+    news_age_s: float | None = None
+    waited_s: float = 0.0
+
+
+def encode_changes(found: Changes, asked_at: float, now: float) -> bytes:
+    """Return the body of an answer with changes.
+
+    :param asked_at: time at which the call came, on the node's clock, seconds.
+    :param now: present time, on the same clock, seconds.
+    """
+    made_after = found.made_after if found.changes else None
+    answer = RelayedChanges(
+        found.revision.number,
+        now - found.complete_at if found.complete_at is not None else math.inf,
+        found.changes,
+        now - made_after if made_after is not None else None,
+        now - asked_at,
+    )
+    return msgspec.msgpack.encode(answer)
+
+
+def decode_changes(
+    answer: RelayedChanges[T], after: StoreRevision, asked_at: float, now: float
+) -> Changes[T]:
+    """Return the changes of another gateway's answer.
+
+    Ages count from when they were determined; what isn't known of that makes them
+    older.
+
+    :param after: revision that was asked for.
+    :param asked_at: time at which it was asked, on the node's clock, seconds.
+    :param now: present time, on the same clock, seconds.
+    """
+    waited_s = answer.waited_s if 0.0 <= answer.waited_s <= now - asked_at else 0.0
+    told_at = asked_at + waited_s
+    news_age_s = answer.news_age_s
+    if news_age_s is None or not news_age_s >= 0.0:
+        news_age_s = math.inf
+    return Changes(
+        answer.changes,
+        StoreRevision(after.era, max(after.number, answer.number)),
+        told_at - answer.age_s,
+        told_at - news_age_s,
+    )
--- a/packages/node/src/lentilshore_node/state/fleet_view.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view.py
@@ -126,7 +126,12 @@
         """Return whether a replica of this version is known that is not draining."""
         return version in self._version_counts.get(service, {})
 
-    def replace_replicas(self, records: Iterable[ReplicaRecord], era: int = 0) -> None:
+    def replace_replicas(
+        self,
+        records: Iterable[ReplicaRecord],
+        era: int = 0,
+        removed_after: float | None = None,
+    ) -> None:
         """Replace all replicas; those missing from the new list count as vanished.
 
         A vanished replica is kept until its grace period ends, unless it was draining.
@@ -134,15 +139,17 @@
         as usable, until it registers again.
 
         :param era: era of the store in which the replicas were listed.
+        :param removed_after: see :meth:`remove_replica`.
         """
         restored = self._replicas_read and era > self._replica_era
         self._replica_era = era
         listed = {r.identity: self._departures.apply(r, era) for r in records}
-        grace_s = self._vanished_grace_s
+        kept_until = self._vanished_until_after(removed_after)
         if restored:
-            grace_s = max(grace_s, RESTORED_REPLICA_GRACE_S)
+            restored_until = self._clock.monotonic() + RESTORED_REPLICA_GRACE_S
+            kept_until = max(kept_until, restored_until)
         for identity in self._records.keys() - listed.keys():
-            self._mark_vanished(identity, grace_s)
+            self._mark_vanished(identity, kept_until)
         for record in listed.values():
             self._store_record(record)
         self._replicas_read = True
@@ -157,16 +164,18 @@
         self._store_record(record)
         self._update_placement()
 
-    def remove_replica(self, identity: str, delay_s: float = 0.0) -> None:
+    def remove_replica(self, identity: str, removed_after: float | None = None) -> None:
         """Handle the removal of a replica's record from the store.
 
         The replica is removed at once if it was draining, else marked as vanished.
 
-        :param delay_s: time for which the removal may have been missed, seconds; it
-            shortens the grace period.
+        :param removed_after: time after which the record was removed, from which the
+            grace period counts, on the node's clock, seconds; None to count it from
+            now.
         """
         if identity in self._records:
-            self._mark_vanished(identity, self._vanished_grace_s - delay_s)
+            kept_until = self._vanished_until_after(removed_after)
+            self._mark_vanished(identity, kept_until)
             self._update_placement()
 
     def record_leaving(self, replica: Replica) -> None:
@@ -263,18 +272,28 @@
             leaving=record.replica.draining,
         )
 
-    def _mark_vanished(self, identity: str, grace_s: float) -> None:
+    def _vanished_until_after(self, removed_after: float | None) -> float:
+        now = self._clock.monotonic()
+        return (
+            now if removed_after is None else removed_after
+        ) + self._vanished_grace_s
+
+    def _mark_vanished(self, identity: str, kept_until: float) -> None:
         if identity in self._vanished_until:
             return
         record = self._records[identity]
+        kept_s = max(0.0, kept_until - self._clock.monotonic())
         self._log_change(
-            StateChange.REPLICA_VANISHED, replica=identity, service=record.service
+            StateChange.REPLICA_VANISHED,
+            replica=identity,
+            service=record.service,
+            kept_s="0" if record.replica.draining else f"{kept_s:.2f}",
         )
         if record.replica.draining:
             del self._records[identity]
             self._departures.record(record, self._replica_era)
             return
-        self._vanished_until[identity] = self._clock.monotonic() + grace_s
+        self._vanished_until[identity] = kept_until
 
     def _update_placement(self) -> None:
         self._placement.update(record.replica for record in self._records.values())
--- a/packages/node/src/lentilshore_node/state/fleet_view_updater.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view_updater.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from typing import Any
@@ -14,6 +15,7 @@
 from lentilshore_routing.rollout_record import Rollout
 
 from ..clients.fleet_source import Collection, FleetSource
+from .change_log import read_times
 from .gateway_context import REPLICAS_PART, ROLLOUTS_PART, GatewayContext
 from .replica_record import ReplicaRecord
 
@@ -38,6 +40,10 @@
 # delayed call returns all of them at once. Small against the shortest time limit that
 # applies to a change.
 BATCH_DELAY_S = 0.25
+# A store that has answered no reading of the configuration for this time was away: the
+# entries of live replicas may have lapsed, and return within ``RETURN_S``.
+STORE_AWAY_S = 3.0
+RETURN_S = 2.0
 # Interval between checks for vanished replicas whose grace period has ended.
 EXPIRY_INTERVAL_S = 0.25
 
@@ -54,6 +60,10 @@
         self._source = source
         # Whether the last read of each part of the store succeeded, by part.
         self._reached: dict[str, bool] = {}
+        # Beginning of the last configuration read that the store itself answered.
+        self._store_answered_at = -math.inf
+        # When the store returned after it was away.
+        self._returned_at = -math.inf
 
     def start(self, group: TaskGroup) -> None:
         """Start a task for each part of the view and one that expires replicas."""
@@ -64,7 +74,7 @@
             self._watch_collection,
             ROLLOUTS_PART,
             self._source.rollouts,
-            view.replace_rollouts,
+            self._replace_rollouts,
             self._update_rollout,
             self._remove_rollout,
         )
@@ -94,6 +104,10 @@
                 await clock.sleep(RETRY_MIN_S * (0.5 + self._context.random.random()))
                 continue
             self._report_store_state("configuration", None)  # the read succeeded
+            if self._is_store_away():
+                self._returned_at = clock.monotonic()
+            if age_s == 0.0:
+                self._store_answered_at = read_started_at
             if table is not None:
                 view.update_table(table)
                 view.confirm_table(table.version, read_started_at - age_s)
@@ -108,9 +122,9 @@
         self,
         part: str,
         collection: Collection[Any],
-        replace_all: Callable[[Iterable[Any], int], None],
+        replace_all: Callable[[Iterable[Any], int, float | None], None],
         update: Callable[[Any], Awaitable[None]],
-        remove: Callable[[str, float], None],
+        remove: Callable[[str, float | None], None],
     ) -> None:
         log = self._context.change_logs[part]
         revision: StoreRevision | None = None
@@ -120,19 +134,29 @@
             try:
                 if revision is None:
                     listing = await collection.list()
-                    replace_all(listing.items, listing.revision.era)
+                    removed_after = self._removed_after(log.confirmed_at)
+                    replace_all(listing.items, listing.revision.era, removed_after)
+                    self._context.view.expire_vanished_replicas()
                     revision = listing.revision
                     log.restart(revision, started_at)
                 else:
                     batch = await collection.watch(revision, wait_s)
+                    times = read_times(
+                        batch,
+                        started_at,
+                        log.confirmed_at,
+                        self._store_answered_at,
+                        self._context.clock.monotonic(),
+                    )
                     for item_name, item in batch.changes:
                         if item is None:
-                            remove(item_name, batch.delay_s)
+                            remove(item_name, self._removed_after(times.made_after))
                         else:
                             await update(item)
                     revision = max(revision, batch.revision)
-                    log.append(batch, started_at - batch.age_s)
+                    log.append(batch, times)
                     if batch.changes:
+                        self._context.view.expire_vanished_replicas()
                         await self._context.clock.sleep(BATCH_DELAY_S)
                 self._report_store_state(part, None)  # the read succeeded
                 delay_s, wait_s = RETRY_MIN_S, WATCH_WAIT_S
@@ -151,10 +175,31 @@
                 await self._context.clock.sleep(delay_s * jitter)
                 delay_s = min(RETRY_MAX_S, delay_s * 2)
 
+    def _is_store_away(self) -> bool:
+        # The age is infinite until the first read.
+        return STORE_AWAY_S < self._context.view.confirmed_age_s < math.inf
+
+    def _removed_after(self, made_after: float) -> float | None:
+        """Return the time from which the grace of a removed replica counts.
+
+        :param made_after: time after which it was removed, on the node's clock,
+            seconds.
+        :returns: that time; None for the present, if the entry may return.
+        """
+        returned_s = self._context.clock.monotonic() - self._returned_at
+        if self._is_store_away() or returned_s <= RETURN_S:
+            return None
+        return made_after
+
+    def _replace_rollouts(
+        self, rollouts: Iterable[Rollout], era: int, removed_after: float | None
+    ) -> None:
+        self._context.view.replace_rollouts(rollouts, era)
+
     async def _update_rollout(self, rollout: Rollout) -> None:
         self._context.view.update_rollout(rollout)
 
-    def _remove_rollout(self, name: str, delay_s: float) -> None:
+    def _remove_rollout(self, name: str, removed_after: float | None) -> None:
         self._context.view.remove_rollout(name)
 
     async def _update_replica(self, record: ReplicaRecord) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Relayed knowledge of the store is believed only as far as it is fresh."""
 
+import math
 import random
 
 import anyio
@@ -35,9 +36,17 @@
     RelayedSource,
     RelayServer,
 )
+from lentilshore_node.peers.relay_messages import RelayedChanges, decode_changes
 from lentilshore_node.programs.gateway_assembly import create_gateway
-from lentilshore_node.state.change_log import LOGGED_CHANGES_LIMIT, ChangeLog
+from lentilshore_node.state.change_log import (
+    ANSWER_DELAY_S,
+    LOGGED_CHANGES_LIMIT,
+    ChangeLog,
+    ReadTimes,
+    read_times,
+)
 from lentilshore_node.state.fleet_view_updater import FleetViewUpdater
+from lentilshore_node.state.replica_record import ReplicaRecord
 from lentilshore_routing.rollout_record import RolloutState
 from tests.test_fleet_view import record, rollout, table
 from tests.test_fleet_view_updater import BOUNDS
@@ -425,30 +434,32 @@
 
 
 @pytest.mark.parametrize(
-    ("after", "names"),
+    ("after", "names", "made_after"),
     [
-        (StoreRevision(1, 5), None),
-        (StoreRevision(1, 10), ["b", "a"]),
-        (StoreRevision(1, 11), ["b", "a"]),
-        (StoreRevision(1, 12), ["a"]),
-        (StoreRevision(1, 14), []),
-        (StoreRevision(1, 99), []),
-        (StoreRevision(2, 12), None),
-        (StoreRevision(0, 12), None),
+        (StoreRevision(1, 5), None, None),
+        (StoreRevision(1, 10), ["b", "a"], 990.0),
+        (StoreRevision(1, 11), ["b", "a"], 990.0),
+        (StoreRevision(1, 12), ["a"], 995.0),
+        (StoreRevision(1, 14), [], -math.inf),
+        (StoreRevision(1, 99), [], -math.inf),
+        (StoreRevision(2, 12), None, None),
+        (StoreRevision(0, 12), None, None),
     ],
 )
-def test_a_change_log_returns_the_last_change_of_each_item(after, names):
+def test_a_change_log_returns_the_last_change_of_each_item(after, names, made_after):
     log = ChangeLog(FakeClock())
     log.restart(StoreRevision(1, 10), 1000.0)
     first = [Change("a", 1), Change("b", 2)]
-    log.append(Changes(first, StoreRevision(1, 12)), 1000.0)
-    log.append(Changes([Change("a", None)], StoreRevision(1, 14)), 1000.0)
+    log.append(Changes(first, StoreRevision(1, 12)), ReadTimes(1000.0, 990.0))
+    second = Changes([Change("a", None)], StoreRevision(1, 14))
+    log.append(second, ReadTimes(1000.0, 995.0))
     found = log.changes_after(after)
     assert (found and sorted(c.name for c in found.changes)) == (
         names and sorted(names)
     )
     if found is not None:
         assert all(c.item is None for c in found.changes if c.name == "a")
+        assert found.made_after == made_after
         assert found.revision >= StoreRevision(1, 14)
 
 
@@ -457,7 +468,7 @@
     log.restart(StoreRevision(1, 0), 1000.0)
     for number in range(1, LOGGED_CHANGES_LIMIT):
         batch = [Change(f"{number}/{i}", number) for i in range(3)]
-        log.append(Changes(batch, StoreRevision(1, number)), 1000.0)
+        log.append(Changes(batch, StoreRevision(1, number)), ReadTimes(1000.0, 1000.0))
     assert len(log._entries) <= LOGGED_CHANGES_LIMIT
     assert len(log._entries) % 3 == 0
     assert log.changes_after(StoreRevision(1, 1)) is None
@@ -478,7 +489,8 @@
         log.restart(StoreRevision(1, 10), fleet.clock.monotonic())
         batch = [Change("x", item), Change("y", None)]
         revision = StoreRevision(1, 12)
-        log.append(Changes(batch, revision), fleet.clock.monotonic())
+        now = fleet.clock.monotonic()
+        log.append(Changes(batch, revision), ReadTimes(now, now))
         relayed = fleet.relayed[fleet.last]
         fleet.network.servers = dict.fromkeys(NAMES, fleet.network.servers["n1"])
         collection = getattr(relayed, part)
@@ -794,3 +806,80 @@
             await wait(fleet, 0.1)
 
     Fleet().run(steps)
+
+
+def test_news_that_a_reader_got_late_is_as_old_at_the_others():
+    """The reader's answer hung for a second and counted as fresh elsewhere (DRAIN)."""
+    longest_s = 0.0
+    for step in range(12):
+
+        async def steps(fleet, offset_s=step * 0.1):
+            nonlocal longest_s
+            await wait(fleet, 5.0 + offset_s)
+            reader = fleet.sources[fleet.reader]
+            reader.silent = True
+            removed_at = fleet.clock.monotonic()
+            remove_replica(fleet.store)
+            await wait(fleet, 1.0)
+            reader.silent = False
+            while fleet.view(fleet.last).usable("i-1.0"):
+                await wait(fleet, 0.01)
+            longest_s = max(longest_s, fleet.clock.monotonic() - removed_at)
+
+        Fleet().run(steps)
+    assert longest_s <= BOUNDS.replica_drain_s - 0.1
+
+
+@pytest.mark.parametrize(
+    ("complete_at", "relayed_after", "proved_at", "times"),
+    [
+        # The store answered at once, or no other call of it since.
+        (None, None, 19.0, (20.0, 12.0)),
+        (None, None, -math.inf, (20.0, 12.0)),
+        # It answered another call while this one waited.
+        (None, None, 23.0, (23.0, 23.0)),
+        (None, None, 24.9, (25.0 - ANSWER_DELAY_S, 25.0 - ANSWER_DELAY_S)),
+        # It was asked after another gateway had failed.
+        (23.5, None, 23.0, (23.5, 12.0)),
+        (23.5, None, 24.0, (24.0, 24.0)),
+        # Another gateway read them.
+        (19.0, 21.0, 24.0, (19.0, 21.0)),
+        (19.0, 11.0, 24.0, (19.0, 12.0)),
+        (19.0, -math.inf, 24.0, (19.0, 12.0)),
+    ],
+)
+def test_changes_were_made_after_all_that_was_known_before(
+    complete_at, relayed_after, proved_at, times
+):
+    batch = Changes([], StoreRevision(1, 1), complete_at, relayed_after)
+    assert read_times(batch, 20.0, 12.0, proved_at, 25.0) == times
+
+
+@pytest.mark.parametrize(
+    ("news_age_s", "waited_s", "complete_at", "made_after"),
+    [
+        (0.5, 0.75, 50.25, 50.25),
+        (0.5, 0.0, 49.5, 49.5),
+        (None, 0.75, 50.25, -math.inf),
+        (math.inf, 0.75, 50.25, -math.inf),
+        (math.nan, 0.75, 50.25, -math.inf),
+        (-1.0, 0.75, 50.25, -math.inf),
+        (0.5, 1.25, 49.5, 49.5),
+        (0.5, -1.0, 49.5, 49.5),
+        (0.5, math.nan, 49.5, 49.5),
+    ],
+)
+def test_what_is_not_known_of_an_answer_makes_it_older(
+    news_age_s, waited_s, complete_at, made_after
+):
+    answer = RelayedChanges(7, 0.5, [], news_age_s, waited_s)
+    found = decode_changes(answer, StoreRevision(1, 5), 50.0, 51.0)
+    assert (found.complete_at, found.made_after) == (complete_at, made_after)
+    assert found.revision == StoreRevision(1, 7)
+
+
+def test_an_answer_of_an_earlier_release_tells_no_age_of_its_news():
+    body = msgspec.msgpack.encode({"number": 7, "age_s": 0.5, "changes": []})
+    answer = msgspec.msgpack.decode(body, type=RelayedChanges[ReplicaRecord])
+    found = decode_changes(answer, StoreRevision(1, 5), 50.0, 51.0)
+    assert (found.complete_at, found.made_after) == (49.5, -math.inf)
