Split crash_blame.py, name causes

What nodes tell one another (crash_news), one cause with its crashes, answers and score (crash_causes), and the review that blames (crash_blame) are modules of their own. Names speak of a cause that a request bears, so far a part of its prompt. The messages between gateways and the decisions are unchanged.

--- a/packages/node/src/lentilshore_node/delivery/crash_watch.py
+++ b/packages/node/src/lentilshore_node/delivery/crash_watch.py
@@ -5,6 +5,7 @@
 from lentilshore_kernel.exceptions import UpstreamError
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.types import RefusalReason
+from lentilshore_routing.crash_causes import Cause, part_causes
 
 from ..clients.forwarding import ForwardRequest
 from ..clients.http_connection import CallCutError
@@ -32,6 +33,7 @@
     def __init__(self, context: GatewayContext, request: ForwardRequest) -> None:
         self._context = context
         self._request = request
+        self._causes = part_causes(request.parts)
         self._plan: AttemptPlan | None = None
         self._sent_at = 0.0
         self._answer_begun = False
@@ -43,7 +45,17 @@
         """Whether the request has ended a replica and may end others."""
         if not self._seen_crash:
             return False
-        return not self._context.blame.may_retry(self._request.parts)
+        return not self.may_retry
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the request may be sent again after a replica has ended."""
+        return self._context.blame.may_retry(self._causes)
+
+    @property
+    def blamed(self) -> Cause | None:
+        """The blamed cause that the request bears, None if there is none."""
+        return self._context.blame.blamed_cause(self._causes)
 
     def begin(self, plan: AttemptPlan, sent_at: float) -> None:
         """Watch an attempt.
@@ -75,7 +87,7 @@
 
         :param error: how the attempt failed.
         """
-        if not self._ended_at_beginning(error) or len(self._request.parts) < 2:
+        if not self._ended_at_beginning(error) or not self._causes:
             return
         if not await self._refuses_connections():
             return
@@ -90,7 +102,7 @@
             parts=parts[:LOGGED_PARTS_LIMIT],
             events=self._event_groups,
         )
-        self._context.record_crash(self._request.parts, replica, self._sent_at)
+        self._context.record_crash(self._causes, replica, self._sent_at)
 
     def _ended_at_beginning(self, error: UpstreamError) -> bool:
         if not self._answer_begun or self._event_groups >= BEGINNING_EVENT_GROUPS:
@@ -106,4 +118,4 @@
         return await self._context.http.is_refused(address)
 
     def _record_answer(self) -> None:
-        self._context.record_answer(self._request.parts, self._request.request_id)
+        self._context.record_answer(self._causes, self._request.request_id)
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -292,13 +292,13 @@
 
     def _check_parts(self) -> None:
         """Refuse a request with a part that ends the replicas that answer it."""
-        part = self._context.blame.blamed_part(self._request.parts)
-        if part is None:
+        cause = self._crashes.blamed
+        if cause is None:
             return
         raise RefusalError(
             RefusalReason.PROMPT_PART_BLAMED,
             self._proof.execution,
-            f"replicas ended as they answered prompts with the part {part}",
+            f"replicas ended as they answered prompts with the part {cause.digest}",
             BLAMED_PART_RETRY_AFTER_S,
         )
 
@@ -536,7 +536,7 @@
         if not self._handover.under_way and (
             self._is_last_attempt
             or self.retry_denial() is not None
-            or not self._context.blame.may_retry(self._request.parts)
+            or not self._crashes.may_retry
         ):
             return False
         return await self._handover.begin(
--- a/packages/node/src/lentilshore_node/peers/blame_exchange.py
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -1,6 +1,6 @@
-"""Exchange of crashes under parts of prompts between gateways.
+"""Exchange of crashes, under the causes that requests bear, between gateways.
 
-One call carries news both ways. The caller lists the parts that it knows, with a
+One call carries news both ways. The caller lists the causes that it knows, with a
 checksum of each, so that only what differs is told.
 """
 
@@ -15,7 +15,7 @@
 
 from lentilshore_kernel.exceptions import LentilshoreError
 from lentilshore_kernel.logs import log_event
-from lentilshore_routing.crash_blame import BLAME_QUIET_S, PartNews
+from lentilshore_routing.crash_news import BLAME_QUIET_S, CauseNews
 
 from ..clients.fleet_source import GatewayEntry
 from ..clients.http_connection import CallBrokenError, CallNotSentError
@@ -32,7 +32,7 @@
 # A gateway that is told and does not answer may be cut off for a moment.
 MAX_TELL_ATTEMPTS = 5
 TELL_RETRY_INTERVAL_S = 0.7
-# Interval between the calls of a gateway that suspects a part, or that others may have
+# Interval between the calls of a gateway that suspects a cause, or that others may have
 # been unable to tell, and of any other.
 ACTIVE_INTERVAL_S = 1.0
 IDLE_INTERVAL_S = 5.0
@@ -49,10 +49,10 @@
 OUT_OF_REACH_FAILURES = 2
 # A wait that lasts longer by this time means that the process was suspended.
 SUSPENSION_S = 1.0
-# A part is told again if it was seen more recently than the other gateway knows, by
+# A cause is told again if it was seen more recently than the other gateway knows, by
 # more than this time.
 SEEN_STEP_S = 15.0
-# Parts that are not blamed in one answer. Where more are suspected than a gateway
+# Causes that are not blamed in one answer. Where more are suspected than a gateway
 # tells, two gateways seldom list the same ones.
 MAX_SUSPECTS_TOLD = 6
 # Older news is not told, since the clocks by which it ends differ a little.
@@ -64,15 +64,15 @@
     """What a gateway has told of crashes can't be read."""
 
 
-class KnownPart(NamedTuple):
-    """What the caller knows of a part.
+class KnownCause(NamedTuple):
+    """What the caller knows of a cause.
 
-    :param part: digest of the part's name.
+    :param cause: digest of the cause.
     :param checksum: checksum of the crashes and answers that are known.
-    :param seen_age_s: time since a request with the part was last seen, seconds.
+    :param seen_age_s: time since a request with the cause was last seen, seconds.
     """
 
-    part: str
+    cause: str
     checksum: int
     seen_age_s: int
 
@@ -80,27 +80,27 @@
 class BlameCall(NamedTuple):
     """What the caller tells.
 
-    :param known: all parts that it knows.
+    :param known: all causes that it knows.
     :param news: what it tells of them unasked.
     """
 
-    known: list[KnownPart]
-    news: list[PartNews]
+    known: list[KnownCause]
+    news: list[CauseNews]
 
 
 class BlameAnswer(NamedTuple):
     """What the other gateway answers.
 
-    :param news: what it knows of the parts that the caller knows otherwise or not.
-    :param wanted: digests of the parts that it knows otherwise or not itself.
+    :param news: what it knows of the causes that the caller knows otherwise or not.
+    :param wanted: digests of the causes that it knows otherwise or not itself.
     """
 
-    news: list[PartNews]
+    news: list[CauseNews]
     wanted: list[str]
 
 
 class BlameExchange:
-    """Tells other gateways which parts of prompts crash replicas, and asks them.
+    """Tells other gateways which causes crash replicas, and asks them.
 
     :param context: the gateway.
     :param directory: the other gateways.
@@ -110,7 +110,7 @@
         self._context = context
         self._directory = directory
         self._pushed_generation = 0
-        # Checksums of the parts as they were pushed last.
+        # Checksums of the causes as they were pushed last.
         self._pushed: dict[str, int] = {}
         self._failures_in_a_row = 0
         # Until then others may not have been able to tell this gateway.
@@ -141,31 +141,31 @@
             answer = await self._call(peer)
             if answer is None:
                 continue
-            told = {item.part: checksum(item) for item in answer.news}
+            told = {item.cause: checksum(item) for item in answer.news}
             wanted = set(answer.wanted)
             news = [
                 item
                 for item in tell(self._context)
-                if item.part in wanted and checksum(item) != told.get(item.part)
+                if item.cause in wanted and checksum(item) != told.get(item.cause)
             ]
             if news:
-                parts = {item.part for item in _select(self._context, news)}
-                await self._call(peer, parts)
+                causes = {item.cause for item in _select(self._context, news)}
+                await self._call(peer, causes)
             return
 
-    async def _tell_next(self, parts: Collection[str]) -> None:
+    async def _tell_next(self, causes: Collection[str]) -> None:
         """Tell the next gateway of the ring that answers.
 
         Random ones alone would leave out some.
         """
         for peer in self._directory.next_peers(MAX_NEXT_PEERS):
-            if await self._call(peer, parts) is not None:
+            if await self._call(peer, causes) is not None:
                 return
 
-    async def _tell(self, peer: GatewayEntry, parts: Collection[str]) -> None:
+    async def _tell(self, peer: GatewayEntry, causes: Collection[str]) -> None:
         """Tell a gateway, again if it is out of reach for a moment."""
         for _ in range(MAX_TELL_ATTEMPTS):
-            answer = await self._call(peer, parts)
+            answer = await self._call(peer, causes)
             # A gateway of another release is in reach, and answers nothing.
             if answer is not None or not self._directory.is_paused(peer):
                 return
@@ -196,24 +196,26 @@
         return IDLE_INTERVAL_S
 
     def _take_changes(self) -> set[str]:
-        """Return the parts that have changed since they were pushed."""
+        """Return the causes that have changed since they were pushed."""
         before = self._pushed
-        self._pushed = {item.part: checksum(item) for item in tell(self._context)}
-        return {part for part, now in self._pushed.items() if before.get(part) != now}
+        self._pushed = {item.cause: checksum(item) for item in tell(self._context)}
+        return {
+            cause for cause, now in self._pushed.items() if before.get(cause) != now
+        }
 
     async def _call(
-        self, peer: GatewayEntry, parts: Collection[str] = ()
+        self, peer: GatewayEntry, causes: Collection[str] = ()
     ) -> BlameAnswer | None:
         """Call a gateway; return its answer, None if there is none to use.
 
-        :param parts: parts to tell of unasked.
+        :param causes: causes to tell of unasked.
         """
         context, directory = self._context, self._directory
         was_paused = directory.is_paused(peer)
-        if parts:
+        if causes:
             context.metrics.count("relay.blame_pushed")
         told = tell(context)
-        news = [item for item in told if item.part in parts]
+        news = [item for item in told if item.cause in causes]
         call = BlameCall([_known(item) for item in told], news)
         asked_at = context.clock.monotonic()
         try:
@@ -262,51 +264,51 @@
     """
     call: BlameCall = _decode(body, BlameCall)
     context.learn_crashes(call.news, context.clock.monotonic(), "peer")
-    known = {item.part: item for item in call.known}
-    told = {item.part: item for item in tell(context)}
-    news = [item for item in told.values() if _adds(item, known.get(item.part))]
-    wanted = [item.part for item in call.known if _lacks(told.get(item.part), item)]
+    known = {item.cause: item for item in call.known}
+    told = {item.cause: item for item in tell(context)}
+    news = [item for item in told.values() if _adds(item, known.get(item.cause))]
+    wanted = [item.cause for item in call.known if _lacks(told.get(item.cause), item)]
     return msgspec.msgpack.encode(BlameAnswer(_select(context, news), wanted))
 
 
-def tell(context: GatewayContext) -> list[PartNews]:
-    """Return what a gateway tells others of the parts that it knows."""
+def tell(context: GatewayContext) -> list[CauseNews]:
+    """Return what a gateway tells others of the causes that it knows."""
     return [item for item in context.blame.tell() if _age_s(item) <= MAX_TOLD_AGE_S]
 
 
-def checksum(item: PartNews) -> int:
-    """Return a checksum of what is known of a part, its times excepted."""
+def checksum(item: CauseNews) -> int:
+    """Return a checksum of what is known of a cause, its times excepted."""
     crashes = sorted((crash.replica, crash.rank) for crash in item.crashes)
-    # Each gateway gets other answers to a part that all are served.
+    # Each gateway gets other answers to a cause that all are served.
     known = () if item.settled else item.answers
     answers = sorted(answer.request for answer in known)
     content = (item.position, item.answered_before, crashes, answers)
     return zlib.crc32(repr(content).encode())
 
 
-def _select(context: GatewayContext, items: list[PartNews]) -> list[PartNews]:
-    """Return what is told at once: all blamed parts and a few of the others."""
+def _select(context: GatewayContext, items: list[CauseNews]) -> list[CauseNews]:
+    """Return what is told at once: all blamed causes and a few of the others."""
     blamed = set(context.blame.blamed)
-    others = [item for item in items if item.part not in blamed]
-    return [i for i in items if i.part in blamed] + others[:MAX_SUSPECTS_TOLD]
+    others = [item for item in items if item.cause not in blamed]
+    return [i for i in items if i.cause in blamed] + others[:MAX_SUSPECTS_TOLD]
 
 
-def _age_s(item: PartNews) -> float:
+def _age_s(item: CauseNews) -> float:
     return min((item.seen_age_s, *(crash.age_s for crash in item.crashes)))
 
 
-def _known(item: PartNews) -> KnownPart:
-    return KnownPart(item.part, checksum(item), int(item.seen_age_s))
+def _known(item: CauseNews) -> KnownCause:
+    return KnownCause(item.cause, checksum(item), int(item.seen_age_s))
 
 
-def _adds(item: PartNews, known: KnownPart | None) -> bool:
+def _adds(item: CauseNews, known: KnownCause | None) -> bool:
     """Return whether an item tells more than another gateway knows."""
     if known is None or checksum(item) != known.checksum:
         return True
     return known.seen_age_s - item.seen_age_s > SEEN_STEP_S
 
 
-def _lacks(item: PartNews | None, known: KnownPart) -> bool:
+def _lacks(item: CauseNews | None, known: KnownCause) -> bool:
     """Return whether another gateway knows more than an item tells."""
     if item is None or checksum(item) != known.checksum:
         return True
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -15,12 +15,13 @@
 from lentilshore_kernel.metrics import record_state_change
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.types import Address, StateChange
-from lentilshore_routing.crash_blame import CrashBlame, PartNews
+from lentilshore_routing.crash_blame import CrashBlame
+from lentilshore_routing.crash_causes import Cause
+from lentilshore_routing.crash_news import CauseNews
 from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replica_limits import ReplicaLimits
 from lentilshore_routing.retries import RetryPolicy
-from lentilshore_routing.routes import PromptPart
 from lentilshore_routing.version_choice import VersionChooser
 from lentilshore_routing.version_evidence import LatencyBaseline, VersionEvidence
 
@@ -95,7 +96,7 @@
 
     :param node_name: name of this instance.
     :param limits: limits that replicas name, which ``placement`` keeps to.
-    :param blame: counts the crashes of replicas for each part of prompts.
+    :param blame: counts the crashes of replicas for each cause that requests bear.
     :param version_chooser: chooses the version that serves each request.
     :param log_sampler: selects the requests whose routine lines are logged.
     """
@@ -216,30 +217,30 @@
         )
 
     def record_crash(
-        self, parts: Sequence[PromptPart], replica: str, sent_at: float
+        self, causes: Sequence[Cause], replica: str, sent_at: float
     ) -> None:
         """Record that a replica ended as it began the answer to a request.
 
-        :param parts: parts of the request's prompt in order.
+        :param causes: causes that the request bears.
         :param replica: name of the replica's process.
         :param sent_at: time at which the request was sent to it, on the node's clock,
             seconds.
         """
-        self.blame.record_crash(parts, replica, sent_at)
+        self.blame.record_crash(causes, replica, sent_at)
         self.log_blame("crash")
 
-    def record_answer(self, parts: Sequence[PromptPart], request_id: str) -> None:
+    def record_answer(self, causes: Sequence[Cause], request_id: str) -> None:
         """Record an answer that is whole, or a stream past its beginning.
 
-        :param parts: parts of the request's prompt in order.
+        :param causes: causes that the request bears.
         """
         known = self.blame.generation
-        self.blame.record_answer(parts, request_id)
+        self.blame.record_answer(causes, request_id)
         if self.blame.generation != known:
             self.log_blame("answer")
 
     def learn_crashes(
-        self, news: Iterable[PartNews], asked_at: float, source: str
+        self, news: Iterable[CauseNews], asked_at: float, source: str
     ) -> None:
         """Accept what another gateway knows of crashes.
 
@@ -262,7 +263,7 @@
         :param source: what told of the change: a crash, an answer, a peer or time.
         """
         blamed = set(self.blame.blamed)
-        told = {item.part: item for item in self.blame.tell()} if blamed else {}
+        told = {item.cause: item for item in self.blame.tell()} if blamed else {}
         for part in sorted(blamed - self._logged_blame):
             item = told.get(part)
             record_state_change(
--- a/tests/blame_fleet.py
+++ b/tests/blame_fleet.py
@@ -23,6 +23,7 @@
 )
 from lentilshore_node.peers.gateway_directory import GatewayDirectory
 from lentilshore_node.programs.gateway_assembly import create_gateway
+from lentilshore_routing.crash_causes import part_causes
 from lentilshore_routing.routes import PromptPart
 from tests.test_gateway import BOUNDS
 
@@ -46,8 +47,9 @@
 
 
 def prompt(part, first="shared"):
-    """Return the parts of a prompt, the last one its own."""
-    return [PromptPart(first, 100), PromptPart(part, 100), PromptPart("own", 10)]
+    """Return the causes that a prompt bears; its last part is its own."""
+    parts = [PromptPart(first, 100), PromptPart(part, 100), PromptPart("own", 10)]
+    return part_causes(parts)
 
 
 class Client:
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -17,12 +17,13 @@
     RETRY_INTERVAL_S,
     BlameAnswer,
     BlameCall,
-    KnownPart,
+    KnownCause,
     answer_call,
     checksum,
     tell,
 )
 from lentilshore_routing.crash_blame import CrashBlame
+from lentilshore_routing.crash_causes import Cause, part_causes
 from lentilshore_routing.routes import PromptPart
 
 LOST_MESSAGES = 0.02
@@ -46,7 +47,7 @@
 
 
 class Gateway:
-    """A gateway with what it knows of parts; stands in for its context."""
+    """A gateway with what it knows of causes; stands in for its context."""
 
     def __init__(self, world, name):
         self.name = name
@@ -67,15 +68,15 @@
         self._world.push_if_new(self)
 
     def take_changes(self):
-        """Return the parts that have changed since they were pushed."""
+        """Return the causes that have changed since they were pushed."""
         before = self.pushed
-        self.pushed = {item.part: checksum(item) for item in tell(self)}
-        return {part for part, now in self.pushed.items() if before.get(part) != now}
+        self.pushed = {item.cause: checksum(item) for item in tell(self)}
+        return {cause for cause, now in self.pushed.items() if before.get(cause) != now}
 
 
 class Request(NamedTuple):
     identifier: str
-    parts: tuple[PromptPart, ...]
+    causes: list[Cause]
     bad: str | None
     gateway: Gateway
     attempts: int
@@ -219,14 +220,15 @@
     def _request(self, names, bad):
         identifier = f"r-{next(self._names)}"
         parts = tuple(PromptPart(name, 100) for name in [*names, f"own-{identifier}"])
-        self._send(Request(identifier, parts, bad, self._live_gateway(), 0))
+        request = Request(identifier, part_causes(parts), bad, self._live_gateway(), 0)
+        self._send(request)
 
     def _send(self, request):
         """Send a request, or refuse it; it waits while there is no replica."""
         gateway = request.gateway
         if not gateway.alive:
             return
-        if gateway.blame.blamed_part(request.parts) is not None:
+        if gateway.blame.blamed_cause(request.causes) is not None:
             self.refused_sound += request.bad is None
             self.refused_bad += request.bad is not None
             return
@@ -265,7 +267,7 @@
         del running[request.identifier]
         self.served += 1
         if request.gateway.alive:
-            request.gateway.blame.record_answer(request.parts, request.identifier)
+            request.gateway.blame.record_answer(request.causes, request.identifier)
             self.push_if_new(request.gateway)
 
     def _crash(self, name):
@@ -280,9 +282,9 @@
             if attempt.begins_at > self.now:
                 self._send(request)
                 continue
-            gateway.blame.record_crash(request.parts, name, attempt.sent_at)
+            gateway.blame.record_crash(request.causes, name, attempt.sent_at)
             self.push_if_new(gateway)
-            if gateway.blame.may_retry(request.parts):
+            if gateway.blame.may_retry(request.causes):
                 self._send(request)
 
     def push_if_new(self, gateway):
@@ -324,16 +326,16 @@
         others = [peer for peer in self.gateways.values() if peer is not gateway]
         return self.random.choice(others)
 
-    def _call(self, gateway, peer, parts=()):
-        """Call a gateway with news of some parts; it answers what it knows."""
+    def _call(self, gateway, peer, causes=()):
+        """Call a gateway with news of some causes; it answers what it knows."""
         if not self._passes(gateway, peer):
             return
         told = tell(gateway)
-        known = [KnownPart(i.part, checksum(i), int(i.seen_age_s)) for i in told]
-        call = BlameCall(known, [item for item in told if item.part in parts])
+        known = [KnownCause(i.cause, checksum(i), int(i.seen_age_s)) for i in told]
+        call = BlameCall(known, [item for item in told if item.cause in causes])
         body = msgspec.msgpack.encode(call)
         gateway.bytes += len(body)
-        arrival = (gateway, peer, body, self.now, not parts)
+        arrival = (gateway, peer, body, self.now, not causes)
         self.after(self._delay_s(), self._called, *arrival)
 
     def _called(self, gateway, peer, body, asked_at, asks):
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -41,6 +41,8 @@
     "lentilshore_node.peers.relay",
     "lentilshore_node.state.rollout_progress",
     "lentilshore_routing.crash_blame",
+    "lentilshore_routing.crash_causes",
+    "lentilshore_routing.crash_news",
     "lentilshore_routing.first_event_times",
     "lentilshore_routing.model_choice",
     "lentilshore_routing.replica_limits",
--- a/tests/test_blame_exchange.py
+++ b/tests/test_blame_exchange.py
@@ -34,7 +34,7 @@
     BlameAnswer,
     BlameCall,
     BlameExchange,
-    KnownPart,
+    KnownCause,
     UnreadableBlameError,
     answer_call,
     checksum,
@@ -45,15 +45,15 @@
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_node.programs.gateway_server import GatewayAddresses, GatewayServer
 from lentilshore_node.state.gateway_context import PEER_BODY_LIMIT_BYTES
-from lentilshore_routing.crash_blame import (
-    BLAME_CRASHES,
+from lentilshore_routing.crash_blame import MAX_TOLD_CAUSES
+from lentilshore_routing.crash_causes import BLAME_CRASHES
+from lentilshore_routing.crash_news import (
     BLAME_QUIET_S,
     MAX_ANSWERS,
     MAX_CRASHES,
-    MAX_TOLD_PARTS,
     AnswerNews,
+    CauseNews,
     CrashNews,
-    PartNews,
 )
 from tests.blame_fleet import (
     ANSWER_HEAD,
@@ -67,7 +67,7 @@
 
 ANY = Address("127.0.0.1", 0)
 PART = "0123456789abcdef"
-NEWS = PartNews(PART, 1, (CrashNews("01234567", 1, 0.2),), (), 0, 0.1)
+NEWS = CauseNews(PART, 1, (CrashNews("01234567", 1, 0.2),), (), 0, 0.1)
 # Gateways in reach must know within this time.
 KNOWN_WITHIN_S = 1.0
 CONTROL_BYTES_PER_S = 8_000
@@ -191,7 +191,7 @@
         fleet.calls.clear()
         generation = fleet.contexts["g1"].blame.generation
         for _ in range(50):
-            assert fleet.contexts["g1"].blame.blamed_part(prompt("bad"))
+            assert fleet.contexts["g1"].blame.blamed_cause(prompt("bad"))
             fleet.contexts["g1"].learn_crashes(
                 tell(fleet.contexts["g2"]), fleet.clock.monotonic(), "g2"
             )
@@ -397,7 +397,7 @@
             await fleet.wait(0.5)
         for _ in range(8):
             await fleet.wait(25.0)
-            assert fleet.contexts["g2"].blame.blamed_part(prompt("bad"))
+            assert fleet.contexts["g2"].blame.blamed_cause(prompt("bad"))
             assert all(c.blame.blamed for c in fleet.contexts.values())
         await fleet.wait(BLAME_QUIET_S + SEEN_STEP_S)
         assert not any(c.blame.blamed for c in fleet.contexts.values())
@@ -456,7 +456,7 @@
     return 2 * total / len(fleet.names) / lasts_s
 
 
-@pytest.mark.parametrize("parts", [0, 1, MAX_TOLD_PARTS, 2 * MAX_TOLD_PARTS, 120])
+@pytest.mark.parametrize("parts", [0, 1, MAX_TOLD_CAUSES, 2 * MAX_TOLD_CAUSES, 120])
 def test_lasting_suspicion_costs_few_bytes(parts):
     fleet = BlameFleet(40)
 
@@ -480,8 +480,8 @@
         parts = prompt(f"p{number}", f"f{number}")
         context.record_crash(parts, f"{number}", clock.monotonic() - 0.1)
     told = tell(context)
-    assert len(told) == MAX_TOLD_PARTS
-    known = [KnownPart(i.part, checksum(i), 60) for i in told]
+    assert len(told) == MAX_TOLD_CAUSES
+    known = [KnownCause(i.cause, checksum(i), 60) for i in told]
     answers = (AnswerNews("01234567", 0.1),) * MAX_ANSWERS
     full = [
         i._replace(crashes=NEWS.crashes * MAX_CRASHES, answers=answers) for i in told
@@ -501,7 +501,7 @@
     body = answer_call(context, msgspec.msgpack.encode(BlameCall([], [])))
     news = msgspec.msgpack.decode(body, type=BlameAnswer).news
     assert len(news) == len(context.blame.blamed) + MAX_SUSPECTS_TOLD
-    assert set(context.blame.blamed) <= {item.part for item in news}
+    assert set(context.blame.blamed) <= {item.cause for item in news}
 
 
 def test_gateways_that_know_the_same_tell_nothing_of_it():
@@ -509,13 +509,13 @@
     first, second = create_context(clock=clock), create_context(clock=clock)
     first.record_crash(prompt("bad"), "r1", clock.monotonic() - 0.1)
     second.learn_crashes(tell(first), clock.monotonic(), "g0")
-    known = [KnownPart(i.part, checksum(i), int(i.seen_age_s)) for i in tell(first)]
+    known = [KnownCause(i.cause, checksum(i), int(i.seen_age_s)) for i in tell(first)]
     body = answer_call(second, msgspec.msgpack.encode(BlameCall(known, [])))
     assert msgspec.msgpack.decode(body, type=BlameAnswer) == BlameAnswer([], [])
     second.record_crash(prompt("bad"), "r2", clock.monotonic())
     body = answer_call(second, msgspec.msgpack.encode(BlameCall(known, [])))
     answer = msgspec.msgpack.decode(body, type=BlameAnswer)
-    assert {i.part for i in answer.news} == set(answer.wanted) == {k[0] for k in known}
+    assert {i.cause for i in answer.news} == set(answer.wanted) == {k[0] for k in known}
 
 
 @pytest.mark.parametrize(
@@ -528,7 +528,8 @@
     context.record_crash(prompt("bad"), "r1", clock.monotonic() - 0.1)
     clock.advance(35.0)
     known = [
-        KnownPart(i.part, checksum(i), int(i.seen_age_s - age_s)) for i in tell(context)
+        KnownCause(i.cause, checksum(i), int(i.seen_age_s - age_s))
+        for i in tell(context)
     ]
     body = answer_call(context, msgspec.msgpack.encode(BlameCall(known, [])))
     answer = msgspec.msgpack.decode(body, type=BlameAnswer)
@@ -581,8 +582,8 @@
 
 
 UNSOUND = [
-    {"part": "x"},
-    {"part": "0" * 5_000},
+    {"cause": "x"},
+    {"cause": "0" * 5_000},
     {"crashes": ()},
     {"crashes": NEWS.crashes * 9},
     {"crashes": (CrashNews("01234567", 1, float("nan")),)},
@@ -640,7 +641,7 @@
 
 
 @pytest.mark.parametrize(
-    "known", [KnownPart("x" * 9_000, 2**63, -(2**62)), KnownPart(PART, -1, 2**62)]
+    "known", [KnownCause("x" * 9_000, 2**63, -(2**62)), KnownCause(PART, -1, 2**62)]
 )
 def test_a_call_that_claims_nonsense_is_answered(known):
     context = create_context()
@@ -648,7 +649,7 @@
     body = answer_call(context, msgspec.msgpack.encode(BlameCall([known], [])))
     answer = msgspec.msgpack.decode(body, type=BlameAnswer)
     assert len(answer.news) == 2
-    assert answer.wanted == [known.part]
+    assert answer.wanted == [known.cause]
 
 
 def test_news_of_a_part_that_is_about_to_end_is_not_told():
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -6,12 +6,13 @@
 from hypothesis import strategies as st
 
 from lentilshore_kernel.testing import FakeClock
-from lentilshore_routing import crash_blame
-from lentilshore_routing.crash_blame import (
+from lentilshore_routing import crash_blame, crash_news
+from lentilshore_routing.crash_blame import CrashBlame
+from lentilshore_routing.crash_causes import part_causes
+from lentilshore_routing.crash_news import (
     AnswerNews,
-    CrashBlame,
+    CauseNews,
     CrashNews,
-    PartNews,
     part_digest,
 )
 from lentilshore_routing.routes import PromptPart
@@ -41,8 +42,8 @@
             self.blame.record_answer(prompt(*names), f"r-{id(self)}-{self._count}")
 
     def blamed(self, *names):
-        found = self.blame.blamed_part(prompt(*names))
-        return None if found is None else named([found])[0]
+        found = self.blame.blamed_cause(prompt(*names))
+        return None if found is None else named([found.digest])[0]
 
     def hear(self, *others, delay_s=0.0):
         """Learn what other nodes know."""
@@ -70,8 +71,8 @@
 
 
 def prompt(*names):
-    """Return a prompt with some shared parts and one of its own."""
-    return [PromptPart(name, 100) for name in (*names, "own")]
+    """Return the causes of a prompt with some shared parts and one of its own."""
+    return part_causes([PromptPart(name, 100) for name in (*names, "own")])
 
 
 def blame_part(node, *names):
@@ -254,7 +255,7 @@
 def test_blame_ends_after_quiet():
     node = Node()
     blame_part(node, "f", "s")
-    node.clock.advance(crash_blame.BLAME_QUIET_S + 1)
+    node.clock.advance(crash_news.BLAME_QUIET_S + 1)
     assert node.blame.blamed == []
     assert not node.blame.active
 
@@ -304,7 +305,7 @@
 def test_crashes_far_apart_blame_no_part():
     node = Node()
     for _ in range(5):
-        node.crash("f", "s", pause_s=crash_blame.SUSPECT_S + 1)
+        node.crash("f", "s", pause_s=crash_news.SUSPECT_S + 1)
     assert node.blame.blamed == []
 
 
@@ -312,7 +313,7 @@
     node = Node()
     node.crash("f", "s")
     assert node.blame.active
-    node.clock.advance(crash_blame.SUSPECT_S + 1)
+    node.clock.advance(crash_news.SUSPECT_S + 1)
     assert not node.blame.active
 
 
@@ -324,23 +325,23 @@
             node.crash(f"s{number}", pause_s=0.05)
             node.answer(f"s{number}", count=3)
     told = node.blame.tell()
-    assert len(node.blame._parts) == crash_blame.MAX_PARTS
-    assert len(told) == crash_blame.MAX_TOLD_PARTS
-    assert part_digest("s") in {item.part for item in told}
+    assert len(node.blame._records) == crash_blame.MAX_CAUSES
+    assert len(told) == crash_blame.MAX_TOLD_CAUSES
+    assert part_digest("s") in {item.cause for item in told}
     for _ in range(20):
         node.crash("t")
-    news = next(i for i in node.blame.tell() if i.part == part_digest("t"))
-    assert len(news.crashes) == crash_blame.MAX_CRASHES
+    news = next(i for i in node.blame.tell() if i.cause == part_digest("t"))
+    assert len(news.crashes) == crash_news.MAX_CRASHES
 
 
 def test_remembered_answers_are_bounded():
     node = Node()
-    for number in range(crash_blame.MAX_ANSWERED_PARTS + 10):
+    for number in range(crash_blame.MAX_ANSWERED_CAUSES + 10):
         node.answer(f"p{number}")
-    assert len(node.blame._answered) == crash_blame.MAX_ANSWERED_PARTS
+    assert len(node.blame._answered) == crash_blame.MAX_ANSWERED_CAUSES
 
 
-SOUND = PartNews("0" * 16, 1, (CrashNews("0" * 8, 1, 0.1),), (), 0, 0.1)
+SOUND = CauseNews("0" * 16, 1, (CrashNews("0" * 8, 1, 0.1),), (), 0, 0.1)
 
 
 def test_sound_news_is_accepted():
@@ -353,9 +354,9 @@
 @pytest.mark.parametrize(
     "changes",
     [
-        {"part": "0" * 15},
-        {"part": "0" * 15 + "\n"},
-        {"part": "g" * 16},
+        {"cause": "0" * 15},
+        {"cause": "0" * 15 + "\n"},
+        {"cause": "g" * 16},
         {"position": -1},
         {"position": 10**9},
         {"crashes": ()},
@@ -384,7 +385,7 @@
 
 @pytest.mark.parametrize(
     ("age_s", "seen_age_s"),
-    [(crash_blame.SUSPECT_S + 1, crash_blame.BLAME_QUIET_S + 1), (1e9, 0.0)],
+    [(crash_news.SUSPECT_S + 1, crash_news.BLAME_QUIET_S + 1), (1e9, 0.0)],
 )
 def test_old_news_is_ignored(age_s, seen_age_s):
     node = Node()
@@ -439,7 +440,7 @@
             {(c.replica, c.rank) for c in part.crashes.values()},
             set(part.answers),
         )
-        for digest, part in node.blame._parts.items()
+        for digest, part in node.blame._records.items()
     }, node.blame.blamed
 
 
--- a/tests/test_crash_blame_fleet.py
+++ b/tests/test_crash_blame_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lentilshore_routing.crash_blame import part_digest
+from lentilshore_routing.crash_news import part_digest
 from tests.crash_fleet import ALLOWED_SENDS, Traffic, World
 
 MAX_BYTES_PER_S = 8_000  # of one gateway, in both directions
--- a/tests/test_crash_blame_mutants.py
+++ b/tests/test_crash_blame_mutants.py
@@ -1,13 +1,16 @@
 """Mutation tests of blame: each fault must break one of its guarantees."""
 
 import itertools
+from contextlib import ExitStack, contextmanager
 from unittest.mock import PropertyMock, patch
 
 import pytest
 
 from lentilshore_kernel.testing import FakeClock
-from lentilshore_routing import crash_blame
-from lentilshore_routing.crash_blame import CrashBlame, _Part, part_digest
+from lentilshore_routing import crash_blame, crash_causes, crash_news
+from lentilshore_routing.crash_blame import CrashBlame
+from lentilshore_routing.crash_causes import CauseRecord, part_causes
+from lentilshore_routing.crash_news import part_digest
 from tests.crash_fleet import ALLOWED_SENDS, Traffic, World
 from tests.test_crash_blame import (
     SOUND,
@@ -130,10 +133,10 @@
     node = Node()
     node.answer("f1", "s")
     blame_part(node, "f", "s")
-    return part_digest("s") in {item.part for item in node.blame.tell()}
+    return part_digest("s") in {item.cause for item in node.blame.tell()}
 
 
-def lets_blamed_parts_explain_first():
+def lets_blamed_causes_explain_first():
     """A sound part that has met two bad ones doesn't hide the second one."""
     return meet_two_bad_parts(Node()) == ["f1", "f2"]
 
@@ -193,7 +196,7 @@
 def refuses_unsound_news():
     """News that can't be true is refused."""
     node = Node()
-    node.blame.learn([SOUND._replace(part="x")], node.clock.monotonic())
+    node.blame.learn([SOUND._replace(cause="x")], node.clock.monotonic())
     return node.blame.unsound_count == 1
 
 
@@ -202,7 +205,7 @@
     node = Node()
     for number in range(200):
         node.crash(f"s{number}", pause_s=0.01)
-    return len(node.blame._parts) <= 128 and len(node.blame.tell()) <= 32
+    return len(node.blame._records) <= 128 and len(node.blame.tell()) <= 32
 
 
 def stops_a_fleet(count=7, per_s=1.0):
@@ -231,8 +234,7 @@
 
 
 def includes_the_last(parts):
-    for position, part in enumerate(parts):
-        yield position, crash_blame.part_digest(part.name)
+    return PART_CAUSES([*parts, None])
 
 
 def earlier_part_first(self):
@@ -249,49 +251,56 @@
     return PREFERENCE(self)[1:]
 
 
-def no_refresh(self, parts):
-    found = [d for _, d in crash_blame._candidates(parts) if d in self._blamed]
+def no_refresh(self, causes):
+    found = [cause for cause in causes if cause.digest in self._blamed]
     return found[0] if found else None
 
 
-def keep_without_answers(self, part, now):
-    self._parts[part.digest] = part
+def keep_without_answers(self, record, now):
+    self._records[record.digest] = record
 
 
 def scores_once(self, condemned):
-    return SCORE_PARTS(self, set())
+    return SCORE_CAUSES(self, set())
 
 
-SCORE_PARTS = CrashBlame._score_parts
-PREFERENCE = _Part.preference
+SCORE_CAUSES = CrashBlame._score_causes
+PREFERENCE = CauseRecord.preference
+PART_CAUSES = part_causes
 DIGESTS = itertools.count()
 
 
-def constant(name, value):
-    return patch.object(crash_blame, name, value)
+@contextmanager
+def constants(**values):
+    """Replace constants in each module that uses them."""
+    with ExitStack() as stack:
+        for module in crash_blame, crash_causes, crash_news:
+            for name in values.keys() & vars(module).keys():
+                stack.enter_context(patch.object(module, name, values[name]))
+        yield
 
 
 def part_property(name, value):
-    return patch.object(_Part, name, PropertyMock(return_value=value))
+    return patch.object(CauseRecord, name, PropertyMock(return_value=value))
 
 
 MUTANTS = {
-    "one more crash is needed": (blames_the_cause, constant("BLAME_CRASHES", 4)),
+    "one more crash is needed": (blames_the_cause, constants(BLAME_CRASHES=4)),
     "the first part is preferred": (
         blames_the_cause,
-        patch.object(_Part, "preference", earlier_part_first),
+        patch.object(CauseRecord, "preference", earlier_part_first),
     ),
     "the part with fewer crashes is preferred": (
         blames_a_first_part,
-        patch.object(_Part, "preference", fewer_crashes_first),
+        patch.object(CauseRecord, "preference", fewer_crashes_first),
     ),
     "one crash makes a part suspect": (
         retries_after_one_crash_of_an_answered_part,
-        constant("SUSPECT_CRASHES", 1),
+        constants(SUSPECT_CRASHES=1),
     ),
     "overlapping crashes never count": (
         blames_a_part_whose_crashes_overlap,
-        constant("OVERLAPPING_BLAME_CRASHES", 99),
+        constants(OVERLAPPING_BLAME_CRASHES=99),
     ),
     "nothing is explained away": (
         spares_a_shared_part,
@@ -303,7 +312,7 @@
     ),
     "the order ignores what was answered": (
         blames_the_part_that_was_answered_less,
-        patch.object(_Part, "preference", ignores_what_was_answered),
+        patch.object(CauseRecord, "preference", ignores_what_was_answered),
     ),
     "answers are ignored": (
         spares_a_part_that_is_answered,
@@ -311,23 +320,23 @@
     ),
     "an answer outweighs no crash": (
         spares_a_part_that_is_answered,
-        patch.multiple(crash_blame, CRASHES_PER_ANSWER=0, ANSWERED_BLAME_CRASHES=3),
+        constants(CRASHES_PER_ANSWER=0, ANSWERED_BLAME_CRASHES=3),
     ),
     "crashes at one time are counted": (
         spares_parts_of_replicas_lost_at_one_time,
-        patch.object(_Part, "next_rank", any_crash_follows),
+        patch.object(CauseRecord, "next_rank", any_crash_follows),
     ),
     "crashes are never too far apart": (
         spares_a_part_whose_crashes_are_far_apart,
-        patch.multiple(crash_blame, SUSPECT_S=1e6),
+        constants(SUSPECT_S=1e6),
     ),
     "the last part is a candidate": (
         spares_the_last_part,
-        patch.object(crash_blame, "_candidates", includes_the_last),
+        patch("tests.test_crash_blame.part_causes", includes_the_last),
     ),
     "each report is a crash": (
         counts_a_replica_once,
-        patch.object(crash_blame, "_short_digest", new_digest),
+        patch.object(crash_blame, "short_digest", new_digest),
     ),
     "what was answered is not told": (
         hears_of_answers_elsewhere,
@@ -335,11 +344,13 @@
     ),
     "parts that others explain are not told": (
         tells_of_answers_to_explained_parts,
-        patch.object(_Part, "is_told", property(lambda self: self.score.chained > 0)),
+        patch.object(
+            CauseRecord, "is_told", property(lambda self: self.score.chained > 0)
+        ),
     ),
     "suspected parts explain before blamed ones": (
-        lets_blamed_parts_explain_first,
-        patch.object(CrashBlame, "_score_parts", scores_once),
+        lets_blamed_causes_explain_first,
+        patch.object(CrashBlame, "_score_causes", scores_once),
     ),
     "suspects are retried": (
         does_not_retry_a_suspect,
@@ -351,24 +362,24 @@
     ),
     "blame never expires": (
         forgets_blame,
-        patch.multiple(crash_blame, BLAME_QUIET_S=1e9, BLAME_MAX_S=1e9),
+        constants(BLAME_QUIET_S=1e9, BLAME_MAX_S=1e9),
     ),
-    "blame is not reviewed": (forgets_blame, constant("REVIEW_INTERVAL_S", 1e9)),
+    "blame is not reviewed": (forgets_blame, constants(REVIEW_INTERVAL_S=1e9)),
     "refusals do not refresh": (
         keeps_blame_while_requests_come,
-        patch.object(CrashBlame, "blamed_part", no_refresh),
+        patch.object(CrashBlame, "blamed_cause", no_refresh),
     ),
     "blame lasts as long as requests come": (
         ends_false_blame,
-        constant("BLAME_MAX_S", 1e9),
+        constants(BLAME_MAX_S=1e9),
     ),
-    "old crashes are forgotten": (renews_true_blame, constant("MAX_CRASH_AGE_S", 60.0)),
+    "old crashes are forgotten": (renews_true_blame, constants(MAX_CRASH_AGE_S=60.0)),
     "all news is believed": (
         refuses_unsound_news,
-        patch.object(crash_blame, "_is_sound", lambda _: True),
+        patch.object(crash_blame, "is_sound", lambda _: True),
     ),
-    "parts are not bounded": (is_bounded, constant("MAX_PARTS", 10_000)),
-    "news is not bounded": (is_bounded, constant("MAX_TOLD_PARTS", 10_000)),
+    "parts are not bounded": (is_bounded, constants(MAX_CAUSES=10_000)),
+    "news is not bounded": (is_bounded, constants(MAX_TOLD_CAUSES=10_000)),
     "news is not merged": (
         stops_a_fleet,
         patch.object(CrashBlame, "learn", lambda *_: []),
@@ -376,7 +387,7 @@
     "nothing is told": (stops_a_fleet, patch.object(CrashBlame, "tell", lambda _: [])),
     "blamed parts are not refused": (
         stops_a_fleet,
-        patch.object(CrashBlame, "blamed_part", lambda *_: None),
+        patch.object(CrashBlame, "blamed_cause", lambda *_: None),
     ),
     "changes are not pushed": (
         tells_a_fleet_at_once,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,6 +11,7 @@
 from lentilshore_node.callers.gateway import GatewayApplication
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_platform.translator import HeaderTranslator
+from lentilshore_routing.crash_causes import part_causes
 from lentilshore_routing.routes import (
     CallerLimits,
     DeliveryMode,
@@ -182,7 +183,7 @@
     context = fleet.gateways[0]
     parts = (PromptPart("a", 300), PromptPart(BAD, 100), PromptPart("e", 50))
     for number in range(3):
-        context.record_crash(parts, f"i-{number}", fleet.clock.monotonic())
+        context.record_crash(part_causes(parts), f"i-{number}", fleet.clock.monotonic())
         fleet.clock.advance(1.0)
     context.view.confirm_table(1, fleet.clock.monotonic())
     caller = Caller([(b"x-prompt-prefix", b"a:300,bad0:100,f:50")])
