Failing test: whole requests that end replicas

Requests alike in path, customer and body end each replica that begins to run them, 12 to 90 ms after they were sent and before a head.

--- a/tests/crashing_replicas.py
+++ b/tests/crashing_replicas.py
@@ -1,6 +1,8 @@
-"""Replicas that crash as they begin to answer a request with a certain prompt part."""
+"""Replicas that crash as they begin to run, or to answer, certain requests."""
 
+import random
 from functools import partial
+from typing import NamedTuple
 
 from lentilshore_kernel.types import Address
 from lentilshore_node.clients.http_connection import (
@@ -16,6 +18,8 @@
 HEAD_S = 0.1
 CRASH_S = 0.08
 EVENT_S = 0.02
+# Time from a request that crashes its replica without a head to the crash.
+NO_HEAD_CRASH_S = (0.012, 0.09)
 DOWN_S = 4.0
 
 
@@ -55,32 +59,50 @@
         return ReplicaRecord(self.identity, self.starts, SERVICE, "v1", replica)
 
 
+class Arrival(NamedTuple):
+    """A request that has reached a replica."""
+
+    at: float
+    gateway: str
+    fields: dict[str, str]
+    body: bytes
+
+
 class CrashingHttpClient:
     """HTTP client of one gateway whose calls reach the replicas of a test.
 
     :param gateway: name of the gateway.
     :param replicas: :class:`CrashingReplica` by address.
     :param bad_parts: names of the prompt parts that crash replicas.
-    :param arrivals: gets the time, gateway and fields of each request that arrives.
+    :param arrivals: gets each :class:`Arrival`.
+    :param bad_body: body of the requests that crash replicas before the head of an
+        answer, None for none.
     """
 
-    def __init__(self, gateway, replicas, clock, bad_parts, arrivals):
+    def __init__(self, gateway, replicas, clock, bad_parts, arrivals, bad_body=None):
         self._gateway = gateway
         self._replicas = replicas
         self._clock = clock
         self._bad_parts = bad_parts
         self._arrivals = arrivals
+        self._bad_body = bad_body
+        self._random = random.Random(gateway)
 
     async def start(self, address, encode, timeout_s, *_, **__):
         replica = self._replicas[address]
         if not replica.is_up:
             raise CallNotSentError(f"{address}: connection failed")
-        lines = encode().decode("latin-1").split("\r\n\r\n")[0].split("\r\n")[1:]
+        head, _, body = encode().partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")[1:]
         fields = dict(line.lower().split(": ", 1) for line in lines)
-        self._arrivals.append((self._clock.monotonic(), self._gateway, fields))
+        arrival = Arrival(self._clock.monotonic(), self._gateway, fields, body)
+        self._arrivals.append(arrival)
         parts = fields.get("x-prompt-prefix", "").split(",")
         bad = any(part.partition(":")[0] in self._bad_parts for part in parts)
-        return _Call(self._clock, replica, fields, bad)
+        crash_s = None
+        if body == self._bad_body:
+            crash_s = self._random.uniform(*NO_HEAD_CRASH_S)
+        return _Call(self._clock, replica, fields, bad, crash_s)
 
     async def is_refused(self, address):
         return not self._replicas[address].is_up
@@ -90,15 +112,20 @@
 
 
 class _Call:
-    def __init__(self, clock, replica, fields, bad):
+    def __init__(self, clock, replica, fields, bad, crash_s):
         self._clock = clock
         self._replica = replica
         self._identity = replica.identity
         self._fields = fields
         self._bad = bad
+        self._crash_s = crash_s
         self._response = None
 
     async def wait_for_head(self, timeout_s, extend_timeout=None):
+        if self._crash_s is not None:
+            await self._clock.sleep(self._crash_s)
+            self.check()
+            self._replica.crash()
         if self._response is None:
             await self._clock.sleep(HEAD_S)
             self.check()
@@ -142,3 +169,6 @@
 
     def aiter_stream(self):
         return self._events()
+
+    async def read(self, limit_bytes, total_s=None):
+        return b"".join([data async for data in self._events()])
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -23,6 +23,7 @@
 from tests.test_gateway import BOUNDS, KEY, Caller, route
 
 BAD = "bad0"
+OTHER_KEY = "other-key-of-kerlann"
 STABILITY_S = 3.0
 LASTS_S = 25.0
 SOUND_PAUSE_S = 0.2
@@ -30,14 +31,59 @@
 EXCHANGE_PAUSE_S = 0.25
 
 
+class PartTraffic:
+    """Requests of which the bad ones share a part of their prompt."""
+
+    bad_body = None
+
+    def __init__(self, source):
+        self._random = source
+
+    def caller(self, number, bad):
+        subject = BAD if bad else f"c{self._random.randrange(40)}"
+        parts = f"a{self._random.randrange(3)}:300,{subject}:100,e{number}:50"
+        return Caller(
+            [(b"x-prompt-prefix", parts.encode())], request_id=b"r%d" % number
+        )
+
+    @staticmethod
+    def is_bad(arrival):
+        return BAD in arrival.fields["x-prompt-prefix"]
+
+
+class WholeTraffic:
+    """Requests without parts, of which the bad ones are alike but for their key."""
+
+    bad_body = b'{"find": "bad"}'
+
+    def __init__(self, source):
+        self._random = source
+
+    def caller(self, number, bad):
+        # Half of the sound ones come again alike, half never.
+        subject = self._random.choice([self._random.randrange(40), 1_000 + number])
+        body = self.bad_body if bad else b'{"find": %d}' % subject
+        key = self._random.choice((KEY, OTHER_KEY)).encode()
+        return Caller(
+            [(b"authorization", b"Bearer " + key)],
+            body=body,
+            request_id=b"r%d" % number,
+        )
+
+    @classmethod
+    def is_bad(cls, arrival):
+        return arrival.body == cls.bad_body
+
+
 class Fleet:
     """Gateways that know the same five replicas.
 
     :param with_route: route of all requests.
     :param gateways: number of gateways.
+    :param traffic: draws the requests.
     """
 
-    def __init__(self, with_route, gateways=1):
+    def __init__(self, with_route, gateways=1, traffic=PartTraffic):
         self.clock = FakeClock()
         self.started_at = self.clock.monotonic()
         self.arrivals = []
@@ -49,10 +95,18 @@
         self._route = with_route
         self._count = 0
         self._random = random.Random(1)
+        self._traffic = traffic(self._random)
         self.gateways = [self._create(f"n{n}") for n in range(gateways)]
 
     def _create(self, name):
-        http = CrashingHttpClient(name, self.replicas, self.clock, {BAD}, self.arrivals)
+        http = CrashingHttpClient(
+            name,
+            self.replicas,
+            self.clock,
+            {BAD},
+            self.arrivals,
+            self._traffic.bad_body,
+        )
         context = create_gateway(
             name,
             "dc",
@@ -63,7 +117,7 @@
             http,
             HeaderTranslator(),
         )
-        keys = {KEY: KeyOwner("kerlann")}
+        keys = dict.fromkeys((KEY, OTHER_KEY), KeyOwner("kerlann"))
         context.view.update_table(RouteTable(1, [self._route], keys, CallerLimits()))
         self._list_replicas(context)
         return context
@@ -118,25 +172,21 @@
         while True:
             await self.clock.sleep(pause_s * self._random.uniform(0.5, 1.5))
             self._count += 1
-            subject = BAD if bad else f"c{self._random.randrange(40)}"
-            parts = f"a{self._random.randrange(3)}:300,{subject}:100,e{self._count}:50"
-            caller = Caller(
-                [(b"x-prompt-prefix", parts.encode())],
-                request_id=b"r%d" % self._count,
-            )
+            caller = self._traffic.caller(self._count, bad)
             await caller.send_to(application)
             whole = caller.status == 200 and caller.complete
             statuses.append((self.clock.monotonic(), caller.status if whole else 0))
 
-    def late_sends(self):
-        """Return the bad requests that reached replicas 3 s after the fifth crash."""
+    def bad_arrivals(self):
+        return [arrival for arrival in self.arrivals if self._traffic.is_bad(arrival)]
+
+    def late_sends(self, after_crashes=5):
+        """Return the bad requests that reached replicas 3 s after so many crashes."""
         crashes = sorted(at for r in self.replicas.values() for at in r.crashes)
-        if len(crashes) < 5:
+        if len(crashes) < after_crashes:
             return 0
-        return sum(
-            is_bad(fields) and at > crashes[4] + STABILITY_S
-            for at, _, fields in self.arrivals
-        )
+        late_at = crashes[after_crashes - 1] + STABILITY_S
+        return sum(arrival.at > late_at for arrival in self.bad_arrivals())
 
     def served_share(self, begin, end):
         """Return the share of the sound requests in a span of time that were served."""
@@ -161,9 +211,8 @@
 @pytest.mark.parametrize("gateways", [1, 6])
 def test_a_request_that_ended_a_replica_is_not_sent_to_another(gateways):
     fleet = Fleet(route(DeliveryMode.STREAM_RESUMABLE), gateways).run(3.0)
-    sent = [f["x-attempt-id"] for _, _, f in fleet.arrivals]
-    bad = [f["x-attempt-id"] for _, _, f in fleet.arrivals if is_bad(f)]
-    assert len(bad) == len(set(bad)) < len(sent)
+    bad = [arrival.fields["x-attempt-id"] for arrival in fleet.bad_arrivals()]
+    assert len(bad) == len(set(bad)) < len(fleet.arrivals)
 
 
 @pytest.mark.parametrize("gateways", [1, 6])
@@ -193,5 +242,14 @@
     assert float(caller.fields["retry-after"]) > 1
 
 
-def is_bad(fields):
-    return BAD in fields["x-prompt-prefix"]
+# Requests alike in path, customer and body were sent to one replica after the other,
+# though each ended its replica before the head of an answer (BUDGET).
+@pytest.mark.parametrize("mode", DeliveryMode)
+@pytest.mark.parametrize("gateways", [1, 6])
+@pytest.mark.parametrize("bad_pause_s", [0.2, 1.0, 3.0])
+def test_whole_requests_that_end_replicas_are_soon_sent_no_more(
+    bad_pause_s, gateways, mode
+):
+    fleet = Fleet(route(mode), gateways, WholeTraffic).run(bad_pause_s)
+    assert fleet.late_sends(after_crashes=3) <= 3
+    assert fleet.served_share(15.0, 30.0) > 0.99
