--- a/packages/node/src/lentilshore_node/delivery/attempt_planner.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_planner.py
@@ -12,6 +12,7 @@
 from ..clients.forwarding import ForwardRequest
 from ..state.gateway_context import GatewayContext
 from .attempts import ExecutionProof
+from .crash_watch import CrashWatch
 from .handover import AttemptPlan
 from .no_replica import no_replica_refusal
 
@@ -33,6 +34,7 @@
     :param route: route of the request.
     :param service: service that gets the request.
     :param proof: knows whether the request has run.
+    :param crashes: knows whether the request bears a blamed cause.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         route: Route,
         service: str,
         proof: ExecutionProof,
+        crashes: CrashWatch,
     ) -> None:
         self._context = context
         self._check_key = check_key
@@ -50,6 +53,7 @@
         self._route = route
         self._service = service
         self._proof = proof
+        self._crashes = crashes
 
     def plan(self, model: str, tried: Sequence[str], excluded: str = "") -> AttemptPlan:
         """Choose a version and a replica for an attempt.
@@ -85,13 +89,13 @@
 
     def _check_parts(self) -> None:
         """Refuse a request with a part that ends the replicas that answer it."""
-        part = self._context.blame.blamed_part(self._request.parts)
-        if part is None:
+        cause = self._crashes.blamed
+        if cause is None:
             return
         raise RefusalError(
             RefusalReason.PROMPT_PART_BLAMED,
             self._proof.execution,
-            f"replicas ended as they answered prompts with the part {part}",
+            f"replicas ended as they answered prompts with the part {cause.digest}",
             BLAMED_PART_RETRY_AFTER_S,
         )
 
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -115,8 +115,15 @@
             request_id, request_id, self._service, route.delivery_mode.repeatable
         )
         self._loop = AttemptLoop(context, self, scope)
+        self._crashes = CrashWatch(context, request)
         self._planner = AttemptPlanner(
-            context, check_key, request, route, self._service, self._proof
+            context,
+            check_key,
+            request,
+            route,
+            self._service,
+            self._proof,
+            self._crashes,
         )
         self._relay = AnswerRelay(context, responder, request.resume_after)
         self._heads = AnswerHeads(context, self._service, self._relay)
@@ -142,7 +149,6 @@
         self._escalation = Escalation(
             context, request, route, self._measurements, received_at
         )
-        self._crashes = CrashWatch(context, request)
         # When an attempt was last given up that might still have answered, on the
         # node's clock.
         self._handed_over_at = -math.inf
@@ -392,7 +398,7 @@
         if not self._handover.under_way and (
             self._is_last_attempt
             or self.retry_denial() is not None
-            or not self._context.blame.may_retry(self._request.parts)
+            or not self._crashes.may_retry
         ):
             return False
         return await self._handover.begin(
