Pause between rejections of a request that may have run

Callers got 502 or a cut stream with seconds left: after a replica had fallen silent, five tries within some hundredths of a second were rejected as not run, and each used up one of the five retries of the request.

A rejection changes nothing, so the next one follows at once; and the limit that bounds how often a request is worked on counted rejections as runs. Where a request may have run, a rejection now gives its retry back to the tree. A replica that has not rejected the request is still asked at once. Where all have, the next try waits: 0.02 s at first, twice as long each time up to 0.5 s, with jitter, at most half of the time left, or until another request has been answered by one of the replicas, which wakes one waiting request. Each try after a pause goes to one replica, the one that rejected the request longest ago.

Requests that have certainly not run keep what they had: up to five more tries at once, then 503 and Retry-After. They can be refused without harm, and time spent here would be lost for the caller, who may go elsewhere.

The nine cases of tests/test_retries_after_rejections.py failed before and pass; tests/test_attempts.py, test_silent_replicas.py, test_late_rejections.py, test_handover*.py, test_gateway.py, test_callers.py and test_requests.py pass. The log test of test_attempts.py is denied by the route's attempts now: the limit of the tree no longer ends that request.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -62,6 +62,12 @@
         "cause",
         "Attempts that failed and were not repeated, by cause",
     ),
+    MetricFamily(
+        "retry_pause",
+        "lentilshore_retry_pauses",
+        "end",
+        "Pauses before a rejected request was tried again, by what ended them",
+    ),
     MetricFamily(
         "attempt_kept",
         "lentilshore_kept_attempts",
--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -158,6 +158,11 @@
         """Group of the replicas that may serve the call."""
         return self._request.service
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or is not proved not to have run."""
+        return self._job.execution is not Execution.NOT_RUN
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the call is sent again."""
         self._job.record_retry(reason)
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol, TypeVar
 
@@ -22,6 +23,8 @@
 from lentilshore_routing.placement import Placement, ReplicaLease
 from lentilshore_routing.retries import RetryPolicy
 
+from ..state.room_queue import RoomQueue
+from .retry_pacing import RetryPacing
 from .retry_reasons import retry_reason
 
 T = TypeVar("T")
@@ -73,6 +76,8 @@
 
     placement: Placement
     retries: RetryPolicy
+    room: RoomQueue
+    random: random.Random
 
     @property
     def metrics(self) -> Metrics:
@@ -123,6 +128,10 @@
     def replica_group(self) -> str:
         """Group of the replicas that may serve the request."""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or is not proved not to have run."""
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
 
@@ -154,8 +163,19 @@
         self._request = request
         self._scope = scope
         self._tried: list[str] = []
+        # Replicas whose last try did not run, the one of the earliest try first.
+        self._rejected: dict[str, None] = {}
+        self._failed_count = 0
+        self._replica_names: set[str] = set()
         # Number of attempts that a replica rejected or that reached none.
         self._not_run_count = 0
+        # Number of those that count towards the limit of the request's tree.
+        self._counted_rejections = 0
+        # Number of this request's retries that count towards that limit.
+        self._counted_retries = 0
+        self._pacing = RetryPacing(
+            scope.request_id, context.room, context.random, context.metrics
+        )
 
     async def run(self, send: Callable[[ReplicaLease], Awaitable[T]]) -> T:
         """Return the first answer.
@@ -170,9 +190,7 @@
             try:
                 return await self._send(lease, send)
             except UpstreamError as error:
-                self._tried.append(lease.replica.name)
-                self._not_run_count += error.execution is Execution.NOT_RUN
-                self._request.record_failure(lease, error)
+                self._record_failure(lease, error)
                 if await self._request.next_has_begun():
                     continue
                 denial = await self._take_retry(error)
@@ -183,7 +201,10 @@
 
     @property
     def tried(self) -> Sequence[str]:
-        """Names of the replicas at which attempts have failed."""
+        """Names of the replicas at which attempts have failed.
+
+        After a pause, one that rejected the request may be tried again and is left out.
+        """
         return self._tried
 
     def take_retry(self, execution: Execution) -> RetryDenial | None:
@@ -192,12 +213,17 @@
         :param execution: whether the previous attempt is known to have run.
         :returns: what denies the retry, None if it was taken.
         """
+        self._return_rejections()
         scope = self._scope
-        return self._context.retries.take(
+        denial = self._context.retries.take(
             scope.tree_id, scope.group, scope.repeatable, execution
         )
+        self._counted_retries += denial is None
+        return denial
 
     async def _take_retry(self, error: UpstreamError) -> RetryDenial | None:
+        if self._rejected_by_all(error) and self._request.retry_denial() is None:
+            await self._pause()
         while True:
             denial = self._request.retry_denial() or self.take_retry(error.execution)
             if denial is not RetryDenial.BUDGET:
@@ -207,6 +233,7 @@
 
     def retry_denial(self, execution: Execution) -> RetryDenial | None:
         """Return what denies a retry, without taking one, see :meth:`take_retry`."""
+        self._return_rejections()
         scope = self._scope
         return self._context.retries.denial(
             scope.tree_id, scope.group, scope.repeatable, execution
@@ -214,7 +241,9 @@
 
     def give_back_retry(self) -> None:
         """Return a retry that a replica has rejected to the request's tree."""
-        self._context.retries.give_back(self._scope.tree_id)
+        if self._counted_retries:
+            self._counted_retries -= 1
+            self._context.retries.give_back(self._scope.tree_id)
 
     def release(self, lease: ReplicaLease, failure: UpstreamError | None) -> None:
         """Release the lease of an attempt.
@@ -239,6 +268,49 @@
             request=self._scope.request_id,
         )
 
+    def _record_failure(self, lease: ReplicaLease, error: UpstreamError) -> None:
+        name = lease.replica.name
+        self._failed_count += 1
+        self._replica_names.add(name)
+        self._tried.append(name)
+        self._rejected.pop(name, None)
+        if error.execution is Execution.NOT_RUN:
+            self._rejected[name] = None
+            self._not_run_count += 1
+            self._counted_rejections += 1
+        else:
+            self._pacing.restart()
+        self._request.record_failure(lease, error)
+
+    def _return_rejections(self) -> None:
+        """Return retries to the tree, whose limit is one of possible runs.
+
+        A request that has certainly not run keeps them: the limit bounds its tries.
+        """
+        if not self._request.may_have_run:
+            return
+        while self._counted_rejections and self._counted_retries:
+            self._counted_rejections -= 1
+            self.give_back_retry()
+
+    def _rejected_by_all(self, error: UpstreamError) -> bool:
+        """Return whether only replicas are left that have rejected the request.
+
+        A request that has certainly not run is not held until one of them has room.
+        """
+        if error.execution is not Execution.NOT_RUN or not self._request.may_have_run:
+            return False
+        group = self._request.replica_group
+        return self._context.placement.sendable_count(group, self._tried) == 0
+
+    async def _pause(self) -> None:
+        """Pause, and let one replica that rejected the request be tried again."""
+        request = self._request
+        name = await self._pacing.pause(request.replica_group, request.remaining_s)
+        if name not in self._rejected:
+            name = next(iter(self._rejected), "")
+        self._tried = [tried for tried in self._tried if tried != name]
+
     def _report_denial(self, denial: RetryDenial, error: UpstreamError) -> None:
         self._context.metrics.count(retry_denial_counter(denial))
         group = self._request.replica_group
@@ -246,9 +318,9 @@
             "retry_denied",
             request=self._scope.request_id,
             cause=denial.value,
-            attempts=len(self._tried),
+            attempts=self._failed_count,
             not_run=self._not_run_count,
-            replicas=len(set(self._tried)),
+            replicas=len(self._replica_names),
             untried=self._context.placement.sendable_count(group, self._tried),
             remaining_ms=f"{self._request.remaining_s * 1000:.0f}",
             failure=error.reason.value,
@@ -259,7 +331,9 @@
     ) -> T:
         failure: UpstreamError | None = None
         try:
-            return await send(lease)
+            answer = await send(lease)
+            self._context.room.announce(lease.replica)
+            return answer
         except UpstreamError as error:
             failure = error
             raise
--- a/packages/node/src/lentilshore_node/delivery/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -135,6 +135,11 @@
         """Group of the replicas that may serve the request."""
         return self._version_name
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or is not proved not to have run."""
+        return self._job.execution is not Execution.NOT_RUN
+
     def record_retry(self, reason: RetryReason) -> None:
         """Record that the request is sent again."""
         self._job.record_retry(reason)
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -288,6 +288,11 @@
         """Group of the replicas that may serve the request."""
         return self._group
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has run, or is not proved not to have run."""
+        return self._proof.execution is not Execution.NOT_RUN
+
     def record_retry(self, reason: RetryReason) -> None:
         """Count a retry in the metrics."""
         self._context.metrics.count(retry_counter(reason))
--- a/packages/node/src/lentilshore_node/state/context.py
+++ b/packages/node/src/lentilshore_node/state/context.py
@@ -35,6 +35,7 @@
 from .explanations import ExplanationLog
 from .ratings import RatingTracker
 from .reachability import Reachability
+from .room_queue import RoomQueue
 
 DRAIN_RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 2.0
@@ -85,6 +86,7 @@
     in_flight: int = 0
 
     def __post_init__(self) -> None:
+        self.room = RoomQueue(self.clock)
         # Empty until the first configuration has arrived.
         self.catalog = Catalog({}, 0)
         self.configuration.on_change(
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -28,6 +28,7 @@
 from ..clients.http_client import HttpClient
 from .change_log import ChangeLog
 from .fleet_view import FleetView
+from .room_queue import RoomQueue
 
 # Subtracted from the time within which a withdrawn key must be refused, because a
 # request takes some of that time to reach its replica and clocks are imprecise.
@@ -119,6 +120,7 @@
     typical_latencies: LatencyBaseline = field(default_factory=LatencyBaseline)
     first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
     change_logs: dict[str, ChangeLog] = field(init=False)
+    room: RoomQueue = field(init=False)
     draining: bool = False
     in_flight: int = 0
     _fresh_connections_until: dict[Address, float] = field(default_factory=dict)
@@ -126,6 +128,7 @@
     _blame_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
+        self.room = RoomQueue(self.clock)
         self.change_logs = {
             part: ChangeLog(self.clock) for part in (REPLICAS_PART, ROLLOUTS_PART)
         }
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -16,6 +16,7 @@
 )
 from lentilshore_node.delivery.attempts import AttemptLoop, ExecutionProof, RetryScope
 from lentilshore_node.programs.gateway_assembly import create_retry_budget
+from lentilshore_node.state.room_queue import RoomQueue
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replicas import Replica
 from lentilshore_routing.retries import RetryPolicy
@@ -28,6 +29,8 @@
     def __init__(self):
         self.metrics = MetricsRecorder()
         self.retries = RetryPolicy()
+        self.random = random.Random(2)
+        self.room = RoomQueue(FakeClock())
         self.placement = Placement("n", FakeClock(), random.Random(1))
         self.placement.update(
             Replica(name, "forward", Address("127.0.0.1", 1), "z", ("g",))
@@ -42,6 +45,7 @@
     def __init__(self, context, repeatable=True, attempts=10):
         self.scope = RetryScope("r-1", "r-1", "g", repeatable)
         self.retried = []
+        self.may_have_run = False
         self._context = context
         self._left = attempts
 
@@ -50,6 +54,7 @@
 
     def record_failure(self, lease, error):
         self._left -= 1
+        self.may_have_run |= error.execution is not NOT_RUN
 
     def retry_denial(self):
         return None if self._left > 0 else RetryDenial.ROUTE_ATTEMPTS
@@ -250,14 +255,13 @@
 # The line of a denied retry tells what did not run, and what was not tried.
 def test_a_denied_retry_is_logged_with_what_was_tried():
     context, lines = FakeContext(), []
-    context.retries = RetryPolicy(1)
     failures = [(RefusalReason.UPSTREAM_STALLED, UNKNOWN)]
     failures.append((RefusalReason.UPSTREAM_FULL, NOT_RUN))
     eliot.add_destinations(lines.append)
     lines.clear()  # what earlier tests have logged
     try:
         with pytest.raises(UpstreamError):
-            run(context, FakeRequest(context), failures)
+            run(context, FakeRequest(context, attempts=2), failures)
     finally:
         eliot.remove_destination(lines.append)
     line = next(m for m in lines if m["message_type"] == "retry_denied")
