Spend the retry budget on arrivals at replicas only

Callers got 502 for requests whose replica had broken off, without a second try: the retries of the service had been used up by tries at addresses where nobody listened. The budget bounds arrivals at replicas, and such a try arrives nowhere.

A retry is now taken from the budget only if an earlier attempt of the request may have arrived, and is returned if it was never sent: the connection was not made, or the replica was paused or gone when it was. The limit of the tree still bounds these tries for requests that have not run, the pauses for the others.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -34,6 +34,14 @@
 SOUND_REPLICA_REASONS = frozenset(
     (RefusalReason.UPSTREAM_FULL, RefusalReason.UPSTREAM_PAUSED)
 )
+# Reasons for which an attempt that did not run was never sent; replicas give others.
+UNSENT_REASONS = frozenset(
+    (
+        RefusalReason.UPSTREAM_FAILED,
+        RefusalReason.UPSTREAM_PAUSED,
+        RefusalReason.NO_UPSTREAM,
+    )
+)
 _EXECUTION_RANK = {Execution.NOT_RUN: 0, Execution.UNKNOWN: 1, Execution.RAN: 2}
 
 
@@ -173,6 +181,10 @@
         self._counted_rejections = 0
         # Number of this request's retries that count towards that limit.
         self._counted_retries = 0
+        # Whether an attempt may have arrived at a replica.
+        self._arrived = False
+        # Whether the last retry was taken from the budget.
+        self._last_retry_paid = False
         self._pacing = RetryPacing(
             scope.request_id, context.room, context.random, context.metrics
         )
@@ -207,25 +219,32 @@
         """
         return self._tried
 
-    def take_retry(self, execution: Execution) -> RetryDenial | None:
+    def take_retry(
+        self, execution: Execution, arrived: bool = True
+    ) -> RetryDenial | None:
         """Take one retry from the budgets.
 
         :param execution: whether the previous attempt is known to have run.
+        :param arrived: whether an attempt may have arrived at a replica.
         :returns: what denies the retry, None if it was taken.
         """
         self._return_rejections()
         scope = self._scope
         denial = self._context.retries.take(
-            scope.tree_id, scope.group, scope.repeatable, execution
+            scope.tree_id, scope.group, scope.repeatable, execution, arrived
         )
-        self._counted_retries += denial is None
+        if denial is None:
+            self._counted_retries += 1
+            self._last_retry_paid = arrived
         return denial
 
     async def _take_retry(self, error: UpstreamError) -> RetryDenial | None:
         if self._rejected_by_all(error) and self._request.retry_denial() is None:
             await self._pause()
         while True:
-            denial = self._request.retry_denial() or self.take_retry(error.execution)
+            denial = self._request.retry_denial() or self.take_retry(
+                error.execution, self._arrived
+            )
             if denial is not RetryDenial.BUDGET:
                 return denial
             if not await self._request.wait_for_budget():
@@ -245,6 +264,12 @@
             self._counted_retries -= 1
             self._context.retries.give_back(self._scope.tree_id)
 
+    def refund_retry(self) -> None:
+        """Return the last retry to the budget, since it reached no replica."""
+        if self._last_retry_paid:
+            self._last_retry_paid = False
+            self._context.retries.refund(self._scope.group)
+
     def release(self, lease: ReplicaLease, failure: UpstreamError | None) -> None:
         """Release the lease of an attempt.
 
@@ -280,6 +305,10 @@
             self._counted_rejections += 1
         else:
             self._pacing.restart()
+        if reached_no_replica(error):
+            self.refund_retry()
+        else:
+            self._arrived = True
         self._request.record_failure(lease, error)
 
     def _return_rejections(self) -> None:
@@ -341,6 +370,11 @@
             self.release(lease, failure)
 
 
+def reached_no_replica(error: UpstreamError) -> bool:
+    """Return whether an attempt ended before anything was sent to a replica."""
+    return error.execution is Execution.NOT_RUN and error.reason in UNSENT_REASONS
+
+
 def _is_unreachable(error: UpstreamError) -> bool:
     """Return whether a failure shows that the chosen replica can't be reached.
 
--- a/packages/node/src/lentilshore_node/delivery/handover.py
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -16,7 +16,7 @@
 from ..clients.http_client import Call
 from ..clients.http_connection import CallTimedOutError, Response
 from ..state.gateway_context import GatewayContext
-from .attempts import AttemptLoop
+from .attempts import AttemptLoop, reached_no_replica
 
 # A replica that has not rejected a request within this time has taken it up. Both
 # replicas may work on the request meanwhile.
@@ -112,6 +112,7 @@
             self._record_failure(begun, _superseded_error())
         elif begun is not None:
             self._loop.give_back_retry()
+            self._loop.refund_retry()
         self.discard()
 
     def discard(self) -> None:
@@ -171,10 +172,13 @@
             failure = error
             if error.execution is Execution.NOT_RUN:
                 self._loop.give_back_retry()
+            if reached_no_replica(error):
+                self._loop.refund_retry()
             self._record_failure(begun, error)
             self._report_kept(error.reason.value)
         except RefusalError as refusal:
             self._loop.give_back_retry()
+            self._loop.refund_retry()
             self._report_kept(refusal.reason.value)
         finally:
             if not taken_up:
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -31,6 +31,9 @@
     def try_spend(self) -> bool:
         """Count a retry; return False if none is allowed now."""
 
+    def refund(self) -> None:
+        """Return a retry that was counted shortly before and reached no replica."""
+
 
 class SlidingWindowBudget:
     """Bounds retries to a share of the first attempts in a sliding window.
@@ -73,6 +76,15 @@
         self._retries.append(self._clock.monotonic())
         return True
 
+    def refund(self) -> None:
+        """Return a retry that was counted shortly before and reached no replica.
+
+        The oldest in the window is taken out, so that the others count for longer
+        rather than shorter.
+        """
+        if self._retries:
+            self._retries.popleft()
+
     def _drop_expired(self, times: deque[float]) -> None:
         limit = self._clock.monotonic() - self._window_s
         while times and times[0] <= limit:
@@ -117,6 +129,10 @@
         self._balance -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Return a retry that was counted shortly before and reached no replica."""
+        self._balance = min(self._balance + 1.0, self._capacity)
+
 
 class RetryPolicy:
     """Decides whether a failed attempt is retried.
@@ -143,7 +159,12 @@
         self._budget(group).earn()
 
     def take(
-        self, tree_id: str, group: str, repeatable: bool, execution: Execution
+        self,
+        tree_id: str,
+        group: str,
+        repeatable: bool,
+        execution: Execution,
+        arrived: bool = True,
     ) -> RetryDenial | None:
         """Count a retry if it is allowed.
 
@@ -152,12 +173,14 @@
         :param repeatable: whether running the request twice does no harm.
         :param execution: whether the failed attempt has run, as far as is known for
             certain.
+        :param arrived: whether an attempt may have arrived at a replica. If none has,
+            this one is the first to arrive and costs the budget nothing.
         :returns: what denies the retry; None if it is allowed.
         """
-        denial = self.denial(tree_id, group, repeatable, execution)
+        denial = self.denial(tree_id, group, repeatable, execution, arrived)
         if denial is not None:
             return denial
-        if not self._budget(group).try_spend():
+        if arrived and not self._budget(group).try_spend():
             return RetryDenial.BUDGET
         self._retries_by_tree[tree_id] = self._retries_by_tree.get(tree_id, 0) + 1
         self._retries_by_tree.move_to_end(tree_id)
@@ -166,14 +189,19 @@
         return None
 
     def denial(
-        self, tree_id: str, group: str, repeatable: bool, execution: Execution
+        self,
+        tree_id: str,
+        group: str,
+        repeatable: bool,
+        execution: Execution,
+        arrived: bool = True,
     ) -> RetryDenial | None:
         """Return what denies a retry, without counting one, see :meth:`take`."""
         if not repeatable and execution is not Execution.NOT_RUN:
             return RetryDenial.UNREPEATABLE
         if self._retries_by_tree.get(tree_id, 0) >= self._tree_retry_limit:
             return RetryDenial.TREE_LIMIT
-        if not self._budget(group).can_spend():
+        if arrived and not self._budget(group).can_spend():
             return RetryDenial.BUDGET
         return None
 
@@ -186,6 +214,10 @@
         if retries:
             self._retries_by_tree[tree_id] = retries - 1
 
+    def refund(self, group: str) -> None:
+        """Return a retry that reached no replica to the budget of its group."""
+        self._budget(group).refund()
+
     def _budget(self, group: str) -> RetryBudget:
         budget = self._budgets.get(group)
         if budget is None:
--- a/tests/test_retries_after_rejections.py
+++ b/tests/test_retries_after_rejections.py
@@ -107,3 +107,20 @@
     harness = GatewayHarness([[0.2, "reset"], signed(b"whole")], ANSWER)
     caller = harness.run(Caller(FIELDS), act)
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against LOST: requests at addresses where nobody listened used up the retries
+# of their service, so that another request could not be sent again.
+def test_refused_connections_use_up_no_retries_of_other_requests():
+    async def act(harness, application, caller):
+        place_replicas(harness, ["i-1", "i-2"], CLOSED_ADDRESS)
+        for number in range(8):
+            refused = Caller(FIELDS, request_id=b"r%d" % number)
+            await refused.send_to(application)
+            assert refused.status == 503
+        place_replicas(harness, ["i-3", "i-4"], harness.server.address)
+        await caller.send_to(application)
+
+    harness = GatewayHarness([["reset"], signed(b"whole")], ANSWER)
+    caller = harness.run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
