Wait for a replica, or for a retry, where a request may have run

Callers got 502 with most of their time left: after a replica had broken off, there was no replica to choose at that moment, or the next one rejected the request and the service's budget had no retry.

A request that may have run now waits for either up to 3 s, in the pauses that follow rejections, while it has time and its route allows another run. Its retry is given back meanwhile, so that the budget counts it when it is sent. A request that has not run is refused as before.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -24,6 +24,7 @@
 from lentilshore_routing.retries import RetryPolicy
 
 from ..state.room_queue import RoomQueue
+from .no_replica import NO_REPLICA_REASONS
 from .retry_pacing import RetryPacing
 from .retry_reasons import retry_reason
 
@@ -34,6 +35,9 @@
 SOUND_REPLICA_REASONS = frozenset(
     (RefusalReason.UPSTREAM_FULL, RefusalReason.UPSTREAM_PAUSED)
 )
+# Longest time for which a request that may have run waits for a replica to choose, or
+# for a retry that the budget denies after a rejection.
+WAIT_LIMIT_S = 3.0
 # Reasons for which an attempt that did not run was never sent; replicas give others.
 UNSENT_REASONS = frozenset(
     (
@@ -198,7 +202,7 @@
         :raises RefusalError: if no replica can take the request.
         """
         while True:
-            lease = self._request.choose_replica(self._tried)
+            lease = await self._choose_replica()
             try:
                 return await self._send(lease, send)
             except UpstreamError as error:
@@ -238,17 +242,51 @@
             self._last_retry_paid = arrived
         return denial
 
+    async def _choose_replica(self) -> ReplicaLease:
+        """Choose a replica, and wait for one if the request may have run.
+
+        The retry is given back meanwhile, so that it counts when it is sent.
+        """
+        since_s = self._request.remaining_s
+        while True:
+            try:
+                return self._request.choose_replica(self._tried)
+            except RefusalError as refusal:
+                if refusal.reason not in NO_REPLICA_REASONS:
+                    raise
+                if not self._may_wait(since_s):
+                    raise
+                self.give_back_retry()
+                self.refund_retry()
+                await self._wait_for_room()
+                # Unknown: the request may have run.
+                if self.take_retry(Execution.UNKNOWN, self._arrived) is not None:
+                    raise
+
+    def _may_wait(self, since_s: float) -> bool:
+        """Return whether the request may wait on for what its next try lacks.
+
+        :param since_s: time that was left when it began to wait, seconds.
+        """
+        if not self._request.may_have_run or self._request.retry_denial() is not None:
+            return False
+        return since_s - self._request.remaining_s < WAIT_LIMIT_S
+
     async def _take_retry(self, error: UpstreamError) -> RetryDenial | None:
         if self._rejected_by_all(error) and self._request.retry_denial() is None:
             await self._pause()
+        since_s = self._request.remaining_s
         while True:
             denial = self._request.retry_denial() or self.take_retry(
                 error.execution, self._arrived
             )
             if denial is not RetryDenial.BUDGET:
                 return denial
-            if not await self._request.wait_for_budget():
+            if await self._request.wait_for_budget():
+                continue
+            if error.execution is not Execution.NOT_RUN or not self._may_wait(since_s):
                 return denial
+            await self._wait_for_room()
 
     def retry_denial(self, execution: Execution) -> RetryDenial | None:
         """Return what denies a retry, without taking one, see :meth:`take_retry`."""
@@ -332,10 +370,14 @@
         group = self._request.replica_group
         return self._context.placement.sendable_count(group, self._tried) == 0
 
+    async def _wait_for_room(self) -> str:
+        """Pause; return the name of a replica that has shown room, or ""."""
+        request = self._request
+        return await self._pacing.pause(request.replica_group, request.remaining_s)
+
     async def _pause(self) -> None:
         """Pause, and let one replica that rejected the request be tried again."""
-        request = self._request
-        name = await self._pacing.pause(request.replica_group, request.remaining_s)
+        name = await self._wait_for_room()
         if name not in self._rejected:
             name = next(iter(self._rejected), "")
         self._tried = [tried for tried in self._tried if tried != name]
--- a/tests/test_retries_after_rejections.py
+++ b/tests/test_retries_after_rejections.py
@@ -8,7 +8,7 @@
 from lentilshore_routing.routes import DeliveryMode
 from tests.test_gateway import Caller, GatewayHarness, event, route, signed, stream
 from tests.test_handover_races import rejection
-from tests.test_late_rejections import silent_stream, unsure_stream
+from tests.test_late_rejections import RefillingBudget, silent_stream, unsure_stream
 
 # The time for which replicas reject every request. It is longer than the quick tries
 # of a request, and shorter than the deadlines below.
@@ -124,3 +124,37 @@
     harness = GatewayHarness([["reset"], signed(b"whole")], ANSWER)
     caller = harness.run(Caller(FIELDS), act)
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against LOST: where a request's replica had broken off, and no other could be
+# chosen at that moment, it ended with most of its time left.
+@pytest.mark.parametrize("cause", ["gone", "paused"])
+def test_a_moment_without_replicas_ends_no_request_that_has_time_left(cause):
+    async def act(harness, application, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(with_many_retries, harness, application, caller)
+            await anyio.sleep(0.1)
+            if cause == "paused":
+                for name in ("i-1", "i-2"):
+                    harness.context.placement.pause(name, BUSY_S)
+                return
+            harness.context.view._records.clear()
+            harness.context.view._update_placement()
+            await anyio.sleep(BUSY_S)
+            place_replicas(harness, ["i-3"], harness.server.address)
+
+    harness = GatewayHarness([[0.2, "reset"], signed(b"whole")], ANSWER)
+    caller = harness.run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against LOST: a rejection without a retry left in the budget at that moment
+# ended a request that had been broken off before.
+def test_a_rejection_without_a_retry_ends_no_request_that_has_time_left():
+    async def act(harness, application, caller):
+        harness.context.retries._create_budget = RefillingBudget
+        await caller.send_to(application)
+
+    harness = GatewayHarness([["reset"], rejection, signed(b"whole")], ANSWER)
+    caller = harness.run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
