Soak: silences beside full replicas, and LOST in every mode

What callers saw: a request with a deadline of 7 s ended after 2 to 5 s as 502 or as a cut stream, though every replica was sound.

`--full` has 40 % of the replicas fall silent for 1.2 s while all have one to three places and reject the rest as not run, within 0.25 s, until 0.3 to 0.8 s after the silent ones woke up. Then all have room for 0.3 to 0.8 s and more.

The check of LOST was made for `--silences` only. It now holds in every mode, with what the replicas recorded of their runs as explanation: no end or a broken one (crash, kill, cut, hang, 500), disturbed gateway, store or replicas of the service, the last sixth of a stop. A failure that bears a replica's signature is not the gateway's own. For `--silences` it is as strict as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,7 +15,7 @@
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
 from tests.soak.plan import Plan
-from tests.soak.silences import LASTING_MIX, SilencePlan
+from tests.soak.silences import LASTING_MIX, FullPlan, SilencePlan
 
 WARM_UP_S = 3.0
 CALM_S = 5.0
@@ -60,7 +60,9 @@
     host = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
     fleet = Fleet(directory, host, options.code, fleet_random)
     keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
-    mix, prompts = LASTING_MIX if options.silences else USUAL_MIX, None
+    mix, prompts = USUAL_MIX, None
+    if options.silences or options.full:
+        mix = LASTING_MIX
     if options.crashing_parts is not None:
         fleet.crashing_parts = [f"bad{n:x}" for n in range(options.crashing_parts)]
         prompts = crashes.Prompts(prompt_random, fleet.crashing_parts)
@@ -73,7 +75,9 @@
         log.write(f"{time.time():.3f} {time.monotonic() - started_at:.1f} {text}\n")
 
     faults = (fleet, keys, plan_random, write_log)
-    if options.silences:
+    if options.full:
+        plan = FullPlan(*faults)
+    elif options.silences:
         plan = SilencePlan(*faults)
     elif options.crashing_parts is not None:
         plan = crashes.CrashPlan(*faults)
@@ -101,7 +105,7 @@
     finally:
         await fleet.stop()
         log.close()
-    checks = Checks(callers, fleet, plan.withdrawn, options.silences)
+    checks = Checks(callers, fleet, plan.withdrawn)
     return checks.problems(calm_since), checks.outcomes()
 
 
@@ -131,6 +135,11 @@
         action="store_true",
         help="sound replicas are silent for a moment, with planned work, no more",
     )
+    parser.add_argument(
+        "--full",
+        action="store_true",
+        help="the same, while the other replicas are full and reject as not run",
+    )
     parser.add_argument(
         "--cuts",
         action="store_true",
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,8 +10,8 @@
 from tests.soak.fleet import AFTERMATH_S, GRACE_S, REVOKE_MS
 from tests.soak.hints import hint_problems
 from tests.soak.limits import limit_problems
+from tests.soak.losses import Evidence, lost_problems
 from tests.soak.replica import expected_events
-from tests.soak.silences import lost_problems
 
 STOP_SLACK_S = 2.0
 # A run that goes on at another replica must have ended at the one before by then.
@@ -27,7 +27,7 @@
         if entry["event"] == "run":
             runs[entry["id"]].append(entry)
         elif entry["event"] == "end":
-            ends[entry["run"]] = entry["time"]
+            ends[entry["run"]] = entry
         else:
             limits.append(entry)
     return runs, ends, limits
@@ -39,11 +39,9 @@
     :param callers: what callers sent and saw.
     :param fleet: the processes and when they were disturbed.
     :param withdrawn: times at which the withdrawal of a key was acknowledged, by key.
-    :param silences_only: whether there was no fault beside silences.
     """
 
-    def __init__(self, callers, fleet, withdrawn, silences_only=False):
-        self._silences_only = silences_only
+    def __init__(self, callers, fleet, withdrawn):
         self._callers = callers
         self._fleet = fleet
         self._withdrawn = withdrawn
@@ -65,12 +63,7 @@
             {g.name: [end.at for end in g.ends] for g in self._fleet.gateways},
             self._fleet.disturbances.touch,
         )
-        if self._silences_only:
-            stops = {
-                g.name: [*(end.asked_at for end in g.ends if end.asked_at)]
-                for g in self._fleet.gateways
-            }
-            found += lost_problems(self._callers, self._runs, stops)
+        found += lost_problems(self._callers, self._lost_evidence())
         if self._fleet.unframed_share:
             found += cut_problems(
                 self._callers, self._runs, self._fleet.disturbances.touch
@@ -81,6 +74,25 @@
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
 
+    def _lost_evidence(self):
+        replicas = defaultdict(set)
+        for replica in self._fleet.replicas.values():
+            replicas[replica.service].add(replica.name)
+        return Evidence(
+            self._runs,
+            self._ends,
+            {
+                g.name: [end.asked_at for end in g.ends if end.asked_at]
+                for g in self._fleet.gateways
+            },
+            lambda *span: any(
+                spans.touch(*span)
+                for spans in (self._fleet.disturbances, self._fleet.broken)
+            ),
+            replicas,
+            [entry for entry in self._limits if entry["event"] == "crash"],
+        )
+
     def _is_in_touch(self, gateway, at):
         if self._fleet.disturbances.touch({gateway}, at, at):
             return False
@@ -128,7 +140,7 @@
     def _check_overlap(self, sent, runs):
         for before, after in zip(runs, runs[1:], strict=False):
             # Until its end is recorded: a killed replica records none.
-            ended = self._ends.get(before["run"], before["time"])
+            ended = self._ends.get(before["run"], before)["time"]
             subjects = {sent.gateway, before["replica"], after["replica"]}
             late_s = ended - after["time"]
             disturbed = any(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,6 +10,7 @@
 from signal import SIGCONT, SIGKILL, SIGTERM
 from typing import NamedTuple
 
+from tests.soak.callers import STREAMS
 from tests.soak.proxy import Link
 from tests.soak.replica import CRASH_STATUS, FAULT_PATH
 from tests.soak.store import CONTROL_PATH
@@ -196,6 +197,8 @@
         self.silences = Disturbances(SILENCE_AFTERMATH_S)
         # Share of the requests, and a number of repeats beside it.
         self.retry_budget = (0.9, 52)
+        # Times at which replicas send answers that nobody asked for.
+        self.broken = Disturbances()
         # Parts of prompts that end replicas, None if replicas keep their identity and
         # are behind links, which accept connections while a replica is down.
         self.crashing_parts = None
@@ -384,6 +387,11 @@
         return answer
 
 
+def service_of(kind):
+    """Return the service to which a kind of request goes."""
+    return "pool" if kind in STREAMS else "register"
+
+
 class ReplicaProcess:
     """A replica, its service, its version and the link to it."""
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,10 +16,14 @@
 ROLLOUT_S = 8.0
 ROLLOUT_POLL_S = 0.2
 CALM_GAP_S = 3.0
+# Of the routes that a change of the configuration gives another one.
+TIMEOUTS_MS = (600, 800, 1200)
+STREAM_TIMEOUT_MS = 5000
 # Longer than the deadlines of these requests.
 LASTING_TIMEOUT_MS = 9000
 LIMIT_S = 8.0
 REPLICA_FAULTS = ("shed", "error", "lose", "hang", "extra", "unnamed")
+UNASKED_ANSWERS = ("extra", "unnamed")
 
 
 class Plan:
@@ -233,6 +237,8 @@
         broken = self._some(self._live_replicas(), 0.8)
         faults = self._draw_faults()
         for replica in broken:
+            if any(kind in faults for kind in UNASKED_ANSWERS):
+                self._fleet.broken.add(replica.name, lasts_s)
             await self._set_faults(replica, faults)
         await asyncio.sleep(lasts_s)
         for replica in broken:
@@ -290,7 +296,7 @@
     async def change_config(self, lasts_s):
         """Write configurations in quick succession."""
         for _ in range(self._random.randint(1, 4)):
-            self._timeout_ms = self._random.choice((600, 800, 1200))
+            self._timeout_ms = self._random.choice(TIMEOUTS_MS)
             await self.write_config()
             await asyncio.sleep(0.2)
 
@@ -326,7 +332,7 @@
 
     def _routes(self):
         plain = _route("register", self._timeout_ms)
-        stream = _route("pool", 5000) | {"kind": "streaming"}
+        stream = _route("pool", STREAM_TIMEOUT_MS) | {"kind": "streaming"}
         routes = [
             plain | {"name": "once", "path_prefix": "/once/", "max_attempts": 1},
             plain | {"name": "safe", "path_prefix": "/safe/", "max_attempts": 3},
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -23,6 +23,8 @@
 # A replica that a part of a prompt ends writes for this time before.
 CRASH_AFTER_S = (0.05, 0.13)
 CRASH_STATUS = 86
+# A replica that is full under load answers after this time.
+FULL_DELAY_S = (0.0, 0.25)
 FAULT_PATH = "/soak/faults"
 KEEP_ALIVE_S = 5
 NOT_RUN = {"X-Not-Executed": "1"}
@@ -46,10 +48,11 @@
         )
         self._slots = asyncio.Semaphore(options["slots"])
         self._waiting = 0
+        self._running = 0
         self._born = int(time.time() * 1000)
         # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed,
         # cut (of events), retry_after (of rejections); limit: requests a second that
-        # are named in answers.
+        # are named in answers; places: most runs until the time full_until.
         self._faults = {}
         self._state = "ready"
         self._run_count = 0
@@ -139,8 +142,9 @@
             return await self._reject("421 Misdirected Request", fields, writer, late)
         if not echo["X-Attempt-Id"]:
             return await self._reject("400 Bad Request", NOT_RUN, writer, late)
-        full = self._slots.locked() and self._waiting >= self._options["queue"]
-        if full or self._hit("shed"):
+        if time.time() < self._faults.get("full_until", 0.0):
+            await asyncio.sleep(self._random.uniform(*FULL_DELAY_S))
+        if self._is_full() or self._hit("shed"):
             fields = echo | NOT_RUN | self._retry_after(request)
             return await self._reject("503 Service Unavailable", fields, writer, late)
         gone = asyncio.create_task(reader.read(1))
@@ -150,6 +154,11 @@
             gone.cancel()
             await asyncio.wait({gone})
 
+    def _is_full(self):
+        if time.time() < self._faults.get("full_until", 0.0):
+            return self._running + self._waiting >= self._faults["places"]
+        return self._slots.locked() and self._waiting >= self._options["queue"]
+
     async def _queue_and_run(self, request, writer, late, gone):
         deadline = time.monotonic() + int(request.fields["x-deadline-ms"]) / 1000
         echo = {"X-Attempt-Id": request.fields["x-attempt-id"]}
@@ -171,7 +180,11 @@
         try:
             if gone.done():
                 return False
-            return await self._run(request, writer, late, gone, deadline)
+            self._running += 1
+            try:
+                return await self._run(request, writer, late, gone, deadline)
+            finally:
+                self._running -= 1
         finally:
             self._slots.release()
 
@@ -192,13 +205,13 @@
         )
         # Extra answers to earlier requests arrive while this one runs.
         await self._flush_late(writer, late)
-        how = "cut"
+        how = "left"
         try:
             work = self._stream if self._options["streams"] else self._answer
             how = await work(request, writer, late, gone, deadline)
         finally:
             self._record("end", request, run=run, how=how)
-        return how == "answered" and not gone.done()
+        return how in ("answered", "failed") and not gone.done()
 
     async def _answer(self, request, writer, late, gone, deadline):
         if self._hit("hang"):
@@ -219,7 +232,8 @@
             await writer.drain()
             reset(writer)
             return "lost"
-        status = "500 Error" if self._hit("error") else "200 OK"
+        failed = self._hit("error")
+        status = "500 Error" if failed else "200 OK"
         fields = {
             "X-Attempt-Id": name,
             "X-Response-Signature": hashlib.sha256(body).hexdigest(),
@@ -229,7 +243,7 @@
             writer.write(encode(f"HTTP/1.1 {status}", fields) + body)
             return "unframed"
         await self._send(f"HTTP/1.1 {status}", fields, body, writer, late)
-        return "answered"
+        return "failed" if failed else "answered"
 
     async def _stream(self, request, writer, late, gone, deadline):
         name = request.fields["x-attempt-id"]
@@ -257,7 +271,7 @@
                 await asyncio.wait({gone}, timeout=deadline - time.monotonic())
                 return "hung"
             if time.monotonic() > deadline:
-                return "cut"
+                return "late"
             if self._hit("lose"):
                 reset(writer)
                 return "lost"
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -1,11 +1,9 @@
-"""Silences of sound replicas beside planned work, and the check of LOST for them."""
+"""Silences of sound replicas beside planned work, alone and beside full replicas."""
 
 import asyncio
 import time
 from signal import SIGCONT, SIGSTOP
 
-from tests.soak.callers import KINDS
-from tests.soak.fleet import GRACE_S
 from tests.soak.plan import Plan
 
 LASTING_MIX = {"slow": 3, "slow-once": 1, "long": 3, "long-sized": 3, "long-tail": 1}
@@ -15,9 +13,13 @@
 MOST_SHED = 0.4
 RETRY_BUDGETS = ((0.9, 52), (0.1, 3))
 IDLE_TIMEOUTS_MS = (2000, 5000, 15_000)
-USED_SHARE = 0.7
-# A request may cross the close of its connection for this time.
-CROSSING_S = 0.5
+FULL_GAP_S = 4.0
+SILENT_SHARE = 0.4
+# All replicas have room for this time between two silences.
+ROOM_S = (0.3, 0.8)
+# Replicas are full for this time after the silent ones have woken up.
+FULL_AFTER_S = (0.3, 0.8)
+FULL_PLACES = (1, 2, 3)
 
 
 class SilencePlan(Plan):
@@ -47,10 +49,14 @@
         ]
         for replica in silent:
             self._heard_until[replica.name] = now + SILENCE_S + HEARD_S
+        await self._silence(silent)
+
+    async def _silence(self, replicas):
+        for replica in replicas:
             self._fleet.silences.add(replica.name, SILENCE_S)
             replica.child.send_signal(SIGSTOP)
         await asyncio.sleep(SILENCE_S)
-        for replica in silent:
+        for replica in replicas:
             replica.child.send_signal(SIGCONT)
 
     async def shed_requests(self, lasts_s):
@@ -65,36 +71,36 @@
         await self.write_config()
 
 
-def lost_problems(callers, runs, stops):
-    """Return a line for each request that ended early though nothing broke it off.
+class FullPlan(SilencePlan):
+    """Silences replicas in turn while the others are full; then all have room again."""
 
-    :param runs: runs by request.
-    :param stops: times of the SIGTERMs by gateway.
-    """
-    for name, seen in callers.seen.items():
-        sent = callers.sent[name]
-        used_s, has_s = seen.at - sent.at, KINDS[sent.kind][2]
-        closed = seen.status is None
-        if seen.left or used_s >= USED_SHARE * has_s:
-            continue
-        failed = closed or (seen.status >= 500 and seen.status != 503)
-        if seen.complete and not failed:
-            continue
-        ran = runs.get(name, [])
-        if closed and not ran and used_s < CROSSING_S:
-            continue
-        if any(_is_out_of_grace(sent.at, seen.at, at) for at in stops[sent.gateway]):
-            continue
-        where = ", ".join(f"{r['replica']} at {r['time']:.3f}" for r in ran)
-        how = "closed" if closed else f"{seen.status}"
-        yield (
-            f"LOST {name} ({sent.kind}) by {sent.gateway}: {how}, "
-            f"{len(seen.body)} bytes, at {seen.at:.3f} after {used_s:.2f} of "
-            f"{has_s:.0f} s; runs: {where or 'none'}"
-        )
+    def __init__(self, fleet, keys, random, log):
+        super().__init__(fleet, keys, random, log)
+        fleet.retry_budget = RETRY_BUDGETS[0]
+        self._gap_s = FULL_GAP_S
+        self._actions = {
+            self.change_config: 2,
+            self.stop_gateways: 1,
+            self.reload_settings: 1,
+        }
 
+    async def run(self, lasts_s):
+        """Begin planned work and silences for a time, then wait for their ends."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run(lasts_s))
+            group.create_task(self._run_silences(time.monotonic() + lasts_s))
 
-def _is_out_of_grace(sent_at, ended_at, stopped_at):
-    """Return whether a request ended in the last sixth of its gateway's stop."""
-    last_s = ended_at - stopped_at
-    return sent_at <= stopped_at + 3.0 and GRACE_S * 5 / 6 <= last_s <= GRACE_S + 1.0
+    async def _run_silences(self, end):
+        while time.monotonic() < end:
+            live = self._live_replicas()
+            silent = self._random.sample(live, max(1, round(SILENT_SHARE * len(live))))
+            self._log(f"silent: {[replica.name for replica in silent]}")
+            full_until = time.time()
+            for replica in live:
+                until = time.time() + SILENCE_S + self._random.uniform(*FULL_AFTER_S)
+                full_until = max(full_until, until)
+                places = self._random.choice(FULL_PLACES)
+                await self._set_faults(replica, {"full_until": until, "places": places})
+            await self._silence(silent)
+            room_s = self._random.uniform(*ROOM_S)
+            await asyncio.sleep(full_until + room_s - time.time())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 # 402, BUDGET and LOST: requests with one part of a prompt went on to end replicas, and
 # sound ones found none. 421 has shown nothing: no part is blamed for replicas that are
 # killed at random. 501 has shown nothing: streams cut midway are resumed.
+# 711, LOST: the retries of a request were spent on rejections by full replicas.
 # 601, BUDGET and DRAIN: Retry-After and Server-Leaving of replicas were not followed.
 @pytest.mark.parametrize(
     ("seed", "options"),
@@ -25,6 +26,7 @@
         (105, ["--rejections"]),
         (201, ["--limits"]),
         (302, ["--silences"]),
+        (711, ["--full", "--size=medium", "--seconds=24"]),
         (402, ["--crashing-parts=1", "--size=medium"]),
         (421, ["--crashing-parts=0", "--size=medium"]),
         (501, ["--cuts", "--seconds=6"]),
