Soak: whole requests that end replicas

What callers saw: a request with the same path, customer and body ends each replica that begins to run it. It came again and was sent again; sound requests found no replica.

Cause, by the runs' records: such a replica ends before the head of an answer, which no code takes for a crash. Within one request, up to three replicas ended, 16 to 120 ms apart.

`--crashing-requests N` has N such requests come again under new identifiers, at any gateway, with and without parts, in kinds idempotent, non-idempotent and both sorts of streams, with a length or in chunks, under either key of the customer, which may be rolled. Lookups come again alike too; three for each such request differ from it in path, customer or body only. With 0, replicas are killed at random. It works beside `--crashing-parts`.

Checks: BUDGET, more than three sends by gateways in touch later than 3 s after the third crash, and more than two replicas that end under one request; LOST, sound requests of all kinds, by customer, by first part and among the lookups; BLAMED, a sound request refused as `request_blamed` or `prompt_part_blamed`, now also beside what does end replicas; REFUSED, a refusal of any kind of request that says `not_run` though it ran. What `--crashing-parts` checked is kept.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,6 +15,7 @@
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
 from tests.soak.plan import Plan
+from tests.soak.repeats import Repeats
 from tests.soak.silences import LASTING_MIX, FullPlan, SilencePlan
 
 WARM_UP_S = 3.0
@@ -50,9 +51,10 @@
         rollout_random,
         limit_random,
         prompt_random,
+        repeat_random,
     ) = (
         random.Random(f"{seed} {part}")
-        for part in ("plan", "fleet", "load", "rollout", "limit", "prompt")
+        for part in ("plan", "fleet", "load", "rollout", "limit", "prompt", "repeat")
     )
     started_at = time.monotonic()
     directory.mkdir(parents=True)
@@ -60,16 +62,22 @@
     host = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
     fleet = Fleet(directory, host, options.code, fleet_random)
     keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
-    mix, prompts = USUAL_MIX, None
+    mix, prompts, repeats = USUAL_MIX, None, None
+    crashing = options.crashing_parts, options.crashing_requests
     if options.silences or options.full:
         mix = LASTING_MIX
-    if options.crashing_parts is not None:
-        fleet.crashing_parts = [f"bad{n:x}" for n in range(options.crashing_parts)]
+    elif any(number is not None for number in crashing):
+        fleet.renames_replicas = True
+        fleet.crashing_parts = [f"bad{n:x}" for n in range(crashing[0] or 0)]
         prompts = crashes.Prompts(prompt_random, fleet.crashing_parts)
-        mix = crashes.MIX
+        mix = crashes.PARTS_MIX
+        if crashing[1] is not None:
+            repeats = Repeats(repeat_random, crashing[1], keys.values(), prompts)
+            fleet.crashing_requests = repeats.crashing
+            mix = crashes.REQUESTS_MIX
     elif options.cuts:
         mix = cuts.MIX
-    callers = Callers(fleet, keys, load_random, f"r{seed}", mix, prompts)
+    callers = Callers(fleet, keys, load_random, f"r{seed}", mix, prompts, repeats)
 
     def write_log(text):
         log.write(f"{time.time():.3f} {time.monotonic() - started_at:.1f} {text}\n")
@@ -79,7 +87,7 @@
         plan = FullPlan(*faults)
     elif options.silences:
         plan = SilencePlan(*faults)
-    elif options.crashing_parts is not None:
+    elif fleet.renames_replicas:
         plan = crashes.CrashPlan(*faults)
     elif options.cuts:
         plan = cuts.CutPlan(*faults)
@@ -157,6 +165,13 @@
         help="N parts of prompts end replicas, with planned work; with 0, replicas are "
         "killed at random",
     )
+    parser.add_argument(
+        "--crashing-requests",
+        type=int,
+        metavar="N",
+        help="N requests that come again alike end replicas, and lookups come again; "
+        "also beside --crashing-parts; replicas are killed at random if both end none",
+    )
     parser.add_argument(
         "--keep", action="store_true", help="keep the logs of seeds that broke nothing"
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,11 +5,12 @@
 import time
 from typing import NamedTuple
 
-from tests.soak.wire import encode, read_message, reset
+from tests.soak.wire import encode, encode_in_chunks, read_message, reset
 
 HOST_HEADER = "soak.example"
 ANSWER_SLACK_S = 3.0
 RECONNECT_DELAY_S = 0.05
+CHUNK_BYTES_LIMIT = 8000
 PROMISE_STATUSES = (408, 421, 429, 503)
 # Path prefix, whether a request may run more than once, and its deadline.
 KINDS = {
@@ -33,6 +34,7 @@
 
     :param key: the caller's key.
     :param customer: the customer that holds the key.
+    :param repeat: what it has in common with others that are alike.
     """
 
     name: str
@@ -44,6 +46,14 @@
     body_hash: str
     at: float
     prompt: tuple | None = None
+    repeat: tuple | None = None
+
+    @property
+    def cause(self):
+        """What in it ends replicas, empty for nothing."""
+        if self.repeat is not None:
+            return self.repeat.cause
+        return self.prompt.crashing if self.prompt else ""
 
 
 class Seen(NamedTuple):
@@ -67,15 +77,17 @@
     :param keys: customers by key, changed while the callers run.
     :param mix: weights of the kinds of requests.
     :param prompts: draws the prompts of streams, if they are not the usual ones.
+    :param repeats: draws the requests that come again, if there are any.
     """
 
-    def __init__(self, fleet, keys, random, prefix, mix, prompts=None):
+    def __init__(self, fleet, keys, random, prefix, mix, prompts=None, repeats=None):
         self._fleet = fleet
         self._keys = keys
         self._random = random
         self._prefix = prefix
         self._mix = mix
         self._prompts = prompts
+        self._repeats = repeats
         self._count = 0
         self.sent = {}
         self.seen = {}
@@ -131,17 +143,13 @@
     def _new_request(self, gateway):
         self._count += 1
         name = f"{self._prefix}-{self._count}"
+        if self._repeats is not None and (repeat := self._repeats.draw()):
+            return self._repeat_request(name, gateway, repeat)
         kind = self._random.choices(tuple(self._mix), tuple(self._mix.values()))[0]
         path, _, deadline_s = KINDS[kind]
         key, customer = self._random.choice(list(self._keys.items()))
         body = self._random.randbytes(self._random.choice((0, 60, 600, 20_000)))
-        fields = {
-            "Host": HOST_HEADER,
-            "X-Attempt-Id": name,
-            "X-Deadline-Ms": str(int(deadline_s * 1000)),
-            "Authorization": f"Bearer {key}",
-            "Session": f"s{self._random.randrange(20)}",
-        }
+        fields = self._fields(name, key, deadline_s)
         prompt = None
         if kind in STREAMS:
             fields["X-Token-Usage"] = "400,60"
@@ -153,4 +161,33 @@
         digest = hashlib.sha256(body).hexdigest()
         now = time.time()
         sent = Sent(name, kind, gateway, key, customer, line, digest, now, prompt)
-        return sent, encode(line, fields, body), deadline_s
+        return sent, self._encode(line, fields, body), deadline_s
+
+    def _repeat_request(self, name, gateway, repeat):
+        line, customer, digest = repeat.identity
+        deadline_s = KINDS[repeat.kind][2]
+        key = self._random.choice([k for k, c in self._keys.items() if c == customer])
+        fields = self._fields(name, key, deadline_s)
+        if repeat.kind in STREAMS:
+            fields["X-Token-Usage"] = "400,60"
+        if repeat.prompt:
+            fields["X-Prompt-Prefix"] = repeat.prompt
+        at = time.time()
+        kind = repeat.kind
+        sent = Sent(name, kind, gateway, key, customer, line, digest, at, None, repeat)
+        return sent, self._encode(line, fields, repeat.body), deadline_s
+
+    def _fields(self, name, key, deadline_s):
+        return {
+            "Host": HOST_HEADER,
+            "X-Attempt-Id": name,
+            "X-Deadline-Ms": str(int(deadline_s * 1000)),
+            "Authorization": f"Bearer {key}",
+            "Session": f"s{self._random.randrange(20)}",
+        }
+
+    def _encode(self, line, fields, body):
+        if self._repeats is not None and self._random.random() < 0.5:
+            size = self._random.randint(1, CHUNK_BYTES_LIMIT)
+            return encode_in_chunks(line, fields, body, size)
+        return encode(line, fields, body)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -17,6 +17,8 @@
 # A run that goes on at another replica must have ended at the one before by then.
 OVERLAP_LIMIT_S = 0.4
 RECOVERED_SHARE = 0.25
+# In the body of a refusal.
+NOT_RUN = b'"execution":"not_run"'
 
 
 def read_runs(path):
@@ -160,7 +162,13 @@
             where = ", ".join(r["replica"] for r in runs)
             refused = f"{sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
             yield f"REFUSED {refused}: ran at {where}"
-        if BLAMED in seen.body and not self._fleet.crashing_parts:
+        elif NOT_RUN in seen.body and runs:
+            where = ", ".join(r["replica"] for r in runs)
+            yield (
+                f"REFUSED {sent.name} ({sent.kind}) {seen.status} by {sent.gateway}: "
+                f"said not to have run, ran at {where}"
+            )
+        if any(reason in seen.body for reason in BLAMED) and not sent.cause:
             yield f"BLAMED {sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
         if seen.status == 200:
             yield from self._check_success(sent, seen)
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -1,26 +1,32 @@
-"""Parts of prompts that end replicas: the prompts, the faults and the checks."""
+"""Requests that end replicas: the prompts, the faults and the checks."""
 
+import asyncio
 import time
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from tests.soak.callers import STREAMS
 from tests.soak.fleet import AFTERMATH_S
 from tests.soak.plan import Plan
 
-MIX = {"once": 1, "safe": 1, "stream": 6, "tail": 2, "long": 2}
+PARTS_MIX = {"once": 1, "safe": 1, "stream": 6, "tail": 2, "long": 2}
+REQUESTS_MIX = {"once": 3, "safe": 4, "stream": 3, "tail": 1, "long": 1}
 SECOND_PARTS = 60
 HOT_SHARE = 0.2
 # Crashing parts come from this time after the first request on, one after the other.
 FIRST_PART_AFTER_S = 8.0
 NEXT_PART_AFTER_S = 4.0
 PART_GAP_S = 0.6
-KNOWN_CRASHES = 5
+KNOWN_CRASHES_OF_PART = 5
+KNOWN_CRASHES_OF_REQUEST = 3
 SENDS_AFTER_KNOWN = 3
+# Replicas that may end under what is one request for its caller.
+ENDED_BY_ONE = 2
 RECOVERY_S = 2 * AFTERMATH_S
 COMPARED_REQUESTS = 20
 KEPT_SHARE = 0.5
-BLAMED = b"prompt_part_blamed"
+BLAMED = (b"prompt_part_blamed", b"request_blamed")
+CONFIG_APPLY_S = 2.0
+LONGEST_REQUEST_S = 7.0
 
 
 class Prompt(NamedTuple):
@@ -52,12 +58,17 @@
         self._next = {}
         self._is_first = {part: random.random() < 0.3 for part in crashing}
 
-    def draw(self):
-        """Return the next prompt."""
+    def draw_sound(self):
+        """Return a prompt that ends no replicas."""
         first = self._random.choice(self._firsts)
         second = self._seconds[0]
         if self._random.random() > HOT_SHARE:
             second = self._random.choice(self._seconds)
+        return Prompt(first, second)
+
+    def draw(self):
+        """Return the next prompt."""
+        sound = self.draw_sound()
         now = time.monotonic()
         if not self._next:
             self._next = {
@@ -68,25 +79,43 @@
             if due <= now:
                 self._next[part] = now + self._random.expovariate(1 / PART_GAP_S)
                 if self._is_first[part]:
-                    return Prompt(part, second, part)
-                return Prompt(first, part, part)
-        return Prompt(first, second)
+                    return sound._replace(first=part, crashing=part)
+                return sound._replace(second=part, crashing=part)
+        return sound
 
 
 class CrashPlan(Plan):
-    """Planned work beside crashing parts, or else replicas killed at random."""
+    """Planned work beside requests that crash, or else replicas killed at random."""
 
     def __init__(self, fleet, keys, random, log):
         super().__init__(fleet, keys, random, log)
         self._has_lasting_routes = True
+        self._rolled = 0
         self._actions = {self.change_config: 2, self.reload_settings: 1}
         self._gap_s = 2.0
-        if not fleet.crashing_parts:
+        if fleet.crashing_requests:
+            self._actions[self.roll_key] = 2
+        elif not fleet.crashing_parts:
             self._actions = {self.kill_replica: 1}
 
+    async def roll_key(self, lasts_s):
+        """Give a customer another key, and take the old one away when it is unused."""
+        key = self._random.choice(list(self._keys))
+        self._rolled += 1
+        rolled = f"rolled-{self._rolled}"
+        self._valid[rolled] = self._keys[key]
+        await self.write_config()
+        await asyncio.sleep(CONFIG_APPLY_S)
+        if key not in self._keys:
+            return
+        self._keys[rolled] = self._keys.pop(key)
+        await asyncio.sleep(LONGEST_REQUEST_S)
+        del self._valid[key]
+        await self.write_config()
+
 
 class CrashCheck:
-    """Checks of what gateways did about crashing parts.
+    """Checks of what gateways did about requests that end replicas.
 
     :param callers: what callers sent and saw.
     :param entries: lines of the replicas about arrivals and crashes.
@@ -97,53 +126,67 @@
         self._callers = callers
         self._in_touch = in_touch
         self._arrivals = [e for e in entries if e["event"] == "arrival"]
-        self._crashes = defaultdict(list)
-        for entry in entries:
-            if entry["event"] == "crash":
-                self._crashes[entry["part"]].append(entry["time"])
+        self._crashes = [e for e in entries if e["event"] == "crash"]
+        self._times = defaultdict(list)
+        # Crashes after which a cause must be known.
+        self._enough = {}
+        for entry in self._crashes:
+            cause = entry["cause"]
+            self._times[cause].append(entry["time"])
+            self._enough[cause] = KNOWN_CRASHES_OF_PART
+            if entry["whole"]:
+                self._enough[cause] = KNOWN_CRASHES_OF_REQUEST
 
     def problems(self):
         """Return a line for each broken promise."""
-        for part, times in self._crashes.items():
-            if len(times) >= KNOWN_CRASHES:
-                yield from self._check_sends(part, times)
+        for cause, times in self._times.items():
+            if len(times) >= self._enough[cause]:
+                yield from self._check_sends(cause, times)
+        ended = Counter(crash["id"] for crash in self._crashes)
+        for name, number in ended.items():
+            if number > ENDED_BY_ONE:
+                yield f"BUDGET {name}: {number} replicas ended under one request"
         if self._crashes:
             yield from self._check_sound_requests()
 
-    def _check_sends(self, part, times):
-        known_at = times[KNOWN_CRASHES - 1] + AFTERMATH_S
+    def _check_sends(self, cause, times):
+        enough = self._enough[cause]
+        known_at = times[enough - 1] + AFTERMATH_S
         sends = [
             f"{entry['id']} to {entry['replica']} by {sent.gateway}"
             for entry in self._arrivals
             if (sent := self._callers.sent.get(entry["id"]))
-            and sent.prompt
-            and sent.prompt.crashing == part
+            and sent.cause == cause
             and entry["time"] > known_at
             and self._in_touch(sent.gateway, entry["time"])
         ]
         if len(sends) > SENDS_AFTER_KNOWN:
             yield (
-                f"BUDGET part {part}: {len(times)} replicas ended, sent {len(sends)} "
-                f"times from {AFTERMATH_S:.0f} s after the fifth on: "
+                f"BUDGET {cause}: {len(times)} replicas ended, sent {len(sends)} times "
+                f"from {AFTERMATH_S:.0f} s after crash {enough} on: "
                 + ", ".join(sends[:SENDS_AFTER_KNOWN])
             )
 
     def _check_sound_requests(self):
-        """Compare how often streams begin before the first crash and after the fifth.
+        """Compare how often answers begin before the first crash and once it is known.
 
-        With several crashing parts, all of them must be known.
+        With several causes, all of them must be known.
         """
-        known_at = max(t[:KNOWN_CRASHES][-1] for t in self._crashes.values())
-        first_at = min(t[0] for t in self._crashes.values())
-        last_at = max(
-            s.at for s in self._callers.sent.values() if s.prompt and s.prompt.crashing
+        known_at = max(
+            times[: self._enough[cause]][-1] for cause, times in self._times.items()
         )
+        first_at = min(times[0] for times in self._times.values())
+        last_at = max(s.at for s in self._callers.sent.values() if s.cause)
         before, after = Counter(), Counter()
         for name, seen in self._callers.seen.items():
             sent = self._callers.sent[name]
-            if sent.kind not in STREAMS or sent.prompt.crashing or seen.left:
+            if sent.cause or seen.left:
                 continue
-            groups = ((sent.kind, sent.key), (sent.kind, sent.prompt.first))
+            groups = [(sent.kind, sent.customer)]
+            if sent.prompt is not None:
+                groups.append((sent.kind, sent.prompt.first))
+            if sent.repeat is not None:
+                groups.append((sent.kind, "its like"))
             if seen.at < first_at:
                 counted = before
             elif known_at + RECOVERY_S < sent.at < last_at:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -199,9 +199,12 @@
         self.retry_budget = (0.9, 52)
         # Times at which replicas send answers that nobody asked for.
         self.broken = Disturbances()
-        # Parts of prompts that end replicas, None if replicas keep their identity and
-        # are behind links, which accept connections while a replica is down.
-        self.crashing_parts = None
+        # Whether replicas come back under another identity at an address that refuses
+        # connections meanwhile; else they keep it, behind links that accept them.
+        self.renames_replicas = False
+        # Parts of prompts, and requests that come again, that end replicas.
+        self.crashing_parts = ()
+        self.crashing_requests = ()
         # Share of the answers that have neither length nor chunks.
         self.unframed_share = 0.0
         # Whether replicas say in their answers that they leave.
@@ -267,7 +270,7 @@
             # The port of its first start, so that it comes back where it was.
             port = replica.child.address.rpartition(":")[2]
             options = {
-                "id": name if self.crashing_parts is None else f"{name}-{next(starts)}",
+                "id": f"{name}-{next(starts)}" if self.renames_replicas else name,
                 "service": service,
                 "version": version,
                 "streams": service == "pool",
@@ -276,8 +279,12 @@
                 "seed": self._random.randrange(1 << 30),
                 "runs": str(self.runs_file),
                 "store": store_link.address,
-                "advertised": link.address if self.crashing_parts is None else "",
-                "crashing_parts": self.crashing_parts or (),
+                "advertised": "" if self.renames_replicas else link.address,
+                "crashing_parts": self.crashing_parts,
+                "crashing_requests": [
+                    (repeat.cause, *repeat.identity)
+                    for repeat in self.crashing_requests
+                ],
                 "unframed_share": self.unframed_share,
                 "gives_hints": self.gives_hints,
                 "host": host,
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -22,6 +22,8 @@
 LONG_STEPS_S = (0.05, 0.15, 0.3)
 # A replica that a part of a prompt ends writes for this time before.
 CRASH_AFTER_S = (0.05, 0.13)
+# A replica that a whole request ends works at it for this time, and writes nothing.
+CRASH_AT_WORK_AFTER_S = (0.01, 0.09)
 CRASH_STATUS = 86
 # A replica that is full under load answers after this time.
 FULL_DELAY_S = (0.0, 0.25)
@@ -36,6 +38,7 @@
     :param options: ``id``, ``service``, ``version``, ``streams``, ``slots``, ``queue``,
         ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses; empty for
         its own), ``host``, ``port``, ``crashing_parts`` (of prompts),
+        ``crashing_requests`` (cause, line, customer, hash of the body),
         ``unframed_share`` (of answers that have neither length nor chunks),
         ``gives_hints`` (whether it says that it leaves).
     """
@@ -49,6 +52,9 @@
         self._slots = asyncio.Semaphore(options["slots"])
         self._waiting = 0
         self._running = 0
+        self._crashing_requests = {
+            tuple(identity): cause for cause, *identity in options["crashing_requests"]
+        }
         self._born = int(time.time() * 1000)
         # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed,
         # cut (of events), retry_after (of rejections); limit: requests a second that
@@ -191,18 +197,22 @@
     async def _run(self, request, writer, late, gone, deadline):
         fields = request.fields
         self._run_count += 1
+        body_hash = hashlib.sha256(request.body).hexdigest()
         run = f"{self._options['id']}.{self._born}.{self._run_count}"
         self._record(
             "run",
             request,
             run=run,
             line=request.start,
-            body=hashlib.sha256(request.body).hexdigest(),
+            body=body_hash,
             customer=fields.get("x-tenant", ""),
             key="authorization" in fields,
             resume=fields.get("last-event-id"),
             stream=self._options["streams"],
         )
+        identity = " ".join(request.start), fields.get("x-tenant", ""), body_hash
+        if cause := self._crashing_requests.get(identity):
+            await self._crash(request, cause, CRASH_AT_WORK_AFTER_S, whole=True)
         # Extra answers to earlier requests arrive while this one runs.
         await self._flush_late(writer, late)
         how = "left"
@@ -306,9 +316,13 @@
         parts = {entry.split(":")[0] for entry in prefix.split(",")[:-1]}
         for part in parts.intersection(self._options["crashing_parts"]):
             await writer.drain()
-            await asyncio.sleep(self._random.uniform(*CRASH_AFTER_S))
-            self._record("crash", request, part=part, born=self._born, limit=None)
-            os._exit(CRASH_STATUS)
+            await self._crash(request, part, CRASH_AFTER_S, whole=False)
+
+    async def _crash(self, request, cause, after_s, whole):
+        await asyncio.sleep(self._random.uniform(*after_s))
+        about = {"cause": cause, "whole": whole, "born": self._born, "limit": None}
+        self._record("crash", request, **about)
+        os._exit(CRASH_STATUS)
 
     async def _reject(self, status, fields, writer, late):
         await self._send(f"HTTP/1.1 {status}", fields, b"", writer, late)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -85,6 +85,13 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + (body or b"")
 
 
+def encode_in_chunks(first_line, fields, body, size):
+    """Return a message whose body goes in chunks of a size, bytes."""
+    fields = fields | {"Transfer-Encoding": "chunked"}
+    pieces = [body[at : at + size] for at in range(0, len(body), size)]
+    return encode(first_line, fields) + b"".join(map(encode_chunk, [*pieces, b""]))
+
+
 def encode_chunk(data):
     """Return a chunk of a body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,10 @@
 # 302, LOST: a silence of a replica ended requests that no other replica could take.
 # 402, BUDGET and LOST: requests with one part of a prompt went on to end replicas, and
 # sound ones found none. 421 has shown nothing: no part is blamed for replicas that are
-# killed at random. 501 has shown nothing: streams cut midway are resumed.
+# killed at random. 811 and 831, BUDGET: requests that end replicas before the head of
+# an answer went on to do so, and parts of sound prompts were blamed. 821 has shown
+# nothing: no lookup that comes again is blamed for replicas killed at random.
+# 501 has shown nothing: streams cut midway are resumed.
 # 711, LOST: the retries of a request were spent on rejections by full replicas.
 # 601, BUDGET and DRAIN: Retry-After and Server-Leaving of replicas were not followed.
 @pytest.mark.parametrize(
@@ -29,6 +32,9 @@
         (711, ["--full", "--size=medium", "--seconds=24"]),
         (402, ["--crashing-parts=1", "--size=medium"]),
         (421, ["--crashing-parts=0", "--size=medium"]),
+        (811, ["--crashing-requests=3", "--size=medium"]),
+        (821, ["--crashing-requests=0", "--size=medium"]),
+        (831, ["--crashing-parts=1", "--crashing-requests=1", "--size=medium"]),
         (501, ["--cuts", "--seconds=6"]),
         (601, ["--hints"]),
     ],
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,11 +1,18 @@
 """Checks of the soak, fed with made-up records: one that never fires is none."""
 
+import asyncio
+from itertools import count
+from random import Random
 from types import SimpleNamespace
 
 import pytest
 
 from tests.soak.callers import KINDS, Seen, Sent
+from tests.soak.checks import Checks
+from tests.soak.crashes import CrashCheck, Prompt, Prompts
 from tests.soak.losses import Evidence, lost_problems
+from tests.soak.repeats import Repeats
+from tests.soak.wire import encode_in_chunks, read_message
 
 SIGNED = {"x-response-signature": "a"}
 DISTURBED_AT = 98.0
@@ -136,3 +143,185 @@
     callers = records((crossing, Seen(100.4)), (late, Seen(100.6)))
     problems = list(lost_problems(callers, evidence()))
     assert [problem.split()[1] for problem in problems] == ["y"]
+
+
+REQUEST, PART = ("request-0", True), ("bad0", False)
+
+
+class CrashRecords:
+    """Lines of replicas about requests that end them, and what callers sent."""
+
+    def __init__(self, cause, whole):
+        self._cause, self._whole = cause, whole
+        self._numbers = count(1)
+        self.callers = records()
+        self.entries = []
+
+    def send(self, at, crashes=False, name=None, kind="safe", **seen):
+        """Record a request of the cause that arrives at a replica."""
+        name = name or f"r{next(self._numbers)}"
+        if name not in self.callers.sent:
+            about = {"repeat": SimpleNamespace(cause=self._cause)}
+            if not self._whole:
+                about = {"prompt": Prompt("f0", "5ec0", self._cause)}
+            self.callers.sent[name] = sent_request(name, kind, at, **about)
+        entry = {"id": name, "replica": "i-1", "time": at}
+        self.entries.append(entry | {"event": "arrival"})
+        if crashes:
+            crash = {"event": "crash", "cause": self._cause, "whole": self._whole}
+            self.entries.append(entry | crash)
+
+    def send_sound(self, at, status, number):
+        """Record sound requests that end with a status."""
+        for _ in range(number):
+            name = f"s{next(self._numbers)}"
+            self.callers.sent[name] = sent_request(name, "safe", at)
+            self.callers.seen[name] = Seen(at + 0.1, status, {}, b"", True)
+
+    def problems(self, in_touch=lambda gateway, at: True):
+        """Return what the check finds."""
+        return list(CrashCheck(self.callers, self.entries, in_touch).problems())
+
+
+@pytest.mark.parametrize(
+    ("cause", "crashes", "late_sends", "found"),
+    [
+        (REQUEST, 3, 4, True),
+        (REQUEST, 3, 3, False),
+        (REQUEST, 2, 9, False),
+        (PART, 5, 4, True),
+        (PART, 5, 3, False),
+        (PART, 4, 9, False),
+    ],
+)
+def test_more_than_three_late_sends_of_what_ends_replicas(
+    cause, crashes, late_sends, found
+):
+    lines = CrashRecords(*cause)
+    for number in range(crashes):
+        lines.send(100.0 + number, crashes=True)
+    for _ in range(9):
+        lines.send(100.0 + crashes + 1.9)
+    for number in range(late_sends):
+        lines.send(100.0 + crashes + 2.1 + number)
+    assert [p.split(":")[0] for p in lines.problems()] == [f"BUDGET {cause[0]}"] * found
+
+
+def test_late_sends_by_gateways_out_of_touch_do_not_count():
+    lines = CrashRecords(*REQUEST)
+    for number in range(9):
+        lines.send(100.0 + 2 * number, crashes=True)
+    assert len(lines.problems()) == 1
+    assert lines.problems(lambda gateway, at: at < 107.5) == []
+
+
+@pytest.mark.parametrize("cause", [REQUEST, PART])
+def test_third_replica_that_ends_under_one_request(cause):
+    lines = CrashRecords(*cause)
+    lines.send(100.0, crashes=True, name="r")
+    lines.send(100.1, crashes=True, name="r")
+    assert lines.problems() == []
+    lines.send(100.2, crashes=True, name="r")
+    assert lines.problems() == ["BUDGET r: 3 replicas ended under one request"]
+
+
+@pytest.mark.parametrize(("served", "found"), [(30, False), (10, True)])
+def test_sound_requests_that_are_not_served_after_the_blame(served, found):
+    lines = CrashRecords(*REQUEST)
+    lines.send_sound(90.0, 200, 30)
+    for number in range(3):
+        lines.send(100.0 + number, crashes=True)
+    lines.send_sound(110.0, 200, served)
+    lines.send_sound(110.0, 503, 30)
+    lines.send(120.0)
+    assert [p.split(":")[0] for p in lines.problems()] == [
+        "LOST safe with customer-0"
+    ] * found
+
+
+def checks_of(sent, seen, runs=()):
+    """Return the checks of one request, nothing disturbed."""
+    calm = SimpleNamespace(touch=lambda *span: False)
+    fleet = SimpleNamespace(
+        runs_file=SimpleNamespace(exists=lambda: False), gateways=(), disturbances=calm
+    )
+    checks = Checks(records((sent, seen)), fleet, {})
+    checks._runs.update({sent.name: list(runs)} if runs else {})
+    return list(checks._check_answer(sent, seen))
+
+
+BLAMED_BODIES = [
+    b'{"error":{"type":"request_blamed","execution":"not_run"}}',
+    b'{"error":{"type":"prompt_part_blamed","execution":"not_run"}}',
+]
+
+
+@pytest.mark.parametrize("body", BLAMED_BODIES)
+def test_sound_request_that_is_blamed(body):
+    seen = Seen(101.0, 503, {}, body, True)
+    sound = sent_request(repeat=SimpleNamespace(cause=""))
+    for sent in (sent_request(), sound, sent_request(prompt=Prompt("f0", "5ec0"))):
+        (problem,) = checks_of(sent, seen)
+        assert problem.startswith("BLAMED r")
+
+
+@pytest.mark.parametrize("body", BLAMED_BODIES)
+def test_blamed_request_that_ends_replicas_is_no_problem(body):
+    seen = Seen(101.0, 503, {}, body, True)
+    by_part = sent_request(prompt=Prompt("f0", "5ec0", "bad0"))
+    by_request = sent_request(repeat=SimpleNamespace(cause="request-0"))
+    assert checks_of(by_part, seen) == checks_of(by_request, seen) == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "body", "found"),
+    [
+        ("slow", b'{"error":{"execution":"not_run"}}', True),
+        ("slow", b'{"error":{"execution":"unknown"}}', False),
+        ("slow-once", b"", True),
+        ("slow", b"", False),
+    ],
+)
+def test_refusal_as_not_run_of_a_request_that_ran(kind, body, found):
+    sent = sent_request(kind=kind)
+    seen = Seen(101.0, 503, {}, body, True)
+    assert checks_of(sent, seen) == []
+    problems = checks_of(sent, seen, [run_entry()])
+    assert [p.split(" (")[0] for p in problems] == ["REFUSED r"] * found
+
+
+# Sound requests that share all but one of path, customer and body with a request that
+# ends replicas must not be taken for it, neither by gateways nor by the stand-ins.
+def test_lookups_differ_from_what_ends_replicas():
+    customers = ["customer-0", "customer-1", "customer-2"]
+    for seed in range(20):
+        prompts = Prompts(Random(seed), [])
+        repeats = Repeats(Random(seed), 4, customers, prompts)
+        crashing = {repeat.identity for repeat in repeats.crashing}
+        sound = repeats._lookups
+        assert len(crashing) == 4
+        assert {repeat.kind for repeat in repeats.crashing} == {
+            "safe",
+            "once",
+            "stream",
+            "tail",
+        }
+        assert not crashing & {repeat.identity for repeat in sound}
+        for identity in crashing:
+            near = [
+                sum(a == b for a, b in zip(identity, other.identity, strict=True))
+                for other in sound
+            ]
+            assert near.count(2) >= 3
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_body_in_chunks_is_read_as_it_was_sent(size):
+    body = Random(size).randbytes(600)
+
+    async def read():
+        reader = asyncio.StreamReader()
+        reader.feed_data(encode_in_chunks("POST / HTTP/1.1", {}, body, size))
+        return await read_message(reader)
+
+    assert asyncio.run(read()).body == body
