--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,27 +10,31 @@
 from tests.soak.fleet import AFTERMATH_S, GRACE_S, REVOKE_MS
 from tests.soak.hints import hint_problems
 from tests.soak.limits import limit_problems
+from tests.soak.losses import Evidence, lost_problems
 from tests.soak.replica import expected_events
-from tests.soak.silences import lost_problems
 
 STOP_SLACK_S = 2.0
 # A run that goes on at another replica must have ended at the one before by then.
 OVERLAP_LIMIT_S = 0.4
 RECOVERED_SHARE = 0.25
+# In the body of a refusal.
+NOT_RUN = b'"execution":"not_run"'
 
 
 def read_runs(path):
-    """Return the runs by request, the end of each run, and lines about limits."""
-    runs, ends, limits = defaultdict(list), {}, []
+    """Return runs by request, the end of each run, lines about limits and stalls."""
+    runs, ends, limits, stalls = defaultdict(list), {}, [], []
     for line in path.read_text().splitlines() if path.exists() else ():
         entry = json.loads(line)
         if entry["event"] == "run":
             runs[entry["id"]].append(entry)
         elif entry["event"] == "end":
-            ends[entry["run"]] = entry["time"]
+            ends[entry["run"]] = entry
+        elif entry["event"] == "stalled":
+            stalls.append(entry)
         else:
             limits.append(entry)
-    return runs, ends, limits
+    return runs, ends, limits, stalls
 
 
 class Checks:
@@ -39,15 +43,14 @@
     :param callers: what callers sent and saw.
     :param fleet: the processes and when they were disturbed.
     :param withdrawn: times at which the withdrawal of a key was acknowledged, by key.
-    :param silences_only: whether there was no fault beside silences.
     """
 
-    def __init__(self, callers, fleet, withdrawn, silences_only=False):
-        self._silences_only = silences_only
+    def __init__(self, callers, fleet, withdrawn):
         self._callers = callers
         self._fleet = fleet
         self._withdrawn = withdrawn
-        self._runs, self._ends, self._limits = read_runs(fleet.runs_file)
+        runs = read_runs(fleet.runs_file)
+        self._runs, self._ends, self._limits, self._stalls = runs
 
     def problems(self, calm_since):
         """Return a line for each broken promise.
@@ -65,12 +68,7 @@
             {g.name: [end.at for end in g.ends] for g in self._fleet.gateways},
             self._fleet.disturbances.touch,
         )
-        if self._silences_only:
-            stops = {
-                g.name: [*(end.asked_at for end in g.ends if end.asked_at)]
-                for g in self._fleet.gateways
-            }
-            found += lost_problems(self._callers, self._runs, stops)
+        found += lost_problems(self._callers, self._lost_evidence())
         if self._fleet.unframed_share:
             found += cut_problems(
                 self._callers, self._runs, self._fleet.disturbances.touch
@@ -81,6 +79,26 @@
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
 
+    def _lost_evidence(self):
+        replicas = defaultdict(set)
+        for replica in self._fleet.replicas.values():
+            replicas[replica.service].add(replica.name)
+        return Evidence(
+            self._runs,
+            self._ends,
+            {
+                g.name: [end.asked_at for end in g.ends if end.asked_at]
+                for g in self._fleet.gateways
+            },
+            lambda *span: any(
+                spans.touch(*span)
+                for spans in (self._fleet.disturbances, self._fleet.broken)
+            ),
+            replicas,
+            [entry for entry in self._limits if entry["event"] == "crash"],
+            {entry["id"] for entry in self._limits if entry["event"] == "arrival"},
+        )
+
     def _is_in_touch(self, gateway, at):
         if self._fleet.disturbances.touch({gateway}, at, at):
             return False
@@ -128,9 +146,10 @@
     def _check_overlap(self, sent, runs):
         for before, after in zip(runs, runs[1:], strict=False):
             # Until its end is recorded: a killed replica records none.
-            ended = self._ends.get(before["run"], before["time"])
+            ended = self._ends.get(before["run"], before)["time"]
             subjects = {sent.gateway, before["replica"], after["replica"]}
             late_s = ended - after["time"]
+            stalled_s = self._stalled_s(before["replica"], after["time"], ended)
             disturbed = any(
                 spans.touch(subjects, before["time"], ended)
                 for spans in (self._fleet.disturbances, self._fleet.silences)
@@ -138,9 +157,21 @@
             if late_s > OVERLAP_LIMIT_S and not disturbed:
                 yield (
                     f"TWICE {sent.name} ({sent.kind}) by {sent.gateway}: "
-                    f"{before['replica']} works on for {late_s:.2f} s"
+                    f"{before['replica']} works on for {late_s:.2f} s, "
+                    f"stalled for {stalled_s:.2f}"
                 )
 
+    def _stalled_s(self, replica, begin, end):
+        """Return for how long a replica's process stood still in a span of time."""
+        return sum(
+            max(
+                0.0,
+                min(end, s["time"]) - max(begin, s["time"] - s["lasts_s"]),
+            )
+            for s in self._stalls
+            if s["replica"] == replica
+        )
+
     def _check_answer(self, sent, seen):
         runs = self._runs.get(sent.name, [])
         repeatable = KINDS[sent.kind][1]
@@ -148,7 +179,13 @@
             where = ", ".join(r["replica"] for r in runs)
             refused = f"{sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
             yield f"REFUSED {refused}: ran at {where}"
-        if BLAMED in seen.body and not self._fleet.crashing_parts:
+        elif NOT_RUN in seen.body and runs:
+            where = ", ".join(r["replica"] for r in runs)
+            yield (
+                f"REFUSED {sent.name} ({sent.kind}) {seen.status} by {sent.gateway}: "
+                f"said not to have run, ran at {where}"
+            )
+        if any(reason in seen.body for reason in BLAMED) and not sent.cause:
             yield f"BLAMED {sent.name} ({sent.kind}) {seen.status} by {sent.gateway}"
         if seen.status == 200:
             yield from self._check_success(sent, seen)
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -15,6 +15,9 @@
 from tests.soak.wire import encode, encode_chunk, read_message, reset
 
 BEAT_INTERVAL_S = 1.0
+STALL_POLL_S = 0.05
+# A process that did nothing for this time was not run by its machine.
+STALL_S = 0.2
 WORK_S = (0.005, 0.06)
 SLOW_WORK_S = (0.1, 3.0)
 STREAM_STEP_S = 0.03
@@ -22,7 +25,11 @@
 LONG_STEPS_S = (0.05, 0.15, 0.3)
 # A replica that a part of a prompt ends writes for this time before.
 CRASH_AFTER_S = (0.05, 0.13)
+# A replica that a whole request ends works at it for this time, and writes nothing.
+CRASH_AT_WORK_AFTER_S = (0.01, 0.09)
 CRASH_STATUS = 86
+# A replica that is full under load answers after this time.
+FULL_DELAY_S = (0.0, 0.25)
 FAULT_PATH = "/soak/faults"
 KEEP_ALIVE_S = 5
 NOT_RUN = {"X-Not-Executed": "1"}
@@ -34,6 +41,7 @@
     :param options: ``id``, ``service``, ``version``, ``streams``, ``slots``, ``queue``,
         ``seed``, ``runs`` (file), ``store`` and ``advertised`` (addresses; empty for
         its own), ``host``, ``port``, ``crashing_parts`` (of prompts),
+        ``crashing_requests`` (cause, line, customer, hash of the body),
         ``unframed_share`` (of answers that have neither length nor chunks),
         ``gives_hints`` (whether it says that it leaves).
     """
@@ -46,10 +54,14 @@
         )
         self._slots = asyncio.Semaphore(options["slots"])
         self._waiting = 0
+        self._running = 0
+        self._crashing_requests = {
+            tuple(identity): cause for cause, *identity in options["crashing_requests"]
+        }
         self._born = int(time.time() * 1000)
         # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed,
         # cut (of events), retry_after (of rejections); limit: requests a second that
-        # are named in answers.
+        # are named in answers; places: most runs until the time full_until.
         self._faults = {}
         self._state = "ready"
         self._run_count = 0
@@ -61,7 +73,7 @@
         address = f"{host}:{server.sockets[0].getsockname()[1]}"
         self._options["advertised"] = self._options["advertised"] or address
         print(f"listening {address}", flush=True)
-        await self._beat()
+        await asyncio.gather(self._beat(), self._record_stalls())
 
     def _hit(self, fault):
         return self._random.random() < self._faults.get(fault, 0.0)
@@ -139,8 +151,9 @@
             return await self._reject("421 Misdirected Request", fields, writer, late)
         if not echo["X-Attempt-Id"]:
             return await self._reject("400 Bad Request", NOT_RUN, writer, late)
-        full = self._slots.locked() and self._waiting >= self._options["queue"]
-        if full or self._hit("shed"):
+        if time.time() < self._faults.get("full_until", 0.0):
+            await asyncio.sleep(self._random.uniform(*FULL_DELAY_S))
+        if self._is_full() or self._hit("shed"):
             fields = echo | NOT_RUN | self._retry_after(request)
             return await self._reject("503 Service Unavailable", fields, writer, late)
         gone = asyncio.create_task(reader.read(1))
@@ -150,6 +163,11 @@
             gone.cancel()
             await asyncio.wait({gone})
 
+    def _is_full(self):
+        if time.time() < self._faults.get("full_until", 0.0):
+            return self._running + self._waiting >= self._faults["places"]
+        return self._slots.locked() and self._waiting >= self._options["queue"]
+
     async def _queue_and_run(self, request, writer, late, gone):
         deadline = time.monotonic() + int(request.fields["x-deadline-ms"]) / 1000
         echo = {"X-Attempt-Id": request.fields["x-attempt-id"]}
@@ -171,34 +189,42 @@
         try:
             if gone.done():
                 return False
-            return await self._run(request, writer, late, gone, deadline)
+            self._running += 1
+            try:
+                return await self._run(request, writer, late, gone, deadline)
+            finally:
+                self._running -= 1
         finally:
             self._slots.release()
 
     async def _run(self, request, writer, late, gone, deadline):
         fields = request.fields
         self._run_count += 1
+        body_hash = hashlib.sha256(request.body).hexdigest()
         run = f"{self._options['id']}.{self._born}.{self._run_count}"
         self._record(
             "run",
             request,
             run=run,
             line=request.start,
-            body=hashlib.sha256(request.body).hexdigest(),
+            body=body_hash,
             customer=fields.get("x-tenant", ""),
             key="authorization" in fields,
             resume=fields.get("last-event-id"),
             stream=self._options["streams"],
         )
+        identity = " ".join(request.start), fields.get("x-tenant", ""), body_hash
+        if cause := self._crashing_requests.get(identity):
+            await self._crash(request, cause, CRASH_AT_WORK_AFTER_S, whole=True)
         # Extra answers to earlier requests arrive while this one runs.
         await self._flush_late(writer, late)
-        how = "cut"
+        how = "left"
         try:
             work = self._stream if self._options["streams"] else self._answer
             how = await work(request, writer, late, gone, deadline)
         finally:
             self._record("end", request, run=run, how=how)
-        return how == "answered" and not gone.done()
+        return how in ("answered", "failed") and not gone.done()
 
     async def _answer(self, request, writer, late, gone, deadline):
         if self._hit("hang"):
@@ -219,7 +245,8 @@
             await writer.drain()
             reset(writer)
             return "lost"
-        status = "500 Error" if self._hit("error") else "200 OK"
+        failed = self._hit("error")
+        status = "500 Error" if failed else "200 OK"
         fields = {
             "X-Attempt-Id": name,
             "X-Response-Signature": hashlib.sha256(body).hexdigest(),
@@ -229,7 +256,7 @@
             writer.write(encode(f"HTTP/1.1 {status}", fields) + body)
             return "unframed"
         await self._send(f"HTTP/1.1 {status}", fields, body, writer, late)
-        return "answered"
+        return "failed" if failed else "answered"
 
     async def _stream(self, request, writer, late, gone, deadline):
         name = request.fields["x-attempt-id"]
@@ -257,7 +284,7 @@
                 await asyncio.wait({gone}, timeout=deadline - time.monotonic())
                 return "hung"
             if time.monotonic() > deadline:
-                return "cut"
+                return "late"
             if self._hit("lose"):
                 reset(writer)
                 return "lost"
@@ -292,9 +319,13 @@
         parts = {entry.split(":")[0] for entry in prefix.split(",")[:-1]}
         for part in parts.intersection(self._options["crashing_parts"]):
             await writer.drain()
-            await asyncio.sleep(self._random.uniform(*CRASH_AFTER_S))
-            self._record("crash", request, part=part, born=self._born, limit=None)
-            os._exit(CRASH_STATUS)
+            await self._crash(request, part, CRASH_AFTER_S, whole=False)
+
+    async def _crash(self, request, cause, after_s, whole):
+        await asyncio.sleep(self._random.uniform(*after_s))
+        about = {"cause": cause, "whole": whole, "born": self._born, "limit": None}
+        self._record("crash", request, **about)
+        os._exit(CRASH_STATUS)
 
     async def _reject(self, status, fields, writer, late):
         await self._send(f"HTTP/1.1 {status}", fields, b"", writer, late)
@@ -316,6 +347,14 @@
         late.clear()
         await writer.drain()
 
+    async def _record_stalls(self):
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(STALL_POLL_S)
+            late_s = time.monotonic() - began - STALL_POLL_S
+            if late_s > STALL_S:
+                self._record_limit("stalled", {}, lasts_s=late_s)
+
     async def _beat(self):
         sequence = 0
         while True:
