Blame whole requests that end replicas

Callers' requests failed with 502 or found no replica: a request that ended each replica that began to run it came again under new identifiers, and all gateways sent it on.

Cause: only parts of prompts could be blamed, only of prompts with two or more, and only once the head of an answer had come. A request without parts, or one that ends its replica before the head, was a failure of the replica each time.

A request now bears one more cause: a digest of its method, host, path, query, customer and body, never of its key or identifier. A cut connection before the answer is past its beginning, at a replica that the view still lists and whose address then refuses connections, is a crash under the whole request; under the parts of its prompt only with a head, as before. Three crashes in a row and hardly an answer blame it; since few requests are alike, crashes that end 0.04 s apart are in a row even if the gateways could not know of one another. Requests with one open crash may be sent to one more replica, those with two to none. Blame is also checked right before bytes are sent. Whole requests with a single crash are kept and told last, so that those that a replica takes along don't crowd out suspected causes.

--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -46,6 +46,7 @@
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LIMITED = "upstream_limited"
     PROMPT_PART_BLAMED = "prompt_part_blamed"
+    REQUEST_BLAMED = "request_blamed"
     UPSTREAM_PAUSED = "upstream_paused"
     ANSWER_MISMATCH = "answer_mismatch"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
@@ -87,6 +88,7 @@
     TREE_LIMIT = "tree_limit"
     BUDGET = "budget"
     PROMPT_PART_SUSPECTED = "prompt_part_suspected"
+    REQUEST_SUSPECTED = "request_suspected"
 
 
 class StateChange(StrEnum):
@@ -105,6 +107,8 @@
     REPLICA_LIMIT_ENDED = "replica_limit_ended"
     PROMPT_PART_BLAMED = "prompt_part_blamed"
     PROMPT_PART_CLEARED = "prompt_part_cleared"
+    REQUEST_BLAMED = "request_blamed"
+    REQUEST_CLEARED = "request_cleared"
     ROLLOUT_SEEN = "rollout_seen"
     ROLLOUT_GONE = "rollout_gone"
     ROLLOUT_KEPT = "rollout_kept"
--- a/packages/node/src/lentilshore_node/delivery/attempt_planner.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_planner.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable, Sequence
 
-from lentilshore_kernel.exceptions import RefusalError
-from lentilshore_kernel.types import RefusalReason
 from lentilshore_routing.placement import ReplicaLease
 from lentilshore_routing.routes import Route, shared_prefix
 
@@ -21,8 +19,6 @@
 BASE_WORK_TOKENS = 16.0
 # An engine reads about this many prompt tokens in the time of generating one token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
-# Retry delay stated in refusals of prompts with a blamed part.
-BLAMED_PART_RETRY_AFTER_S = 30.0
 
 
 class AttemptPlanner:
@@ -64,10 +60,10 @@
             an ejected one is not chosen either; empty for none.
         :raises RefusalError: ``no_upstream`` if no replica is available,
             ``key_unproved`` if the caller's key may have been withdrawn, or
-            ``prompt_part_blamed`` if a part of the prompt crashes replicas.
+            ``prompt_part_blamed`` or ``request_blamed`` if it crashes replicas.
         """
         self._check_key(self._route)
-        self._check_parts()
+        self._crashes.check_blame()
         view = self._context.view
         rollout = view.rollouts.get(self._service)
         version = self._context.version_chooser.choose(
@@ -87,18 +83,6 @@
             )
         return AttemptPlan(rollout, version, model, lease)
 
-    def _check_parts(self) -> None:
-        """Refuse a request with a part that ends the replicas that answer it."""
-        cause = self._crashes.blamed
-        if cause is None:
-            return
-        raise RefusalError(
-            RefusalReason.PROMPT_PART_BLAMED,
-            self._proof.execution,
-            f"replicas ended as they answered prompts with the part {cause.digest}",
-            BLAMED_PART_RETRY_AFTER_S,
-        )
-
     def _choose_replica(
         self, group: str, model: str, tried: Sequence[str], excluded: str
     ) -> ReplicaLease | None:
--- a/packages/node/src/lentilshore_node/delivery/attempt_sender.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_sender.py
@@ -17,6 +17,7 @@
 from ..state.gateway_context import GatewayContext
 from .answers import AnswerRelay
 from .attempts import ExecutionProof
+from .crash_watch import CrashWatch
 from .handover import AttemptPlan, BegunAttempt
 
 # Longest idle time of a connection that is used again. It is shorter for a request that
@@ -38,6 +39,7 @@
     :param deadline_at: when the caller's time is up, on the node's clock, seconds.
     :param relay: knows which events the caller has.
     :param proof: is told of each attempt that is sent.
+    :param crashes: knows whether the request bears a blamed cause.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         deadline_at: float,
         relay: AnswerRelay,
         proof: ExecutionProof,
+        crashes: CrashWatch,
     ) -> None:
         self._context = context
         self._check_key = check_key
@@ -59,6 +62,7 @@
         self._deadline_at = deadline_at
         self._relay = relay
         self._proof = proof
+        self._crashes = crashes
         # Addresses that the request was sent to.
         self._sent_to: set[Address] = set()
 
@@ -116,10 +120,12 @@
 
         The HTTP client calls this once a connection is open, right before it sends.
 
-        :raises RefusalError: if the caller's key may have been withdrawn.
+        :raises RefusalError: if the caller's key may have been withdrawn, or if the
+            request crashes replicas.
         :raises UpstreamError: if the replica may no longer be used.
         """
         self._check_key(self._route)
+        self._crashes.check_blame()
         self._check_replica_usable(plan.lease.replica.name)
         attempt = Attempt(
             replica=plan.lease.replica,
--- a/packages/node/src/lentilshore_node/delivery/crash_watch.py
+++ b/packages/node/src/lentilshore_node/delivery/crash_watch.py
@@ -1,15 +1,19 @@
-"""Watches whether a replica ends as it begins the answer to a request."""
+"""Watches whether replicas end under a request, and refuses one that ends them."""
 
 from __future__ import annotations
 
-from lentilshore_kernel.exceptions import UpstreamError
+from collections.abc import Sequence
+
+from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
-from lentilshore_kernel.types import RefusalReason
-from lentilshore_routing.crash_causes import Cause, part_causes
+from lentilshore_kernel.types import RefusalReason, RetryDenial
+from lentilshore_routing.crash_causes import Cause, part_causes, whole_request_cause
+from lentilshore_routing.routes import KeyOwner
 
 from ..clients.forwarding import ForwardRequest
 from ..clients.http_connection import CallCutError
 from ..state.gateway_context import GatewayContext
+from .attempts import ExecutionProof
 from .handover import AttemptPlan
 
 # An answer that has brought so many groups of events is past its beginning.
@@ -18,44 +22,93 @@
 SECOND_PROBE_DELAY_S = 0.05
 # Characters of a prompt's parts that are logged; a caller may send any.
 LOGGED_PARTS_LIMIT = 120
+# Retry delay stated in refusals of requests with a blamed cause.
+BLAMED_RETRY_AFTER_S = 30.0
 
 
 class CrashWatch:
     """Tells whether one request has ended a replica.
 
-    A replica has ended if it cuts the connection as it begins the answer, and its
-    address refuses connections from then on.
+    A replica has ended if it cuts the connection before the answer is past its
+    beginning, and its address refuses connections from then on. The parts of the prompt
+    are suspected only if the answer had begun: a replica that ends takes along all
+    requests that wait for their turn.
 
     :param context: context of the gateway.
     :param request: the request.
+    :param customer: customer that sent it, None on a public route.
+    :param proof: knows whether the request has run.
     """
 
-    def __init__(self, context: GatewayContext, request: ForwardRequest) -> None:
+    def __init__(
+        self,
+        context: GatewayContext,
+        request: ForwardRequest,
+        customer: KeyOwner | None,
+        proof: ExecutionProof,
+    ) -> None:
         self._context = context
         self._request = request
-        self._causes = part_causes(request.parts)
+        self._customer = customer
+        self._proof = proof
+        self._part_causes = part_causes(request.parts)
+        self._whole: Cause | None = None
         self._plan: AttemptPlan | None = None
         self._sent_at = 0.0
         self._answer_begun = False
         self._event_groups = 0
-        self._seen_crash = False
+        # Causes under which the request has ended a replica.
+        self._crashed: set[Cause] = set()
 
     @property
-    def suspected(self) -> bool:
-        """Whether the request has ended a replica and may end others."""
-        if not self._seen_crash:
-            return False
-        return not self.may_retry
+    def _whole_cause(self) -> Cause:
+        if self._whole is None:
+            request = self._request
+            self._whole = whole_request_cause(
+                request.method,
+                request.host,
+                request.target,
+                self._customer.name if self._customer is not None else "",
+                request.body or b"",
+            )
+        return self._whole
+
+    @property
+    def _causes(self) -> Sequence[Cause]:
+        """Causes that may be suspected; the digest of a body takes its time."""
+        if not self._context.blame.active:
+            return self._part_causes
+        return [*self._part_causes, self._whole_cause]
+
+    @property
+    def retry_denial(self) -> RetryDenial | None:
+        """What denies another attempt of a request that has ended a replica."""
+        for cause in sorted(self._crashed, key=lambda cause: cause.position):
+            if not self._context.blame.may_retry([cause]):
+                if cause.is_whole_request:
+                    return RetryDenial.REQUEST_SUSPECTED
+                return RetryDenial.PROMPT_PART_SUSPECTED
+        return None
 
     @property
     def may_retry(self) -> bool:
-        """Whether the request may be sent again after a replica has ended."""
+        """Whether the request may be sent to a further replica."""
         return self._context.blame.may_retry(self._causes)
 
-    @property
-    def blamed(self) -> Cause | None:
-        """The blamed cause that the request bears, None if there is none."""
-        return self._context.blame.blamed_cause(self._causes)
+    def check_blame(self) -> None:
+        """Refuse a request with a cause that ends the replicas that run it.
+
+        :raises RefusalError: ``prompt_part_blamed`` or ``request_blamed``.
+        """
+        cause = self._context.blame.blamed_cause(self._causes)
+        if cause is None:
+            return
+        reason = RefusalReason.PROMPT_PART_BLAMED
+        detail = f"replicas ended as they answered prompts with the part {cause.digest}"
+        if cause.is_whole_request:
+            reason = RefusalReason.REQUEST_BLAMED
+            detail = f"replicas ended as they ran requests like this one {cause.digest}"
+        raise RefusalError(reason, self._proof.execution, detail, BLAMED_RETRY_AFTER_S)
 
     def begin(self, plan: AttemptPlan, sent_at: float) -> None:
         """Watch an attempt.
@@ -87,25 +140,32 @@
 
         :param error: how the attempt failed.
         """
-        if not self._ended_at_beginning(error) or not self._causes:
+        replica = self._plan.lease.replica.name
+        if not self._cut_at_beginning(error) or not self._context.view.usable(replica):
             return
         if not await self._refuses_connections():
             return
-        self._seen_crash = True
-        replica = self._plan.lease.replica.name
+        causes = [self._whole_cause]
+        moment = "before_head"
+        if self._answer_begun:
+            causes = [*self._part_causes, self._whole_cause]
+            moment = "answer_beginning"
+        self._crashed.update(causes)
+        self._context.metrics.count(f"crash.{moment}")
         parts = ",".join(part.name for part in self._request.parts)
-        self._context.metrics.count("crash.answer_beginning")
         log_event(
             "replica_ended",
             request=self._request.request_id,
             replica=replica,
+            moment=moment,
+            digest=self._whole_cause.digest,
             parts=parts[:LOGGED_PARTS_LIMIT],
             events=self._event_groups,
         )
-        self._context.record_crash(self._causes, replica, self._sent_at)
+        self._context.record_crash(causes, replica, self._sent_at)
 
-    def _ended_at_beginning(self, error: UpstreamError) -> bool:
-        if not self._answer_begun or self._event_groups >= BEGINNING_EVENT_GROUPS:
+    def _cut_at_beginning(self, error: UpstreamError) -> bool:
+        if self._event_groups >= BEGINNING_EVENT_GROUPS:
             return False
         truncated = error.reason is RefusalReason.UPSTREAM_TRUNCATED
         return truncated or isinstance(error.__cause__, CallCutError)
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -115,7 +115,7 @@
             request_id, request_id, self._service, route.delivery_mode.repeatable
         )
         self._loop = AttemptLoop(context, self, scope)
-        self._crashes = CrashWatch(context, request)
+        self._crashes = CrashWatch(context, request, customer, self._proof)
         self._planner = AttemptPlanner(
             context,
             check_key,
@@ -136,6 +136,7 @@
             self._deadline_at,
             self._relay,
             self._proof,
+            self._crashes,
         )
         self._handover = Handover(
             context,
@@ -254,7 +255,7 @@
             self._measurements.record_stall(elapsed_s, first_event_pending)
         self._log_failure(self._plan, error, elapsed_s)
         self._end_attempt(error.execution)
-        if self._crashes.suspected:
+        if self._crashes.retry_denial is not None:
             self._handover.discard()
 
     def _record_unfollowed(self, begun: BegunAttempt, error: UpstreamError) -> None:
@@ -269,12 +270,12 @@
     def retry_denial(self) -> RetryDenial | None:
         """Return what denies another attempt, None for nothing.
 
-        None is allowed while a part of its prompt may have ended a replica, once a
-        stream that can't be resumed has started, once the route's attempts are used
+        None is allowed while the request or a part of its prompt may end replicas, once
+        a stream that can't be resumed has started, once the route's attempts are used
         up, or shortly before the deadline.
         """
-        if self._crashes.suspected:
-            return RetryDenial.PROMPT_PART_SUSPECTED
+        if (denial := self._crashes.retry_denial) is not None:
+            return denial
         resumable = self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE
         if self._relay.started and not resumable:
             return RetryDenial.ANSWER_STARTED
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -123,7 +123,7 @@
     draining: bool = False
     in_flight: int = 0
     _fresh_connections_until: dict[Address, float] = field(default_factory=dict)
-    _logged_blame: set[str] = field(default_factory=set)
+    _logged_blame: dict[str, Cause] = field(default_factory=dict)
     _blame_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
@@ -256,31 +256,50 @@
         self.log_blame(source)
 
     def log_blame(self, source: str) -> None:
-        """Log which parts of prompts are blamed, and which no longer, since last time.
+        """Log which causes are blamed, and which no longer, since last time.
 
         Wakes those that wait for a change.
 
         :param source: what told of the change: a crash, an answer, a peer or time.
         """
-        blamed = set(self.blame.blamed)
-        told = {item.cause: item for item in self.blame.tell()} if blamed else {}
-        for part in sorted(blamed - self._logged_blame):
-            item = told.get(part)
-            record_state_change(
-                self.metrics,
+        logged = self._logged_blame
+        blamed = {cause.digest: cause for cause in self.blame.blamed_causes}
+        new = [cause for digest, cause in blamed.items() if digest not in logged]
+        told = {item.cause: item for item in self.blame.tell()} if new else {}
+        for cause in new:
+            item = told.get(cause.digest)
+            self._log_blame_change(
+                cause,
                 StateChange.PROMPT_PART_BLAMED,
-                part=part,
+                StateChange.REQUEST_BLAMED,
                 source=source,
                 crashes=len(item.crashes) if item else "-",
                 answers=len(item.answers) if item else "-",
                 answered_before=item.answered_before if item else "-",
             )
-        for part in sorted(self._logged_blame - blamed):
-            change = StateChange.PROMPT_PART_CLEARED
-            record_state_change(self.metrics, change, part=part, source=source)
+        for digest, cause in logged.items():
+            if digest not in blamed:
+                self._log_blame_change(
+                    cause,
+                    StateChange.PROMPT_PART_CLEARED,
+                    StateChange.REQUEST_CLEARED,
+                    source=source,
+                )
         self._logged_blame = blamed
         self._blame_changed.set()
 
+    def _log_blame_change(
+        self,
+        cause: Cause,
+        of_part: StateChange,
+        of_request: StateChange,
+        **fields: object,
+    ) -> None:
+        if cause.is_whole_request:
+            record_state_change(self.metrics, of_request, digest=cause.digest, **fields)
+            return
+        record_state_change(self.metrics, of_part, part=cause.digest, **fields)
+
     async def wait_for_blame(self, generation: int) -> None:
         """Wait until blame has changed since a generation of it."""
         while self.blame.generation == generation:
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -1,10 +1,10 @@
 """Causes that requests bear and under which replicas crash.
 
-A request may crash each replica that begins an answer to it, by a part of its prompt. A
-node counts the crashes and the answers of each cause, and nodes tell one another what
-they have counted. A cause is blamed when its crashes follow one another, hardly any
-answer comes, and no cause that is more suspect explains them. All nodes that know the
-same crashes and answers blame the same causes.
+A request may crash each replica that begins to run it, or an answer to it, by a part of
+its prompt or as a whole. A node counts the crashes and the answers of each cause, and
+nodes tell one another what they have counted. A cause is blamed when its crashes follow
+one another, hardly any answer comes, and no cause that is more suspect explains them.
+All nodes that know the same crashes and answers blame the same causes.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 from lentilshore_kernel.clock import Clock
 
-from .crash_causes import SUSPECT_CRASHES, Cause, CauseRecord, Crash
+from .crash_causes import SUSPECT_CRASHES, Cause, CauseRecord, Crash, Score
 from .crash_news import (
     MAX_ANSWERED_BEFORE,
     CauseNews,
@@ -31,6 +31,9 @@
 # Blame is checked against the time at this interval.
 REVIEW_INTERVAL_S = 1.0
 MAX_CAUSES = 128
+# Whole requests with one crash, beside the other causes: a replica that ends takes
+# along all requests that it is running.
+MAX_TAKEN_ALONG = 384
 MAX_TOLD_CAUSES = 32
 MAX_ANSWERED_CAUSES = 4_096
 
@@ -77,6 +80,11 @@
         self._review_if_due()
         return sorted(self._blamed)
 
+    @property
+    def blamed_causes(self) -> list[Cause]:
+        """The blamed causes."""
+        return [Cause(digest, self._records[digest].position) for digest in self.blamed]
+
     @property
     def unsound_count(self) -> int:
         """Number of items of news that were refused because they can't be true."""
@@ -102,7 +110,7 @@
             record.seen_at = now
             record.add_crash(Crash(name, record.next_rank(sent_at), now, now))
             self._keep(record, now)
-        newly = self._review()
+        newly = self._review_crash(causes)
         self._generation += bool(newly or not known)
         return newly
 
@@ -115,9 +123,10 @@
         now = self._clock.monotonic()
         request = short_digest(request_id)
         urgent = False
-        for digest, _ in causes:
-            self._remember_answer(digest, request, now)
-            record = self._records.get(digest)
+        for cause in causes:
+            record = self._records.get(cause.digest)
+            if not cause.is_whole_request:
+                self._remember_answer(cause.digest, request, now)
             if record is not None and not record.settled:
                 urgent |= record.add_answer(request, now)
         if urgent:
@@ -156,8 +165,11 @@
             if record is None:
                 continue
             score = record.count(explained)
-            once = record.answered and score.chained < SUSPECT_CRASHES
-            if score.chained and not score.answers and not once:
+            if (
+                score.chained
+                and not score.answers
+                and not _may_be_chance(record, score)
+            ):
                 return False
         return True
 
@@ -168,9 +180,7 @@
         told = [record for record in self._records.values() if record.is_told]
         # Where there are too many, the most suspect ones and a random choice.
         self._random.shuffle(told)
-        told.sort(
-            key=lambda record: (record.condemned, len(record.crashes)), reverse=True
-        )
+        told.sort(key=_suspicion, reverse=True)
         return [record.news(now) for record in told[:MAX_TOLD_CAUSES]]
 
     def learn(self, news: Iterable[CauseNews], asked_at: float) -> list[str]:
@@ -239,6 +249,15 @@
         if self._clock.monotonic() - self._reviewed_at >= REVIEW_INTERVAL_S:
             self._review()
 
+    def _review_crash(self, causes: Sequence[Cause]) -> list[str]:
+        """Review a crash; its first one under a whole request can change no blame."""
+        records = [self._records[cause.digest] for cause in causes]
+        if all(r.is_whole_request and len(r.crashes) == 1 for r in records):
+            for record in records:
+                record.score = record.count(set())
+            return []
+        return self._review()
+
     def _review(self) -> list[str]:
         """Blame causes by all that is known now.
 
@@ -276,7 +295,35 @@
     def _forget(self, now: float) -> None:
         """Forget causes that are of no interest, and those beyond the bound."""
         kept = [record for record in self._records.values() if record.is_kept(now)]
-        if len(kept) > MAX_CAUSES:
-            kept.sort(key=lambda c: (c.condemned, c.last_crash_at, c.digest))
-            del kept[:-MAX_CAUSES]
+        taken_along = [record for record in kept if _is_taken_along(record)]
+        others = [record for record in kept if not _is_taken_along(record)]
+        kept = _newest(others, MAX_CAUSES) + _newest(taken_along, MAX_TAKEN_ALONG)
         self._records = {record.digest: record for record in kept}
+
+
+def _suspicion(record: CauseRecord) -> tuple[bool, int, bool]:
+    """Return the order in which other nodes are told, the last first."""
+    return record.condemned, len(record.crashes), not record.is_whole_request
+
+
+def _may_be_chance(record: CauseRecord, score: Score) -> bool:
+    """Return whether a request may be sent again though a cause of it is suspected.
+
+    So may one that was only once there when a replica ended: a sound request that is
+    never asked for again has no answers that could clear it.
+    """
+    if record.is_whole_request:
+        return score.crashes < SUSPECT_CRASHES
+    return record.answered and score.chained < SUSPECT_CRASHES
+
+
+def _is_taken_along(record: CauseRecord) -> bool:
+    return record.is_whole_request and len(record.crashes) < SUSPECT_CRASHES
+
+
+def _newest(records: list[CauseRecord], count: int) -> list[CauseRecord]:
+    """Return the blamed records and the newest others, a number of them at most."""
+    if len(records) <= count:
+        return records
+    records.sort(key=lambda r: (r.condemned, r.last_crash_at, r.digest))
+    return records[-count:]
--- a/packages/routing/src/lentilshore_routing/crash_causes.py
+++ b/packages/routing/src/lentilshore_routing/crash_causes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
@@ -14,6 +15,7 @@
     MAX_CRASHES,
     MAX_RANK,
     SUSPECT_S,
+    WHOLE_REQUEST_POSITION,
     AnswerNews,
     CauseNews,
     CrashNews,
@@ -28,6 +30,8 @@
 # Crashes under which a cause is blamed that was not answered before, if two of them at
 # least followed one another.
 OVERLAPPING_BLAME_CRASHES = 5
+# Crashes that end at least this time apart are not those of replicas lost at one time.
+APART_S = 0.04
 # A cause explains crashes, before it is blamed, from this number of crashes in a row.
 SUSPECT_CRASHES = 2
 # Requests with a blamed cause are tried again after this time without a crash, so that
@@ -36,15 +40,21 @@
 
 
 class Cause(NamedTuple):
-    """What a request bears that may crash replicas: a part of its prompt.
+    """What a request bears that may crash replicas: a part of its prompt, or its whole.
 
     :param digest: digest under which nodes tell of it, 16 hexadecimal digits.
-    :param position: place of the part in the prompt, from 0.
+    :param position: place of the part in the prompt, from 0;
+        :data:`WHOLE_REQUEST_POSITION` for the whole request.
     """
 
     digest: str
     position: int
 
+    @property
+    def is_whole_request(self) -> bool:
+        """Whether the cause is the whole request."""
+        return self.position == WHOLE_REQUEST_POSITION
+
 
 def part_causes(parts: Sequence[PromptPart]) -> list[Cause]:
     """Return the parts of a prompt that other requests may share.
@@ -52,11 +62,26 @@
     :param parts: parts of the prompt in order.
     """
     return [
-        Cause(part_digest(part.name), position)
+        Cause(part_digest(part.name), min(position, WHOLE_REQUEST_POSITION - 1))
         for position, part in enumerate(parts[:-1])
     ]
 
 
+def whole_request_cause(
+    method: bytes, host: str, target: bytes, customer: str, body: bytes
+) -> Cause:
+    """Return the cause that all requests share that are alike.
+
+    :param target: path and query.
+    :param customer: name of the customer, empty for none. A key may be replaced.
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    for item in (method, host.encode(), target, customer.encode(), body):
+        digest.update(len(item).to_bytes(8, "big"))
+        digest.update(item)
+    return Cause(digest.hexdigest(), WHOLE_REQUEST_POSITION)
+
+
 class Crash(NamedTuple):
     """Crash of a replica; ``ended_by`` is the latest time that its news allows."""
 
@@ -67,7 +92,12 @@
 
 
 class Score(NamedTuple):
-    """Crashes in a row, all crashes since the first of them, and answers since."""
+    """Crashes in a row, and what came since the first of them.
+
+    :param chained: crashes in a row.
+    :param crashes: all crashes since the first of them.
+    :param answers: answers since.
+    """
 
     chained: int = 0
     crashes: int = 0
@@ -87,6 +117,11 @@
         # Result of the last review, without the crashes that other causes explain.
         self.score = Score()
 
+    @property
+    def is_whole_request(self) -> bool:
+        """Whether the cause is a whole request."""
+        return self.position == WHOLE_REQUEST_POSITION
+
     @property
     def last_crash_at(self) -> float:
         """Time of the newest crash."""
@@ -137,7 +172,8 @@
         they find out themselves that another cause explains its own.
         """
         if len(self.crashes) < SUSPECT_CRASHES:
-            return self.score.chained > 0 and not self.settled
+            settled = self.answers if self.is_whole_request else self.settled
+            return self.score.chained > 0 and not settled
         return self.score.chained > 0 or self.answered
 
     def preference(self) -> tuple[int, int, int, str]:
@@ -193,13 +229,17 @@
         :param explained: digests of the replicas whose crashes don't count.
         """
         crashes = [c for c in self.crashes.values() if c.replica not in explained]
-        chain = _chain(crashes)
+        # Few requests are alike, so that only time tells whether their crashes follow
+        # one another.
+        apart_s = APART_S if self.is_whole_request else math.inf
+        chain = _chain(crashes, apart_s)
         if not chain:
             return Score()
         first_at = chain[0].ended_at
+        since = [crash.ended_at for crash in crashes if crash.ended_at >= first_at]
         return Score(
             len(chain),
-            sum(crash.ended_at >= first_at for crash in crashes),
+            len(since),
             sum(at >= first_at for at in self.answers.values()),
         )
 
@@ -229,15 +269,18 @@
         )
 
 
-def _chain(crashes: Iterable[Crash]) -> list[Crash]:
-    """Return the crashes in a row that came last, the first one of each rank."""
+def _chain(crashes: Iterable[Crash], apart_s: float) -> list[Crash]:
+    """Return the crashes in a row that came last.
+
+    :param apart_s: crashes of one rank are in a row if they are so far apart, seconds.
+    """
     chain: list[Crash] = []
     for crash in sorted(crashes, key=lambda c: (c.rank, c.ended_at, c.replica)):
         if not chain:
             chain = [crash]
             continue
         last = chain[-1]
-        if crash.rank == last.rank:
+        if crash.rank == last.rank and crash.ended_at - last.ended_at < apart_s:
             continue
         apart = crash.ended_at - last.ended_at > SUSPECT_S
         if apart and len(chain) < BLAME_CRASHES:
--- a/packages/routing/src/lentilshore_routing/crash_news.py
+++ b/packages/routing/src/lentilshore_routing/crash_news.py
@@ -21,6 +21,8 @@
 MAX_ANSWERS = MAX_CRASHES // CRASHES_PER_ANSWER
 MAX_ANSWERED_BEFORE = 1_000
 MAX_POSITION = 1_000
+# Position that stands for the whole request.
+WHOLE_REQUEST_POSITION = MAX_POSITION
 MAX_RANK = 1_000
 # Digests of names that are kept, so that they are worked out once.
 MAX_CACHED_DIGESTS = 4_096
@@ -59,7 +61,8 @@
     """What one node tells others of a cause.
 
     :param cause: digest of the cause, 16 hexadecimal digits.
-    :param position: place of the part in prompts, from 0; the last one where it varies.
+    :param position: place of the part in prompts, from 0; the last one where it varies;
+        :data:`WHOLE_REQUEST_POSITION` for a whole request.
     :param crashes: the newest crashes.
     :param answers: the newest answers since the first crash.
     :param answered_before: most answers that one node has got in the time before.
