Blame a part whose crashes all overlap

Requests with a part that ended five replicas within 0.2 s, all sent before the first crash, went on to be sent until two more had ended (BUDGET): none of the crashes followed another, which looked like replicas lost at one time.

--- a/packages/routing/src/lentilshore_routing/crash_causes.py
+++ b/packages/routing/src/lentilshore_routing/crash_causes.py
@@ -96,11 +96,13 @@
 
     :param chained: crashes in a row.
     :param crashes: all crashes since the first of them.
+    :param apart: those of them that ended apart from the ones before.
     :param answers: answers since.
     """
 
     chained: int = 0
     crashes: int = 0
+    apart: int = 0
     answers: int = 0
 
 
@@ -141,8 +143,13 @@
             return False
         if self.answered:
             return score.chained >= ANSWERED_BLAME_CRASHES
-        overlapping = score.crashes >= OVERLAPPING_BLAME_CRASHES
-        return score.chained >= (SUSPECT_CRASHES if overlapping else BLAME_CRASHES)
+        if score.chained >= BLAME_CRASHES:
+            return True
+        if score.crashes < OVERLAPPING_BLAME_CRASHES:
+            return False
+        return (
+            score.chained >= SUSPECT_CRASHES or score.apart >= OVERLAPPING_BLAME_CRASHES
+        )
 
     @property
     def explains_crashes(self) -> bool:
@@ -240,6 +247,7 @@
         return Score(
             len(chain),
             len(since),
+            _count_apart(since),
             sum(at >= first_at for at in self.answers.values()),
         )
 
@@ -269,6 +277,15 @@
         )
 
 
+def _count_apart(times: Iterable[float]) -> int:
+    """Return how many times are each :data:`APART_S` later than the one before."""
+    count, last_at = 0, -math.inf
+    for at in sorted(times):
+        if at - last_at >= APART_S:
+            count, last_at = count + 1, at
+    return count
+
+
 def _chain(crashes: Iterable[Crash], apart_s: float) -> list[Crash]:
     """Return the crashes in a row that came last.
 
--- a/tests/test_crash_blame_mutants.py
+++ b/tests/test_crash_blame_mutants.py
@@ -46,6 +46,14 @@
     return node.crash("f", "s", sent_ago_s=0.015, pause_s=0.02) == ["s"]
 
 
+def blames_a_part_whose_crashes_all_overlap():
+    """Five crashes that end apart blame a part, though none followed another."""
+    node = Node()
+    for number in range(5):
+        node.crash("f", "s", sent_ago_s=0.2 + 0.02 * number, pause_s=0.05)
+    return named(node.blame.blamed) == ["s"]
+
+
 def spares_a_shared_part():
     """A first part that was answered is not blamed with the second ones."""
     node = Node()
@@ -302,6 +310,14 @@
         blames_a_part_whose_crashes_overlap,
         constants(OVERLAPPING_BLAME_CRASHES=99),
     ),
+    "crashes that end apart never count": (
+        blames_a_part_whose_crashes_all_overlap,
+        constants(APART_S=99.0),
+    ),
+    "crashes at one time are apart": (
+        spares_parts_of_replicas_lost_at_one_time,
+        constants(APART_S=0.0),
+    ),
     "nothing is explained away": (
         spares_a_shared_part,
         part_property("explains_crashes", False),
