--- a/packages/node/src/lentilshore_node/callers/services.py
+++ b/packages/node/src/lentilshore_node/callers/services.py
@@ -14,7 +14,8 @@
 from lentilshore_routing import Customer, ReplicaLease
 
 from ..clients.upstreams import ServiceAnswer, ServiceCall
-from ..delivery.attempts import AttemptLoop, RetryScope
+from ..delivery.attempted_request import RetryScope
+from ..delivery.attempts import AttemptLoop
 from ..delivery.jobs import Job
 from ..delivery.requests import IDEMPOTENCY_KEY_HEADER, ServiceRequest
 from ..delivery.responder import Responder
--- a/packages/node/src/lentilshore_node/delivery/completion_runner.py
+++ b/packages/node/src/lentilshore_node/delivery/completion_runner.py
@@ -15,7 +15,8 @@
 
 from ..clients.upstreams import EngineCall, StreamChunk, WholeAnswer
 from ..state.context import NodeContext
-from .attempts import AttemptLoop, RetryScope
+from .attempted_request import RetryScope
+from .attempts import AttemptLoop
 from .jobs import Job
 from .requests import CompletionRequest
 from .version_options import VersionOption
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -38,7 +38,8 @@
 from .answers import Answer, AnswerRelay, check_answer_head
 from .attempt_planner import AttemptPlanner
 from .attempt_sender import AttemptSender
-from .attempts import AttemptLoop, ExecutionProof, RetryScope
+from .attempted_request import RetryScope
+from .attempts import AttemptLoop, ExecutionProof
 from .crash_watch import CrashWatch
 from .escalation import Escalation
 from .handover import TAKE_UP_S, AttemptPlan, BegunAttempt, Handover
--- a/tests/retry_storm.py
+++ b/tests/retry_storm.py
@@ -10,7 +10,8 @@
 from lentilshore_kernel.metrics import MetricsRecorder
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_kernel.types import Address, Execution, RefusalReason, RetryDenial
-from lentilshore_node.delivery.attempts import AttemptLoop, RetryScope
+from lentilshore_node.delivery.attempted_request import RetryScope
+from lentilshore_node.delivery.attempts import AttemptLoop
 from lentilshore_node.programs.gateway_assembly import (
     REQUEST_RETRY_LIMIT,
     create_retry_budget,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -14,7 +14,8 @@
     RetryDenial,
     RetryReason,
 )
-from lentilshore_node.delivery.attempts import AttemptLoop, ExecutionProof, RetryScope
+from lentilshore_node.delivery.attempted_request import RetryScope
+from lentilshore_node.delivery.attempts import AttemptLoop, ExecutionProof
 from lentilshore_node.programs.gateway_assembly import create_retry_budget
 from lentilshore_node.state.room_queue import RoomQueue
 from lentilshore_routing.placement import Placement
