Blame whole requests: fleets without I/O, mutants, fewer causes told

The fleet without I/O had no whole requests, and its gateways did not count those that a crash takes along. With them, sound requests that had met two crashes explained the crashes of bad parts, so that parts were blamed late and sound requests blamed, and messages grew to 23 KB a second of a gateway (four bad parts, 5 requests a second each, 7 gateways).

A whole request now explains crashes only once it is blamed and comes after the parts where both are as suspect; it gets no third attempt whatever explains its crashes; others are told of one with a single crash after 0.5 s, if no answer has come, and of 8 that are not blamed.

A bad whole request at 7, 79 and 340 gateways, 0.3, 1 and 5 times a second: at most 3 late sends, no sound one refused, under 8 KB a second of a gateway. Random crashes and lookups that come again alike blame none (9 cases). Nine mutants of the new decisions are killed.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -35,6 +35,7 @@
 # along all requests that it is running.
 MAX_TAKEN_ALONG = 384
 MAX_TOLD_CAUSES = 32
+MAX_TOLD_REQUESTS = 8  # whole requests among them that are not blamed
 MAX_ANSWERED_CAUSES = 4_096
 
 
@@ -61,6 +62,8 @@
         self._answered: OrderedDict[str, _Answers] = OrderedDict()
         self._reviewed_at = -math.inf
         self._generation = 0
+        # Whole requests with one crash that others are told of.
+        self._due: set[str] = set()
         self._unsound_count = 0
 
     @property
@@ -110,7 +113,13 @@
             record.seen_at = now
             record.add_crash(Crash(name, record.next_rank(sent_at), now, now))
             self._keep(record, now)
-        newly = self._review_crash(causes)
+        if all(_is_taken_along(self._records[cause.digest]) for cause in causes):
+            # It can change no blame, and others are told of it later.
+            for cause in causes:
+                record = self._records[cause.digest]
+                record.score = record.count(set())
+            return []
+        newly = self._review()
         self._generation += bool(newly or not known)
         return newly
 
@@ -177,10 +186,13 @@
         """Return what this node knows, for other nodes."""
         self._review_if_due()
         now = self._clock.monotonic()
-        told = [record for record in self._records.values() if record.is_told]
+        told = [record for record in self._records.values() if record.is_told(now)]
         # Where there are too many, the most suspect ones and a random choice.
         self._random.shuffle(told)
         told.sort(key=_suspicion, reverse=True)
+        requests = [r for r in told if r.is_whole_request and not r.condemned]
+        left_out = {record.digest for record in requests[MAX_TOLD_REQUESTS:]}
+        told = [record for record in told if record.digest not in left_out]
         return [record.news(now) for record in told[:MAX_TOLD_CAUSES]]
 
     def learn(self, news: Iterable[CauseNews], asked_at: float) -> list[str]:
@@ -249,15 +261,6 @@
         if self._clock.monotonic() - self._reviewed_at >= REVIEW_INTERVAL_S:
             self._review()
 
-    def _review_crash(self, causes: Sequence[Cause]) -> list[str]:
-        """Review a crash; its first one under a whole request can change no blame."""
-        records = [self._records[cause.digest] for cause in causes]
-        if all(r.is_whole_request and len(r.crashes) == 1 for r in records):
-            for record in records:
-                record.score = record.count(set())
-            return []
-        return self._review()
-
     def _review(self) -> list[str]:
         """Blame causes by all that is known now.
 
@@ -270,6 +273,13 @@
         while not (found := self._score_causes(known)) <= known:
             known |= found
         self._forget(now)
+        due = {
+            record.digest
+            for record in self._records.values()
+            if _is_taken_along(record) and record.is_told(now)
+        }
+        self._generation += not due <= self._due
+        self._due = due
         before = self._blamed
         self._blamed = {
             digest for digest, record in self._records.items() if record.is_blamed(now)
@@ -313,7 +323,7 @@
     never asked for again has no answers that could clear it.
     """
     if record.is_whole_request:
-        return score.crashes < SUSPECT_CRASHES
+        return len(record.crashes) < SUSPECT_CRASHES
     return record.answered and score.chained < SUSPECT_CRASHES
 
 
--- a/packages/routing/src/lentilshore_routing/crash_causes.py
+++ b/packages/routing/src/lentilshore_routing/crash_causes.py
@@ -30,6 +30,9 @@
 # Crashes under which a cause is blamed that was not answered before, if two of them at
 # least followed one another.
 OVERLAPPING_BLAME_CRASHES = 5
+# Others are told of a whole request with one crash after this time: most of those that
+# a replica took along are answered elsewhere until then.
+TAKEN_ALONG_DELAY_S = 0.5
 # Crashes that end at least this time apart are not those of replicas lost at one time.
 APART_S = 0.04
 # A cause explains crashes, before it is blamed, from this number of crashes in a row.
@@ -154,6 +157,9 @@
     @property
     def explains_crashes(self) -> bool:
         """Whether the cause is suspect enough to clear others of its crashes."""
+        if self.is_whole_request:
+            # A sound one may have met two crashes in a row.
+            return self.condemned
         score = self.score
         suspect = score.chained >= SUSPECT_CRASHES and not score.answers
         return suspect or self.condemned
@@ -171,22 +177,24 @@
         since = sum(at > self.last_crash_at for at in self.answers.values())
         return since >= MAX_ANSWERS
 
-    @property
-    def is_told(self) -> bool:
+    def is_told(self, now: float) -> bool:
         """Whether other nodes are told of the cause.
 
         They may not know that it was answered, and let it explain crashes. Otherwise
         they find out themselves that another cause explains its own.
         """
         if len(self.crashes) < SUSPECT_CRASHES:
-            settled = self.answers if self.is_whole_request else self.settled
-            return self.score.chained > 0 and not settled
+            if self.is_whole_request:
+                due = now - self.last_crash_at >= TAKEN_ALONG_DELAY_S
+                return due and self.score.chained > 0 and not self.answers
+            return self.score.chained > 0 and not self.settled
         return self.score.chained > 0 or self.answered
 
-    def preference(self) -> tuple[int, int, int, str]:
+    def preference(self) -> tuple[int, int, bool, int, str]:
         """Return the order in which causes are suspected of the same crash."""
         answered = self.answered_before + len(self.answers)
-        return answered, -len(self.crashes), -self.position, self.digest
+        crashes = len(self.crashes)
+        return answered, -crashes, self.is_whole_request, -self.position, self.digest
 
     def is_blamed(self, now: float) -> bool:
         """Return whether requests with the cause are refused."""
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -23,7 +23,7 @@
     tell,
 )
 from lentilshore_routing.crash_blame import CrashBlame
-from lentilshore_routing.crash_causes import Cause, part_causes
+from lentilshore_routing.crash_causes import Cause, part_causes, whole_request_cause
 from lentilshore_routing.routes import PromptPart
 
 LOST_MESSAGES = 0.02
@@ -46,6 +46,25 @@
     nested: bool = True
 
 
+class WholeTraffic(NamedTuple):
+    """Requests without parts: those that crash replicas as a whole, and sound ones.
+
+    :param bad: the bad requests; each comes again alike.
+    :param sound_per_s: sound requests a second.
+    :param alike_count: number of different ones among those that come again alike.
+    :param alike_share: share of those that come again alike.
+    """
+
+    bad: tuple[str, ...] = ()
+    bad_per_s: float = 1.0
+    sound_per_s: float = 0.0
+    alike_count: int = 20
+    alike_share: float = 0.5
+
+
+NO_WHOLE = WholeTraffic()
+
+
 class Gateway:
     """A gateway with what it knows of causes; stands in for its context."""
 
@@ -95,17 +114,25 @@
     excused: bool
 
 
+def whole_cause(body):
+    """Return the cause of a request with a body."""
+    return whole_request_cause(b"POST", "h", b"/p", "customer", body.encode())
+
+
 class World:
     """Gateways, replicas and callers on a fake clock."""
 
-    def __init__(self, gateways, traffic, seed=1, replicas=5):
+    def __init__(self, gateways, traffic, seed=1, replicas=5, whole=NO_WHOLE):
         self.clock = FakeClock()
         self.random = random.Random(f"{seed} {gateways} {traffic}")
         self.traffic = traffic
         self.gateways = {}
         self.replicas = {}
         self.sends: list[Send] = []
-        self.crashes: dict[str, list[float]] = {bad: [] for bad in traffic.bad}
+        self.whole = whole
+        self.crashes: dict[str, list[float]] = {
+            bad: [] for bad in traffic.bad + whole.bad
+        }
         self.refused_sound = self.refused_bad = self.served = 0
         self.bad_stopped = False
         self._events = []
@@ -147,11 +174,16 @@
         """Serve sound requests only."""
         if self.traffic.sound_per_s:
             self._send_sound()
+        if self.whole.sound_per_s:
+            self._send_sound_whole()
         return self.run(lasts_s)
 
     def start_bad(self):
         for bad in self.traffic.bad:
             self.after(self.random.random() / self.traffic.bad_per_s, self._bad, bad)
+        for bad in self.whole.bad:
+            delay_s = self.random.random() / self.whole.bad_per_s
+            self.after(delay_s, self._bad_whole, bad)
         return self
 
     def stop_bad(self):
@@ -175,10 +207,11 @@
             self._crash(name)
 
     def late_sends(self, bad):
-        """Return the sends of gateways in touch long after the fifth crash."""
-        if len(self.crashes[bad]) < 5:
+        """Return the sends of gateways in touch long after the last allowed crash."""
+        allowed = 3 if bad in self.whole.bad else 5
+        if len(self.crashes[bad]) < allowed:
             return 0
-        known_at = self.crashes[bad][4] + STABLE_S
+        known_at = self.crashes[bad][allowed - 1] + STABLE_S
         return sum(
             send.bad == bad and send.at > known_at and not send.excused
             for send in self.sends
@@ -217,10 +250,26 @@
         pause_s = self.random.expovariate(self.traffic.bad_per_s)
         self.after(pause_s, self._bad, bad)
 
-    def _request(self, names, bad):
+    def _send_sound_whole(self):
+        name = f"unique-{next(self._names)}"
+        if self.random.random() < self.whole.alike_share:
+            name = f"alike-{self.random.randrange(self.whole.alike_count)}"
+        self._request([], None, name)
+        pause_s = self.random.expovariate(self.whole.sound_per_s)
+        self.after(pause_s, self._send_sound_whole)
+
+    def _bad_whole(self, bad):
+        if self.bad_stopped:
+            return
+        self._request([], bad, bad)
+        pause_s = self.random.expovariate(self.whole.bad_per_s)
+        self.after(pause_s, self._bad_whole, bad)
+
+    def _request(self, names, bad, body=""):
         identifier = f"r-{next(self._names)}"
         parts = tuple(PromptPart(name, 100) for name in [*names, f"own-{identifier}"])
-        request = Request(identifier, part_causes(parts), bad, self._live_gateway(), 0)
+        causes = [*part_causes(parts), whole_cause(body or identifier)]
+        request = Request(identifier, causes, bad, self._live_gateway(), 0)
         self._send(request)
 
     def _send(self, request):
@@ -237,6 +286,9 @@
             return
         name = self.random.choice(list(self.replicas))
         begins_s = self.random.uniform(0.06, 0.2)
+        if request.bad in self.whole.bad:
+            # It ends its replica before the head of an answer.
+            begins_s = self.random.uniform(0.012, 0.09)
         event_s = begins_s + self.random.uniform(0.005, 0.03)
         attempt = Attempt(
             request._replace(attempts=request.attempts + 1),
@@ -279,12 +331,13 @@
             gateway = request.gateway
             if not gateway.alive:
                 continue
-            if attempt.begins_at > self.now:
-                self._send(request)
-                continue
-            gateway.blame.record_crash(request.causes, name, attempt.sent_at)
+            causes = request.causes
+            if attempt.begins_at > self.now or request.bad in self.whole.bad:
+                # Without the head of an answer, the parts are not suspected.
+                causes = causes[-1:]
+            gateway.blame.record_crash(causes, name, attempt.sent_at)
             self.push_if_new(gateway)
-            if gateway.blame.may_retry(request.causes):
+            if gateway.blame.may_retry(causes):
                 self._send(request)
 
     def push_if_new(self, gateway):
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -8,7 +8,7 @@
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_routing import crash_blame, crash_news
 from lentilshore_routing.crash_blame import CrashBlame
-from lentilshore_routing.crash_causes import part_causes
+from lentilshore_routing.crash_causes import part_causes, whole_request_cause
 from lentilshore_routing.crash_news import (
     AnswerNews,
     CauseNews,
@@ -334,6 +334,25 @@
     assert len(news.crashes) == crash_news.MAX_CRASHES
 
 
+ALIKE = (b"POST", "h", b"/p?q=1", "kerlann", b"{}")
+
+
+# The digest must not depend on what differs between requests that are alike.
+def test_whole_requests_are_alike_in_five_things():
+    causes = {whole_request_cause(*ALIKE)}
+    for position, other in enumerate((b"PUT", "i", b"/p?q=2", "other", b"{ }")):
+        changed = [*ALIKE[:position], other, *ALIKE[position + 1 :]]
+        causes.add(whole_request_cause(*changed))
+    assert whole_request_cause(*ALIKE) in causes
+    assert len(causes) == 6
+    assert all(cause.is_whole_request for cause in causes)
+
+
+def test_the_limits_of_neighbouring_values_count():
+    split = whole_request_cause(b"POST", "h", b"/p", "ab", b"c")
+    assert split != whole_request_cause(b"POST", "h", b"/p", "a", b"bc")
+
+
 def test_remembered_answers_are_bounded():
     node = Node()
     for number in range(crash_blame.MAX_ANSWERED_CAUSES + 10):
--- a/tests/test_crash_blame_fleet.py
+++ b/tests/test_crash_blame_fleet.py
@@ -3,13 +3,20 @@
 import pytest
 
 from lentilshore_routing.crash_news import part_digest
-from tests.crash_fleet import ALLOWED_SENDS, Traffic, World
+from tests.crash_fleet import (
+    ALLOWED_SENDS,
+    Traffic,
+    WholeTraffic,
+    World,
+    whole_cause,
+)
 
 MAX_BYTES_PER_S = 8_000  # of one gateway, in both directions
 MAX_SPREAD_S = 1.0
 LASTS_S = 20.0
 TWO, FOUR = ("bad-0", "bad-1"), ("bad-0", "bad-1", "bad-2", "bad-3")
 SOUND = Traffic(bad=())
+NO_PARTS = Traffic(bad=(), sound_per_s=0.0)
 
 
 def digests(traffic):
@@ -125,3 +132,73 @@
     world.run(90.0)
     assert world.blamed() == set()
     assert not any(gateway.blame.active for gateway in world.gateways.values())
+
+
+def whole_digests(world):
+    return {whole_cause(bad).digest for bad in world.whole.bad}
+
+
+def check_whole(world):
+    """Check that bad requests were soon sent no more, and sound ones always."""
+    bad = world.whole.bad
+    assert [name for name in bad if world.late_sends(name) > ALLOWED_SENDS] == []
+    assert world.refused_sound == 0
+    assert world.blamed() <= whole_digests(world) | digests(world.traffic)
+    total = sum(gateway.bytes for gateway in world.gateways.values())
+    assert total <= MAX_BYTES_PER_S * LASTS_S * len(world.gateways)
+
+
+# Requests that crash replicas as a whole were sent on by all gateways (BUDGET).
+@pytest.mark.parametrize("per_s", [0.3, 1.0, 5.0])
+@pytest.mark.parametrize("count", [7, 79, 340])
+def test_a_whole_request_that_crashes_replicas_is_soon_sent_no_more(count, per_s):
+    whole = WholeTraffic(("whole-0",), per_s, sound_per_s=20.0)
+    world = World(count, NO_PARTS, whole=whole).warm_up().start_bad().run(LASTS_S)
+    assert len(world.crashes["whole-0"]) >= 3
+    check_whole(world)
+
+
+@pytest.mark.parametrize("count", [7, 79, 340])
+def test_all_gateways_know_of_a_blamed_request_within_a_second(count):
+    whole = WholeTraffic(("whole-0",), sound_per_s=20.0)
+    world = World(count, NO_PARTS, whole=whole).warm_up().start_bad()
+    while not world.blamed():
+        world.run(0.05)
+    world.run(MAX_SPREAD_S)
+    assert {tuple(g.blame.blamed) for g in world.gateways.values()} == {
+        tuple(whole_digests(world))
+    }
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [0.3, 1.0, 5.0])
+def test_several_whole_requests_beside_a_bad_part(per_s, seed):
+    whole = WholeTraffic(("whole-0", "whole-1", "whole-2"), per_s, sound_per_s=20.0)
+    world = World(7, Traffic(bad_per_s=per_s), seed, whole=whole)
+    check_whole(world.warm_up().start_bad().run(LASTS_S))
+    assert world.late_sends("bad-0") <= ALLOWED_SENDS
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_gateways_cut_off_or_started_again_learn_of_blamed_requests(seed):
+    whole = WholeTraffic(("whole-0",), sound_per_s=20.0)
+    world = World(7, NO_PARTS, seed, whole=whole).warm_up()
+    world.cut("g-0", 8.0)
+    world.start_bad().run(6.0)
+    world.kill("g-1", 1.0)
+    check_whole(world.run(14.0))
+    for name in ("g-0", "g-1"):
+        assert set(world.gateways[name].blame.blamed) == whole_digests(world)
+
+
+# Sound requests that a replica takes along must never be blamed (LOST).
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("alike", [1, 5, 40])
+def test_replicas_that_crash_for_other_reasons_blame_no_whole_request(alike, seed):
+    whole = WholeTraffic(sound_per_s=40.0, alike_count=alike)
+    world = World(7, NO_PARTS, seed, replicas=8, whole=whole).warm_up(5.0)
+    for pause_s in (5.0, 5.0, *[0.7] * 20):
+        world.crash_replicas(5 if pause_s > 1 else 1)
+        world.run(pause_s)
+        assert world.blamed() == set()
+    assert world.refused_sound == 0
--- a/tests/test_crash_blame_mutants.py
+++ b/tests/test_crash_blame_mutants.py
@@ -11,7 +11,7 @@
 from lentilshore_routing.crash_blame import CrashBlame
 from lentilshore_routing.crash_causes import CauseRecord, part_causes
 from lentilshore_routing.crash_news import part_digest
-from tests.crash_fleet import ALLOWED_SENDS, Traffic, World
+from tests.crash_fleet import ALLOWED_SENDS, Traffic, World, whole_cause
 from tests.test_crash_blame import (
     SOUND,
     Node,
@@ -164,6 +164,69 @@
     return node.blame.may_retry(prompt("f", "s"))
 
 
+def crash_whole(node, count, apart_s=0.1):
+    """End replicas under a whole request, none of whose crashes followed another."""
+    sent_at = node.clock.monotonic() - 0.1
+    for number in range(count):
+        node.clock.advance(apart_s)
+        node.blame.record_crash([WHOLE], f"i-{number}", sent_at)
+
+
+def blames_a_whole_request():
+    """Three crashes that end apart blame a whole request."""
+    node = Node()
+    crash_whole(node, 3)
+    return node.blame.blamed == [WHOLE.digest]
+
+
+def spares_a_whole_request_at_replicas_lost_at_one_time():
+    """Replicas lost at one time blame no whole request."""
+    node = Node()
+    crash_whole(node, 3, apart_s=0.0)
+    return not node.blame.blamed
+
+
+def spares_a_whole_request_that_is_answered():
+    """A whole request that is answered after a crash is not blamed."""
+    node = Node()
+    crash_whole(node, 2)
+    node.blame.record_answer([WHOLE], "r-1")
+    crash_whole(node, 4)
+    return not node.blame.blamed
+
+
+def retries_a_whole_request_once():
+    """A whole request is sent to one more replica after a crash, and to no third."""
+    node = Node()
+    crash_whole(node, 1)
+    once = node.blame.may_retry([WHOLE])
+    crash_whole(node, 2)
+    return once and not node.blame.may_retry([WHOLE])
+
+
+def tells_of_requests_taken_along_later():
+    """Others are told of a whole request with one crash if no answer comes soon."""
+    node = Node()
+    crash_whole(node, 1)
+    at_once = node.blame.tell()
+    node.clock.advance(1.0)
+    return not at_once and len(node.blame.tell()) == 1
+
+
+def keeps_few_requests_taken_along():
+    """Requests that replicas take along leave room for suspected parts."""
+    node = Node()
+    node.crash("f", "s")
+    for number in range(600):
+        node.blame.record_crash([whole_cause(str(number))], "i-1", 0.0)
+    node.clock.advance(1.0)
+    node.blame.tell()
+    return (
+        node.blame.may_retry(prompt("f", "s")) is False
+        and len(node.blame._records) < 400
+    )
+
+
 def forgets_blame():
     """Blame ends when no request with the part comes any more."""
     node = Node()
@@ -246,13 +309,13 @@
 
 
 def earlier_part_first(self):
-    answered, crashes, position, digest = PREFERENCE(self)
-    return answered, crashes, -position, digest
+    answered, crashes, whole, position, digest = PREFERENCE(self)
+    return answered, crashes, whole, -position, digest
 
 
 def fewer_crashes_first(self):
-    answered, crashes, position, digest = PREFERENCE(self)
-    return answered, position, -crashes, digest
+    answered, crashes, whole, position, digest = PREFERENCE(self)
+    return answered, whole, position, -crashes, digest
 
 
 def ignores_what_was_answered(self):
@@ -276,6 +339,7 @@
 PREFERENCE = CauseRecord.preference
 PART_CAUSES = part_causes
 DIGESTS = itertools.count()
+WHOLE = whole_cause("bad")
 
 
 @contextmanager
@@ -360,14 +424,48 @@
     ),
     "parts that others explain are not told": (
         tells_of_answers_to_explained_parts,
-        patch.object(
-            CauseRecord, "is_told", property(lambda self: self.score.chained > 0)
-        ),
+        patch.object(CauseRecord, "is_told", lambda self, _: self.score.chained > 0),
     ),
     "suspected parts explain before blamed ones": (
         lets_blamed_causes_explain_first,
         patch.object(CrashBlame, "_score_causes", scores_once),
     ),
+    "whole requests need one more crash": (
+        blames_a_whole_request,
+        constants(BLAME_CRASHES=4),
+    ),
+    "only news puts crashes in a row": (
+        blames_a_whole_request,
+        constants(APART_S=99.0),
+    ),
+    "crashes of whole requests at one time count": (
+        spares_a_whole_request_at_replicas_lost_at_one_time,
+        constants(APART_S=0.0),
+    ),
+    "answers to whole requests are ignored": (
+        spares_a_whole_request_that_is_answered,
+        patch.object(CrashBlame, "record_answer", lambda *_: None),
+    ),
+    "a whole request is never retried": (
+        retries_a_whole_request_once,
+        patch.object(crash_blame, "_may_be_chance", lambda *_: False),
+    ),
+    "a whole request is always retried": (
+        retries_a_whole_request_once,
+        patch.object(crash_blame, "_may_be_chance", lambda *_: True),
+    ),
+    "requests taken along are told at once": (
+        tells_of_requests_taken_along_later,
+        constants(TAKEN_ALONG_DELAY_S=0.0),
+    ),
+    "requests taken along are never told": (
+        tells_of_requests_taken_along_later,
+        constants(TAKEN_ALONG_DELAY_S=1e9),
+    ),
+    "requests taken along are not bounded": (
+        keeps_few_requests_taken_along,
+        constants(MAX_TAKEN_ALONG=10_000),
+    ),
     "suspects are retried": (
         does_not_retry_a_suspect,
         patch.object(CrashBlame, "may_retry", lambda *_: True),
