Failing tests: rejections leave no retry to requests that have time left

Callers get 502 with seconds left. A replica that broke off once is not asked again while the others are full, since only those that rejected the request are tried after a pause. Tests of the pauses allow 50 retries; with the budget of a quiet gateway about five rejections use it up within some tenths of a second, for the request itself and for others of the service.

--- /dev/null
+++ b/tests/test_retry_review.py
@@ -0,0 +1,89 @@
+"""Requests that may have run, and what other tries leave for them."""
+
+import anyio
+import pytest
+
+from tests.test_gateway import Caller, GatewayHarness, signed
+from tests.test_handover_races import rejection
+from tests.test_retries_after_rejections import (
+    ANSWER,
+    FIELDS,
+    BusyReplicas,
+    with_many_retries,
+)
+
+BROKEN = ["reset"]
+
+
+# Guards against LOST: a replica that broke off once and has room again was never asked
+# again, only the full one, until the deadline.
+def test_a_replica_that_failed_once_is_asked_again_where_the_others_are_full():
+    failed = []
+
+    def replicas(fields):
+        name = fields["x-expect-instance"]
+        if not failed:
+            failed.append(name)
+            return BROKEN
+        return signed(b"whole")(fields) if name == failed[0] else rejection(fields)
+
+    harness = GatewayHarness([replicas], ANSWER)
+    caller = harness.run(Caller(FIELDS), with_many_retries)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against LOST: with the budget of a gateway that has sent little, rejections in
+# a row still ended a request after some tenths of a second.
+@pytest.mark.parametrize("first", [BROKEN, ["hang"]], ids=["broken", "silent"])
+def test_rejections_end_no_request_within_the_budget_of_a_quiet_gateway(first):
+    replicas = BusyReplicas(first, rejection, signed(b"whole"), late_s=0.0)
+    caller = GatewayHarness([replicas], ANSWER).run(Caller(FIELDS))
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+def first_ends(ends):
+    """Return replicas that begin each request as stated, then answer it."""
+    seen = set()
+
+    def replicas(fields):
+        name = fields["x-attempt-id"]
+        begins = name not in seen
+        seen.add(name)
+        return ends(name, begins, fields)
+
+    return replicas
+
+
+# Guards against LOST: one request that full replicas reject used up the retries of its
+# service, so that another one, which had broken off, was not sent again.
+@pytest.mark.parametrize("first", [BROKEN, None], ids=["broken", "not_run"])
+def test_one_rejected_request_leaves_retries_to_others(first):
+    def ends(name, begins, fields):
+        if name == "full":
+            return first if begins and first else rejection(fields)
+        return BROKEN if begins else signed(b"whole")(fields)
+
+    async def act(harness, application, caller):
+        rejected = Caller(FIELDS, request_id=b"full")
+        await rejected.send_to(application)
+        assert rejected.status in (502, 503, 504)
+        await caller.send_to(application)
+
+    caller = GatewayHarness([first_ends(ends)], ANSWER).run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against LOST: a request that may have run ended at once where its replicas had
+# left the list before the new ones were known.
+def test_an_empty_list_of_replicas_ends_no_request_that_may_have_run():
+    async def act(harness, application, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            await anyio.sleep(0.1)
+            harness.context.view.replace_replicas([])
+            await anyio.sleep(0.6)
+            harness.context.view.replace_replicas([harness._record("i-3")])
+
+    harness = GatewayHarness([[0.2, "reset"], signed(b"whole")], ANSWER)
+    caller = harness.run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
