Failing tests: no replica for a while, and wake-ups without a pause

Callers whose request may have run get 502 at once while all replicas are paused or draining. A rejected request is woken by each answer to another one and tried again without a pause, which uses up the retries of its service.

--- a/tests/test_retry_review.py
+++ b/tests/test_retry_review.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from lentilshore_routing.retries import TokenBucketBudget
 from tests.test_gateway import Caller, GatewayHarness, signed
 from tests.test_handover_races import rejection
 from tests.test_retries_after_rejections import (
@@ -87,3 +88,75 @@
     harness = GatewayHarness([[0.2, "reset"], signed(b"whole")], ANSWER)
     caller = harness.run(Caller(FIELDS), act)
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+def drain(harness):
+    records = [harness._record(name) for name in ("i-1", "i-2")]
+    harness.context.view.replace_replicas(
+        [r._replace(replica=r.replica._replace(draining=True)) for r in records]
+    )
+
+
+def pause(harness):
+    for name in ("i-1", "i-2"):
+        harness.context.placement.pause(name, 0.5)
+
+
+# Guards against LOST: a request that may have run ended at once where no replica might
+# be sent anything for a while, though one was available long before its deadline.
+@pytest.mark.parametrize("end_all", [drain, pause])
+def test_a_time_without_replicas_ends_no_request_that_may_have_run(end_all):
+    async def act(harness, application, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            await anyio.sleep(0.1)
+            end_all(harness)
+            await anyio.sleep(0.6)
+            harness.context.view.replace_replicas([harness._record("i-3")])
+
+    harness = GatewayHarness([[0.2, "reset"], signed(b"whole")], ANSWER)
+    caller = harness.run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against BUDGET and LOST: each answer to another request woke a rejected one at
+# once, so that it was rejected a hundred times a second and used up the retries.
+def test_answers_to_others_wake_a_rejected_request_seldom():
+    tries = []
+
+    def replicas(fields):
+        if fields["x-attempt-id"] != "a1":
+            return signed(b"other")(fields)
+        tries.append(fields["x-expect-instance"])
+        return BROKEN if len(tries) == 1 else rejection(fields)
+
+    async def act(harness, application, caller):
+        budget = TokenBucketBudget(reserve=500.0, capacity=500.0)
+        harness.context.retries._create_budget = lambda: budget
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            for number in range(100):
+                await Caller(FIELDS, request_id=b"o%d" % number).send_to(application)
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    GatewayHarness([replicas], ANSWER).run(Caller(FIELDS), act)
+    assert len(tries) <= 20
+
+
+# Guards against GONE: a caller that leaves during a pause ends the tries.
+def test_a_caller_that_leaves_during_a_pause_leaves_nothing_behind():
+    async def act(harness, application, caller):
+        budget = TokenBucketBudget(reserve=500.0, capacity=500.0)
+        harness.context.retries._create_budget = lambda: budget
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            await anyio.sleep(1.0)
+            assert harness.context.room._waiters
+            caller._disconnected.set()
+        count = len(harness.server.requests)
+        await anyio.sleep(0.7)
+        assert len(harness.server.requests) == count
+        assert not harness.context.room._waiters
+
+    GatewayHarness([BROKEN, rejection], ANSWER).run(Caller(FIELDS), act)
