Failing tests: a budget used up for a while, and room at a replica that failed

Callers get 502 or a cut stream with seconds left: a request that broke off does not wait for the budget, and one that is woken by room at the replica that failed it first asks the full replica.

--- a/tests/test_retry_review.py
+++ b/tests/test_retry_review.py
@@ -4,11 +4,12 @@
 import pytest
 
 from lentilshore_routing.retries import TokenBucketBudget
-from tests.test_gateway import Caller, GatewayHarness, signed
+from tests.test_gateway import Caller, GatewayHarness, event, signed, stream
 from tests.test_handover_races import rejection
 from tests.test_retries_after_rejections import (
     ANSWER,
     FIELDS,
+    STREAM,
     BusyReplicas,
     with_many_retries,
 )
@@ -144,6 +145,74 @@
     assert len(tries) <= 20
 
 
+class LaterBudget:
+    """Retry budget that allows retries only from some time after its creation on."""
+
+    def __init__(self):
+        self._allowed_at = anyio.current_time() + 0.6
+
+    def earn(self):
+        """Count nothing."""
+
+    def can_spend(self):
+        """Allow retries from that time on."""
+        return anyio.current_time() >= self._allowed_at
+
+    def try_spend(self):
+        """Allow retries from that time on."""
+        return self.can_spend()
+
+    def refund(self):
+        """Count nothing."""
+
+
+# Guards against LOST: a request that had broken off ended at once where the budget had
+# no retry just then; only one that had been handed over waited.
+@pytest.mark.parametrize(
+    ("first", "last", "with_route", "body"),
+    [
+        (BROKEN, signed(b"whole"), ANSWER, b"whole"),
+        (stream([1], "reset"), stream([2], "whole"), STREAM, event(1) + event(2)),
+    ],
+    ids=["answer", "stream"],
+)
+def test_a_budget_that_is_used_up_for_a_while_ends_no_broken_request(
+    first, last, with_route, body
+):
+    async def act(harness, application, caller):
+        harness.context.retries._create_budget = LaterBudget
+        await caller.send_to(application)
+
+    caller = GatewayHarness([first, last], with_route).run(Caller(FIELDS), act)
+    assert (caller.status, caller.body, caller.complete) == (200, body, True)
+
+
+# Guards against LOST: a replica that shows room wakes a request that it had failed, and
+# the request asks it, not the full one.
+def test_a_request_asks_the_replica_whose_room_woke_it():
+    tries = []
+
+    def replicas(fields):
+        if fields["x-attempt-id"] != "a1":
+            own = fields["x-expect-instance"] == tries[0]
+            return signed(b"other")(fields) if own else rejection(fields)
+        tries.append(fields["x-expect-instance"])
+        if len(tries) == 1:
+            return BROKEN
+        return signed(b"whole")(fields) if tries[-1] == tries[0] else rejection(fields)
+
+    async def act(harness, application, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(with_many_retries, harness, application, caller)
+            await anyio.sleep(0.5)
+            for number in range(20):
+                await Caller(FIELDS, request_id=b"o%d" % number).send_to(application)
+                await anyio.sleep(0.01)
+
+    caller = GatewayHarness([replicas], ANSWER).run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
 # Guards against GONE: a caller that leaves during a pause ends the tries.
 def test_a_caller_that_leaves_during_a_pause_leaves_nothing_behind():
     async def act(harness, application, caller):
