--- a/tests/test_retries_after_rejections.py
+++ b/tests/test_retries_after_rejections.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lentilshore_kernel.types import Address
+from lentilshore_node.delivery import retry_pacing
 from lentilshore_routing.retries import TokenBucketBudget
 from lentilshore_routing.routes import DeliveryMode
 from tests.test_gateway import Caller, GatewayHarness, event, route, signed, stream
@@ -158,3 +159,28 @@
     harness = GatewayHarness([["reset"], rejection, signed(b"whole")], ANSWER)
     caller = harness.run(Caller(FIELDS), act)
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+# Guards against LOST: a request waited out its pause though a replica had just answered
+# another request and had room again.
+def test_an_answer_to_another_request_ends_the_pause(monkeypatch):
+    monkeypatch.setattr(retry_pacing, "FIRST_PAUSE_S", 60.0)
+    monkeypatch.setattr(retry_pacing, "PAUSE_TIME_LEFT_SHARE", 1.0)
+    answered = []
+
+    def replica(fields):
+        if fields["x-attempt-id"] == "b1":
+            answered.append(fields)
+        elif not answered:
+            return rejection(fields) if len(harness.server.requests) > 1 else ["reset"]
+        return signed(b"whole")(fields)
+
+    async def act(harness, application, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(with_many_retries, harness, application, caller)
+            await anyio.sleep(0.3)
+            await Caller(FIELDS, request_id=b"b1").send_to(application)
+
+    harness = GatewayHarness([replica], ANSWER)
+    caller = harness.run(Caller(FIELDS), act)
+    assert (caller.status, caller.body) == (200, b"whole")
--- a/tests/test_retry_pacing.py
+++ b/tests/test_retry_pacing.py
@@ -89,6 +89,11 @@
     )
 
 
+def _woken():
+    with pytest.MonkeyPatch.context() as patch:
+        cases.test_an_answer_to_another_request_ends_the_pause(patch)
+
+
 def _storm():
     result = Storm(6, "silent_then_full", seed=3, retry_ratio=0.9).run()
     assert result.worst_share <= 1.0
@@ -131,6 +136,12 @@
     ),
     "nothing is paid": (attempts, "reached_no_replica", _return_true, _storm),
     "the budget has no bound": (SlidingWindowBudget, "can_spend", _return_true, _storm),
+    "an answer wakes nobody": (
+        RoomQueue,
+        "announce",
+        _do_nothing,
+        _woken,
+    ),
     "pauses don't grow": (
         retry_pacing,
         "PAUSE_GROWTH_FACTOR",
