Keep a shortest pause between rejections also where replicas answer others

A request that replicas rejected was tried again at each answer to another request: 101 tries in a second with 100 answers, until the service's retry budget was used up and it ended with 502. Half of each pause is fixed now, and the first one is 0.05 s, so that a gateway that has sent little keeps retries for 0.6 s of rejections. test_answers_to_others_wake_a_rejected_request_seldom and test_rejections_end_no_request_within_the_budget_of_a_quiet_gateway failed before and pass. test_an_answer_to_another_request_ends_the_pause stretches the first pause to 60 s; it sets the fixed share, too, since that is not what it tests.

--- a/packages/node/src/lentilshore_node/delivery/retry_pacing.py
+++ b/packages/node/src/lentilshore_node/delivery/retry_pacing.py
@@ -10,13 +10,16 @@
 from ..state.room_queue import RoomQueue
 
 # The first pause; each later one is longer by the factor, up to the limit.
-FIRST_PAUSE_S = 0.02
+FIRST_PAUSE_S = 0.05
 PAUSE_GROWTH_FACTOR = 2.0
 PAUSE_LIMIT_S = 0.5
 # Share of the time left that one pause takes at most, so that a try may follow it.
 PAUSE_TIME_LEFT_SHARE = 0.5
 # A pause lasts at least this share of its length, and is otherwise random.
 PAUSE_MIN_SHARE = 0.5
+# Share of a pause during which no replica that has room ends it: a replica that answers
+# others may go on rejecting the request.
+PAUSE_FIXED_SHARE = 0.5
 
 
 class RetryPacing:
@@ -52,7 +55,9 @@
         share = self._random.uniform(PAUSE_MIN_SHARE, 1.0)
         pause_s = min(self._length_s * share, limit_s)
         self._length_s = min(self._length_s * PAUSE_GROWTH_FACTOR, PAUSE_LIMIT_S)
-        replica_name = await self._room.wait(group, pause_s)
+        replica_name = await self._room.wait(
+            group, pause_s, pause_s * PAUSE_FIXED_SHARE
+        )
         self._metrics.count(f"retry_pause.{'room' if replica_name else 'time'}")
         log_event(
             "retry_paused",
--- a/packages/node/src/lentilshore_node/state/room_queue.py
+++ b/packages/node/src/lentilshore_node/state/room_queue.py
@@ -40,18 +40,21 @@
                     waiter.woken.set()
                     return
 
-    async def wait(self, group: str, timeout_s: float) -> str:
+    async def wait(self, group: str, timeout_s: float, fixed_s: float = 0.0) -> str:
         """Wait until a replica of a group has room.
 
         :param group: version or service.
         :param timeout_s: longest time to wait, seconds.
+        :param fixed_s: shortest time to wait, seconds; replicas that have room until
+            then are left to others.
         :returns: name of the replica, empty after the timeout.
         """
+        await self._clock.sleep(fixed_s)
         waiter = _Waiter()
         waiters = self._waiters.setdefault(group, [])
         waiters.append(waiter)
         try:
-            with self._clock.timeout(timeout_s):
+            with self._clock.timeout(timeout_s - fixed_s):
                 await waiter.woken.wait()
         finally:
             waiters.remove(waiter)
--- a/tests/test_retries_after_rejections.py
+++ b/tests/test_retries_after_rejections.py
@@ -166,6 +166,7 @@
 def test_an_answer_to_another_request_ends_the_pause(monkeypatch):
     monkeypatch.setattr(retry_pacing, "FIRST_PAUSE_S", 60.0)
     monkeypatch.setattr(retry_pacing, "PAUSE_TIME_LEFT_SHARE", 1.0)
+    monkeypatch.setattr(retry_pacing, "PAUSE_FIXED_SHARE", 0.001)
     answered = []
 
     def replica(fields):
