Ask a replica again that failed a request once where the others are full

After a pause only replicas that had rejected the request were tried again: one that had broken off and had room again was never asked, only the full one, until 502. Any replica at which the request has failed may be asked again now, the one that has shown room first, then the one tried longest ago that is not ejected. test_a_replica_that_failed_once_is_asked_again_where_the_others_are_full and test_a_request_asks_the_replica_whose_room_woke_it failed before and pass.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -94,8 +94,6 @@
         self._request = request
         self._scope = scope
         self._tried: list[str] = []
-        # Replicas whose last try did not run, the one of the earliest try first.
-        self._rejected: dict[str, None] = {}
         self._failed_count = 0
         self._replica_names: set[str] = set()
         # Number of attempts that a replica rejected or that reached none.
@@ -138,7 +136,7 @@
     def tried(self) -> Sequence[str]:
         """Names of the replicas at which attempts have failed.
 
-        After a pause, one that rejected the request may be tried again and is left out.
+        After a pause, one of them may be tried again and is left out.
         """
         return self._tried
 
@@ -255,9 +253,7 @@
         self._failed_count += 1
         self._replica_names.add(name)
         self._tried.append(name)
-        self._rejected.pop(name, None)
         if error.execution is Execution.NOT_RUN:
-            self._rejected[name] = None
             self._not_run_count += 1
             self._counted_rejections += 1
         else:
@@ -295,12 +291,22 @@
         return await self._pacing.pause(request.replica_group, request.remaining_s)
 
     async def _pause(self) -> None:
-        """Pause, and let one replica that rejected the request be tried again."""
+        """Pause, and let one replica at which the request has failed be tried again."""
         name = await self._wait_for_room()
-        if name not in self._rejected:
-            name = next(iter(self._rejected), "")
+        if name not in self._tried:
+            name = self._longest_untried()
         self._tried = [tried for tried in self._tried if tried != name]
 
+    def _longest_untried(self) -> str:
+        """Return the replica that was tried longest ago, ejected ones last."""
+        # The last try of a replica counts: the later one of equal names stays.
+        latest = list(dict.fromkeys(reversed(self._tried)))[::-1]
+        placement, group = self._context.placement, self._request.replica_group
+        for name in latest:
+            if placement.has_usable(group, [n for n in latest if n != name]):
+                return name
+        return latest[0] if latest else ""
+
     def _report_denial(self, denial: RetryDenial, error: UpstreamError) -> None:
         self._context.metrics.count(retry_denial_counter(denial))
         group = self._request.replica_group
