Wait for a retry also after a request has broken off

A request whose replica broke off ended at once with 502 or a cut stream where the budget had no retry just then, with seconds left; only one that had been handed over or rejected waited.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -176,10 +176,22 @@
                 self.give_back_retry()
                 self.refund_retry()
                 await self._wait_for_room()
-                # Unknown: the request may have run.
-                if self.take_retry(Execution.UNKNOWN, self._arrived) is not None:
+                if await self._retake_retry(since_s) is not None:
                     raise
 
+    async def _retake_retry(self, since_s: float) -> RetryDenial | None:
+        """Take a retry that was given back during a wait.
+
+        :param since_s: time that was left when the wait began, seconds.
+        :returns: what denies it for good, None if it was taken.
+        """
+        while True:
+            # Unknown: the request may have run.
+            denial = self.take_retry(Execution.UNKNOWN, self._arrived)
+            if denial is not RetryDenial.BUDGET or not self._may_wait(since_s):
+                return denial
+            await self._wait_for_room()
+
     def _may_wait(self, since_s: float) -> bool:
         """Return whether the request may wait on for what its next try lacks.
 
@@ -201,7 +213,7 @@
                 return denial
             if await self._request.wait_for_budget():
                 continue
-            if error.execution is not Execution.NOT_RUN or not self._may_wait(since_s):
+            if not self._may_wait(since_s):
                 return denial
             await self._wait_for_room()
 
