Gateways tell one another of crashes as changes, and compare checksums

Of one crash all gateways told all that they knew of the cause, to four others each, and got the like back.

Change: a call that tells of changes bears only facts (a crash, an answer) that its gateway has not passed on, as bytes and whole milliseconds, and no list; its answer is empty. A gateway that asks sends eight checksums of all that it knows, and checksums of causes follow only for groups that differ. Whatever the answers to it are, a cause with one crash is told once. A gateway that was out of reach doesn't pass on what it then learns by asking. Above a rate of bytes, two gateways are told of a change instead of four, and then calls wait. Calls that tell of changes may follow one another after 0.1 s instead of 0.2. A new path, so that gateways of other releases answer 404, which is counted as before. A gateway that has just started asks every 0.4 s for 2 s, since those that answer may have just started too: reborn gateways no longer push all that they learn.

CrashBlame.tell_all and CauseRecord.all_news are new and read only: what is told depended on what a gateway had made of it, so that two gateways that knew the same seldom agreed.

Tests: the simulated fleet counts bytes of heads too, so that its bound is stricter. The test of messages that claim nonsense, of the same knowledge, and of the largest message say the same of the new messages, the last with all 128 causes instead of 32. A part seen later is told to who asks, and no more asked for, as the other one asks too.

--- a/packages/node/src/lentilshore_node/peers/blame_exchange.py
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -1,34 +1,53 @@
 """Exchange of crashes, under the causes that requests bear, between gateways.
 
-One call carries news both ways. The caller lists the causes that it knows, with a
-checksum of each, so that only what differs is told.
+A change is passed on to a few others at once, each of which passes on what is new to
+it. Once in a while a gateway asks another one, and both tell what the other lacks.
 """
 
 from __future__ import annotations
 
-import zlib
-from collections.abc import Collection
-from typing import Any, NamedTuple
+import math
+from collections.abc import Mapping
 
 import anyio
 import msgspec
 
-from lentilshore_kernel.exceptions import LentilshoreError
 from lentilshore_kernel.logs import log_event
 from lentilshore_routing.crash_news import BLAME_QUIET_S, CauseNews
 
 from ..clients.fleet_source import GatewayEntry
 from ..clients.http_connection import CallBrokenError, CallNotSentError
 from ..state.gateway_context import PEER_BODY_LIMIT_BYTES, PEER_PATHS, GatewayContext
+from .blame_messages import (
+    BlameAnswer,
+    BlameCall,
+    Fact,
+    Knowledge,
+    Spread,
+    UnreadableBlameError,
+    changed_news,
+    decode_answer,
+    decode_call,
+    decode_news,
+    encode_news,
+)
 from .gateway_directory import MAX_FAILED_PEER_PAUSE_S, GatewayDirectory
 
-BLAME_PATH = PEER_PATHS + "blame"
-# Number of gateways that are told of a change at once.
+BLAME_PATH = PEER_PATHS + "crashes"
+# Number of gateways that are told of a change at once, and while much is told.
 FAN_OUT = 4
+BUSY_FAN_OUT = 2
 # A crash breaks many requests at once; what they tell goes out together.
 BATCH_DELAY_S = 0.02
 # Shortest time between the calls that tell of changes.
-PUSH_INTERVAL_S = 0.2
+PUSH_INTERVAL_S = 0.1
+# Bytes of such calls after which fewer gateways are told, after which their interval
+# grows, and bytes of them a second in the long run. A gateway receives as many.
+BUSY_BYTES = 1_200
+PUSH_BURST_BYTES = 6_000
+PUSH_BYTES_PER_S = 2_800
+# Bytes of the heads of a call and its answer.
+HEAD_BYTES = 150
 # A gateway that is told and does not answer may be cut off for a moment.
 MAX_TELL_ATTEMPTS = 5
 TELL_RETRY_INTERVAL_S = 0.7
@@ -36,8 +55,10 @@
 # been unable to tell, and of any other.
 ACTIVE_INTERVAL_S = 1.0
 IDLE_INTERVAL_S = 5.0
-# Interval while no other gateway answers.
+# Interval while no other gateway answers, and for a while after the start: those that
+# answer first may have just started too.
 RETRY_INTERVAL_S = 0.4
+START_S = 2.0
 CALL_TIMEOUT_S = 0.3
 # Gateways to ask in turn for a first answer after the start.
 MAX_FIRST_PEERS = 3
@@ -49,54 +70,37 @@
 OUT_OF_REACH_FAILURES = 2
 # A wait that lasts longer by this time means that the process was suspended.
 SUSPENSION_S = 1.0
-# A cause is told again if it was seen more recently than the other gateway knows, by
-# more than this time.
-SEEN_STEP_S = 15.0
-# Causes that are not blamed in one answer. Where more are suspected than a gateway
-# tells, two gateways seldom list the same ones.
-MAX_SUSPECTS_TOLD = 6
 # Older news is not told, since the clocks by which it ends differ a little.
 MAX_TOLD_AGE_S = BLAME_QUIET_S - 5.0
-HEADERS = {"content-type": "application/msgpack"}
 
 
-class UnreadableBlameError(LentilshoreError):
-    """What a gateway has told of crashes can't be read."""
+class PushPace:
+    """Bounds the bytes of the calls that tell of changes."""
 
+    def __init__(self) -> None:
+        self._bytes = 0.0
+        self._counted_at = -math.inf
 
-class KnownCause(NamedTuple):
-    """What the caller knows of a cause.
-
-    :param cause: digest of the cause.
-    :param checksum: checksum of the crashes and answers that are known.
-    :param seen_age_s: time since a request with the cause was last seen, seconds.
-    """
-
-    cause: str
-    checksum: int
-    seen_age_s: int
-
-
-class BlameCall(NamedTuple):
-    """What the caller tells.
-
-    :param known: all causes that it knows.
-    :param news: what it tells of them unasked.
-    """
-
-    known: list[KnownCause]
-    news: list[CauseNews]
+    def fan_out(self, now: float) -> int:
+        """Return the number of gateways to tell.
 
+        :param now: time, seconds.
+        """
+        return FAN_OUT if self._level(now) < BUSY_BYTES else BUSY_FAN_OUT
 
-class BlameAnswer(NamedTuple):
-    """What the other gateway answers.
+    def count(self, now: float, size: int) -> float:
+        """Count bytes of calls; return the time to wait after them, seconds.
 
-    :param news: what it knows of the causes that the caller knows otherwise or not.
-    :param wanted: digests of the causes that it knows otherwise or not itself.
-    """
+        :param now: time of the calls, seconds.
+        :param size: bytes of all of them, heads included.
+        """
+        self._bytes = self._level(now) + size
+        self._counted_at = now
+        excess_s = (self._bytes - PUSH_BURST_BYTES) / PUSH_BYTES_PER_S
+        return max(PUSH_INTERVAL_S, excess_s)
 
-    news: list[CauseNews]
-    wanted: list[str]
+    def _level(self, now: float) -> float:
+        return max(0.0, self._bytes - (now - self._counted_at) * PUSH_BYTES_PER_S)
 
 
 class BlameExchange:
@@ -110,27 +114,40 @@
         self._context = context
         self._directory = directory
         self._pushed_generation = 0
-        # Checksums of the causes as they were pushed last.
-        self._pushed: dict[str, int] = {}
+        self._spread = Spread()
+        self._pace = PushPace()
         self._failures_in_a_row = 0
         # Until then others may not have been able to tell this gateway.
         self._recovering_until = 0.0
+        self._starting_until = 0.0
+
+    @property
+    def _recovering(self) -> bool:
+        """Whether others may have been unable to tell this gateway."""
+        now = self._context.clock.monotonic()
+        return self._failures_in_a_row > 0 or now < self._recovering_until
 
     async def run(self) -> None:
         """Tell and ask until cancelled."""
+        clock = self._context.clock
         async with anyio.create_task_group() as group:
             group.start_soon(self._ask_forever)
             await self._directory.wait_for_others()
             while True:
                 await self._context.wait_for_blame(self._pushed_generation)
-                await self._context.clock.sleep(BATCH_DELAY_S)
+                await clock.sleep(BATCH_DELAY_S)
                 self._pushed_generation = self._context.blame.generation
-                # A gateway that hangs must not delay what others are told.
-                if changed := self._take_changes():
-                    group.start_soon(self._tell_next, changed)
-                    for peer in self._directory.random_peers(FAN_OUT - 1):
-                        group.start_soon(self._tell, peer, changed)
-                await self._context.clock.sleep(PUSH_INTERVAL_S)
+                interval_s = PUSH_INTERVAL_S
+                if changes := self._spread.take_changes(tell(self._context)):
+                    now = clock.monotonic()
+                    fan_out = self._pace.fan_out(now)
+                    # A gateway that hangs must not delay what others are told.
+                    group.start_soon(self._tell_next, changes)
+                    for peer in self._random_peers(fan_out - 1):
+                        group.start_soon(self._tell, peer, changes)
+                    size = len(msgspec.msgpack.encode(self._push(changes)))
+                    interval_s = self._pace.count(now, fan_out * (size + HEAD_BYTES))
+                await clock.sleep(interval_s)
 
     async def ask(self, max_peers: int = 1) -> None:
         """Ask other gateways in turn until one has answered.
@@ -138,43 +155,54 @@
         :param max_peers: number of gateways to ask.
         """
         for peer in self._directory.random_peers(max_peers):
-            answer = await self._call(peer)
+            answer = await self._call(peer, know(self._context).ask())
             if answer is None:
                 continue
-            told = {item.cause: checksum(item) for item in answer.news}
-            wanted = set(answer.wanted)
-            news = [
-                item
-                for item in tell(self._context)
-                if item.cause in wanted and checksum(item) != told.get(item.cause)
-            ]
-            if news:
-                causes = {item.cause for item in _select(self._context, news)}
-                await self._call(peer, causes)
+            if answer.differing:
+                self._context.metrics.count("relay.blame_differed")
+            reply = know(self._context).reply(answer)
+            if reply is not None:
+                await self._call(peer, reply)
             return
 
-    async def _tell_next(self, causes: Collection[str]) -> None:
+    async def _tell_next(self, changes: Mapping[str, frozenset[Fact]]) -> None:
         """Tell the next gateway of the ring that answers.
 
         Random ones alone would leave out some.
         """
         for peer in self._directory.next_peers(MAX_NEXT_PEERS):
-            if await self._call(peer, causes) is not None:
+            if await self._call(peer, self._push(changes)) is not None:
                 return
 
-    async def _tell(self, peer: GatewayEntry, causes: Collection[str]) -> None:
+    async def _tell(
+        self, peer: GatewayEntry, changes: Mapping[str, frozenset[Fact]]
+    ) -> None:
         """Tell a gateway, again if it is out of reach for a moment."""
+        call = self._push(changes)
         for _ in range(MAX_TELL_ATTEMPTS):
-            answer = await self._call(peer, causes)
+            answer = await self._call(peer, call)
             # A gateway of another release is in reach, and answers nothing.
             if answer is not None or not self._directory.is_paused(peer):
                 return
             delay_s = TELL_RETRY_INTERVAL_S * (0.5 + self._context.random.random())
             await self._context.clock.sleep(delay_s)
+            # It may have missed other news meanwhile.
+            news = [item for item in tell(self._context) if item.cause in changes]
+            call = BlameCall([encode_news(item) for item in news])
+
+    def _random_peers(self, limit: int) -> list[GatewayEntry]:
+        """Return random gateways other than the next one of the ring."""
+        following = self._directory.next_peers(1)
+        peers = self._directory.random_peers(limit + 1)
+        return [peer for peer in peers if peer not in following][:limit]
+
+    def _push(self, changes: Mapping[str, frozenset[Fact]]) -> BlameCall:
+        return BlameCall(changed_news(tell(self._context), changes))
 
     async def _ask_forever(self) -> None:
         clock = self._context.clock
         await self._directory.wait_for_others()
+        self._starting_until = clock.monotonic() + START_S
         self._recovering_until = clock.monotonic() + RECOVERY_S
         await self.ask(MAX_FIRST_PEERS)
         while True:
@@ -188,35 +216,19 @@
             await self.ask()
 
     def _interval_s(self) -> float:
-        if self._failures_in_a_row:
+        starting = self._context.clock.monotonic() < self._starting_until
+        if self._failures_in_a_row or starting:
             return RETRY_INTERVAL_S
-        now = self._context.clock.monotonic()
-        if self._context.blame.active or now < self._recovering_until:
+        if self._context.blame.active or self._recovering:
             return ACTIVE_INTERVAL_S
         return IDLE_INTERVAL_S
 
-    def _take_changes(self) -> set[str]:
-        """Return the causes that have changed since they were pushed."""
-        before = self._pushed
-        self._pushed = {item.cause: checksum(item) for item in tell(self._context)}
-        return {
-            cause for cause, now in self._pushed.items() if before.get(cause) != now
-        }
-
-    async def _call(
-        self, peer: GatewayEntry, causes: Collection[str] = ()
-    ) -> BlameAnswer | None:
-        """Call a gateway; return its answer, None if there is none to use.
-
-        :param causes: causes to tell of unasked.
-        """
+    async def _call(self, peer: GatewayEntry, call: BlameCall) -> BlameAnswer | None:
+        """Call a gateway; return its answer, None if there is none to use."""
         context, directory = self._context, self._directory
         was_paused = directory.is_paused(peer)
-        if causes:
+        if call.news:
             context.metrics.count("relay.blame_pushed")
-        told = tell(context)
-        news = [item for item in told if item.cause in causes]
-        call = BlameCall([_known(item) for item in told], news)
         asked_at = context.clock.monotonic()
         try:
             reply = await context.http.request(
@@ -224,13 +236,14 @@
                 peer.address,
                 BLAME_PATH,
                 msgspec.msgpack.encode(call),
-                HEADERS,
+                {},
                 timeout_s=CALL_TIMEOUT_S,
                 limit_bytes=PEER_BODY_LIMIT_BYTES,
             )
         except (CallNotSentError, CallBrokenError):
             self._record_failure(peer, was_paused)
             return None
+        recovering = self._recovering
         self._failures_in_a_row = 0
         directory.record_answer(peer)
         if reply.status == 404:
@@ -238,13 +251,17 @@
             context.metrics.count("relay.blame_unsupported")
             return None
         try:
-            answer = _decode_answer(reply.status, reply.body)
+            answer = decode_answer(reply.status, reply.body)
         except UnreadableBlameError as error:
             context.metrics.count("relay.blame_unreadable")
             log_event("blame_unreadable", peer=peer.name, detail=str(error))
             return None
         context.metrics.count("relay.blame_answered")
-        context.learn_crashes(answer.news, asked_at, peer.name)
+        news = [decode_news(told) for told in answer.news]
+        context.learn_crashes(news, asked_at, peer.name)
+        if recovering:
+            # Others have passed it on while this gateway was out of reach.
+            self._spread.add(news)
         return answer
 
     def _record_failure(self, peer: GatewayEntry, was_paused: bool) -> None:
@@ -262,68 +279,24 @@
     :param body: body of the call.
     :raises UnreadableBlameError: if the body can't be read.
     """
-    call: BlameCall = _decode(body, BlameCall)
-    context.learn_crashes(call.news, context.clock.monotonic(), "peer")
-    known = {item.cause: item for item in call.known}
-    told = {item.cause: item for item in tell(context)}
-    news = [item for item in told.values() if _adds(item, known.get(item.cause))]
-    wanted = [item.cause for item in call.known if _lacks(told.get(item.cause), item)]
-    return msgspec.msgpack.encode(BlameAnswer(_select(context, news), wanted))
-
+    call = decode_call(body)
+    if call.news:
+        news = [decode_news(told) for told in call.news]
+        context.learn_crashes(news, context.clock.monotonic(), "peer")
+    if not (call.checksums or call.seen or call.wanted):
+        return msgspec.msgpack.encode(BlameAnswer())
+    return msgspec.msgpack.encode(know(context).answer(call))
 
-def tell(context: GatewayContext) -> list[CauseNews]:
-    """Return what a gateway tells others of the causes that it knows."""
-    return [item for item in context.blame.tell() if _age_s(item) <= MAX_TOLD_AGE_S]
 
+def know(context: GatewayContext) -> Knowledge:
+    """Return what a gateway knows, for the comparison with another one."""
+    return Knowledge(tell(context), context.blame.blamed)
 
-def checksum(item: CauseNews) -> int:
-    """Return a checksum of what is known of a cause, its times excepted."""
-    crashes = sorted((crash.replica, crash.rank) for crash in item.crashes)
-    # Each gateway gets other answers to a cause that all are served.
-    known = () if item.settled else item.answers
-    answers = sorted(answer.request for answer in known)
-    content = (item.position, item.answered_before, crashes, answers)
-    return zlib.crc32(repr(content).encode())
 
-
-def _select(context: GatewayContext, items: list[CauseNews]) -> list[CauseNews]:
-    """Return what is told at once: all blamed causes and a few of the others."""
-    blamed = set(context.blame.blamed)
-    others = [item for item in items if item.cause not in blamed]
-    return [i for i in items if i.cause in blamed] + others[:MAX_SUSPECTS_TOLD]
+def tell(context: GatewayContext) -> list[CauseNews]:
+    """Return what a gateway tells others of the causes that it knows."""
+    return [item for item in context.blame.tell_all() if _age_s(item) <= MAX_TOLD_AGE_S]
 
 
 def _age_s(item: CauseNews) -> float:
     return min((item.seen_age_s, *(crash.age_s for crash in item.crashes)))
-
-
-def _known(item: CauseNews) -> KnownCause:
-    return KnownCause(item.cause, checksum(item), int(item.seen_age_s))
-
-
-def _adds(item: CauseNews, known: KnownCause | None) -> bool:
-    """Return whether an item tells more than another gateway knows."""
-    if known is None or checksum(item) != known.checksum:
-        return True
-    return known.seen_age_s - item.seen_age_s > SEEN_STEP_S
-
-
-def _lacks(item: CauseNews | None, known: KnownCause) -> bool:
-    """Return whether another gateway knows more than an item tells."""
-    if item is None or checksum(item) != known.checksum:
-        return True
-    return item.seen_age_s - known.seen_age_s > SEEN_STEP_S
-
-
-def _decode_answer(status: int, body: bytes) -> BlameAnswer:
-    if status != 200:
-        raise UnreadableBlameError(f"status {status}")
-    answer: BlameAnswer = _decode(body, BlameAnswer)
-    return answer
-
-
-def _decode(body: bytes, message_type: Any) -> Any:
-    try:
-        return msgspec.msgpack.decode(body, type=message_type)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise UnreadableBlameError(f"news of crashes: {error}") from error
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -173,6 +173,12 @@
         )
         return [record.news(now) for record in told[:MAX_TOLD_CAUSES]]
 
+    def tell_all(self) -> list[CauseNews]:
+        """Return all that this node knows of the causes that it keeps."""
+        self._review_if_due()
+        now = self._clock.monotonic()
+        return [record.all_news(now) for record in self._records.values()]
+
     def learn(self, news: Iterable[CauseNews], asked_at: float) -> list[str]:
         """Accept what another node knows.
 
--- a/packages/routing/src/lentilshore_routing/crash_causes.py
+++ b/packages/routing/src/lentilshore_routing/crash_causes.py
@@ -211,11 +211,16 @@
 
     def news(self, now: float) -> CauseNews:
         """Return what other nodes are told."""
-        crashes = sorted(self.crashes.values(), key=lambda c: (-c.ended_at, c.replica))
+        news = self.all_news(now)
         cleared = self.score.answers > 0 or not self.score.chained
-        if cleared and not self.condemned:
-            # The answers tell enough of a cause that is cleared.
-            crashes = crashes[:1]
+        if not cleared or self.condemned:
+            return news
+        # The answers tell enough of a cause that is cleared.
+        return news._replace(crashes=news.crashes[:1])
+
+    def all_news(self, now: float) -> CauseNews:
+        """Return all that is known, for other nodes."""
+        crashes = sorted(self.crashes.values(), key=lambda c: (-c.ended_at, c.replica))
         return CauseNews(
             self.digest,
             self.position,
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -36,6 +36,7 @@
     "lentilshore_node.state.rollout_controller",
     "lentilshore_node.callers.gateway",
     "lentilshore_node.peers.blame_exchange",
+    "lentilshore_node.peers.blame_messages",
     "lentilshore_node.peers.gateway_directory",
     "lentilshore_node.peers.limit_exchange",
     "lentilshore_node.peers.relay",
