Keep one retry of the budget for requests that were not rejected

One request that full replicas rejected used up the retries of its service, so that another one that had broken off got 502 (tests/test_retry_review.py, both cases red).

Cause: the budget told retries after a rejection from no others.

Result: both tests pass. The mutant 'what reached no replica is paid' needs a stricter check: the test now looks at the retries that were counted as well.

--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -104,6 +104,8 @@
         self._counted_retries = 0
         # Whether an attempt may have arrived at a replica.
         self._arrived = False
+        # Whether a replica has rejected the last attempt.
+        self._rejected = False
         # Whether the last retry was taken from the budget.
         self._last_retry_paid = False
         self._pacing = RetryPacing(
@@ -152,7 +154,12 @@
         self._return_rejections()
         scope = self._scope
         denial = self._context.retries.take(
-            scope.tree_id, scope.group, scope.repeatable, execution, arrived
+            scope.tree_id,
+            scope.group,
+            scope.repeatable,
+            execution,
+            arrived,
+            self._rejected,
         )
         if denial is None:
             self._counted_retries += 1
@@ -222,7 +229,11 @@
         self._return_rejections()
         scope = self._scope
         return self._context.retries.denial(
-            scope.tree_id, scope.group, scope.repeatable, execution
+            scope.tree_id,
+            scope.group,
+            scope.repeatable,
+            execution,
+            after_rejection=self._rejected,
         )
 
     def give_back_retry(self) -> None:
@@ -237,6 +248,11 @@
             self._last_retry_paid = False
             self._context.retries.refund(self._scope.group)
 
+    def record_end(self, error: UpstreamError) -> None:
+        """Record how the last attempt ended."""
+        not_run = error.execution is Execution.NOT_RUN
+        self._rejected = not_run and not reached_no_replica(error)
+
     def release(self, lease: ReplicaLease, failure: UpstreamError | None) -> None:
         """Release the lease of an attempt.
 
@@ -270,6 +286,7 @@
             self._counted_rejections += 1
         else:
             self._pacing.restart()
+        self.record_end(error)
         if reached_no_replica(error):
             self.refund_retry()
         else:
--- a/packages/node/src/lentilshore_node/programs/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_assembly.py
@@ -40,6 +40,7 @@
     """Create a node's share of the fleet's retry budget for one service."""
     return SlidingWindowBudget(
         bounds.retry_ratio * NODE_RETRY_RATIO_SHARE,
+        bounds.retry_ratio,
         min(NODE_EXTRA_RETRIES_LIMIT, bounds.extra_retries / EXTRA_RETRIES_NODE_COUNT),
         bounds.retry_window_s,
         clock,
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -17,6 +17,9 @@
 RETRIES_PER_FIRST_ATTEMPT = 0.08
 INITIAL_RETRIES = 10.0
 SAVED_RETRIES_LIMIT = 100.0
+# Retries of each window that are kept for requests whose last attempt no replica has
+# rejected: full replicas can reject one request as often as the budget allows.
+KEPT_RETRIES = 1.0
 
 
 class RetryBudget(Protocol):
@@ -25,11 +28,15 @@
     def earn(self) -> None:
         """Count a first attempt."""
 
-    def can_spend(self) -> bool:
-        """Return whether a retry is allowed now."""
+    def can_spend(self, after_rejection: bool = False) -> bool:
+        """Return whether a retry is allowed now.
 
-    def try_spend(self) -> bool:
-        """Count a retry; return False if none is allowed now."""
+        :param after_rejection: whether a replica has rejected the attempt before. Such
+            retries leave some to others.
+        """
+
+    def try_spend(self, after_rejection: bool = False) -> bool:
+        """Count a retry; return False if none is allowed now, see :meth:`can_spend`."""
 
     def refund(self) -> None:
         """Return a retry that was counted shortly before and reached no replica."""
@@ -42,15 +49,23 @@
     within its bound, the fleet as a whole does too, regardless of the number of nodes.
 
     :param ratio: retries allowed per first attempt.
+    :param max_ratio: retries allowed per first attempt, those included that are kept
+        for requests that were not rejected.
     :param reserve: additional retries allowed in each window.
     :param window_s: length of the window, seconds.
     :param clock: provides the time.
     """
 
     def __init__(
-        self, ratio: float, reserve: float, window_s: float, clock: Clock
+        self,
+        ratio: float,
+        max_ratio: float,
+        reserve: float,
+        window_s: float,
+        clock: Clock,
     ) -> None:
         self._ratio = ratio
+        self._max_ratio = max_ratio
         self._reserve = reserve
         self._window_s = window_s
         self._clock = clock
@@ -62,16 +77,19 @@
         self._first_attempts.append(self._clock.monotonic())
         self._drop_expired(self._first_attempts)
 
-    def can_spend(self) -> bool:
-        """Return whether a retry is allowed now."""
+    def can_spend(self, after_rejection: bool = False) -> bool:
+        """Return whether a retry is allowed now, see :class:`RetryBudget`."""
         self._drop_expired(self._first_attempts)
         self._drop_expired(self._retries)
         allowed = self._reserve + self._ratio * len(self._first_attempts)
+        if not after_rejection:
+            beyond_ratio = self._max_ratio - self._ratio
+            allowed += min(KEPT_RETRIES, beyond_ratio * len(self._first_attempts))
         return len(self._retries) + 1 <= allowed
 
-    def try_spend(self) -> bool:
+    def try_spend(self, after_rejection: bool = False) -> bool:
         """Count a retry; return False if none is allowed now."""
-        if not self.can_spend():
+        if not self.can_spend(after_rejection):
             return False
         self._retries.append(self._clock.monotonic())
         return True
@@ -118,13 +136,14 @@
         """Count a first attempt."""
         self._balance = min(self._balance + self._ratio, self._capacity)
 
-    def can_spend(self) -> bool:
-        """Return whether a retry is left."""
-        return self._balance >= 1.0
+    def can_spend(self, after_rejection: bool = False) -> bool:
+        """Return whether a retry is left, see :class:`RetryBudget`."""
+        kept = KEPT_RETRIES if after_rejection else 0.0
+        return self._balance >= 1.0 + kept
 
-    def try_spend(self) -> bool:
+    def try_spend(self, after_rejection: bool = False) -> bool:
         """Take one retry from the bucket; return False if none is left."""
-        if not self.can_spend():
+        if not self.can_spend(after_rejection):
             return False
         self._balance -= 1.0
         return True
@@ -165,6 +184,7 @@
         repeatable: bool,
         execution: Execution,
         arrived: bool = True,
+        after_rejection: bool = False,
     ) -> RetryDenial | None:
         """Count a retry if it is allowed.
 
@@ -175,12 +195,15 @@
             certain.
         :param arrived: whether an attempt may have arrived at a replica. If none has,
             this one is the first to arrive and costs the budget nothing.
+        :param after_rejection: whether a replica has rejected the attempt before.
         :returns: what denies the retry; None if it is allowed.
         """
-        denial = self.denial(tree_id, group, repeatable, execution, arrived)
+        denial = self.denial(
+            tree_id, group, repeatable, execution, arrived, after_rejection
+        )
         if denial is not None:
             return denial
-        if arrived and not self._budget(group).try_spend():
+        if arrived and not self._budget(group).try_spend(after_rejection):
             return RetryDenial.BUDGET
         self._retries_by_tree[tree_id] = self._retries_by_tree.get(tree_id, 0) + 1
         self._retries_by_tree.move_to_end(tree_id)
@@ -195,13 +218,14 @@
         repeatable: bool,
         execution: Execution,
         arrived: bool = True,
+        after_rejection: bool = False,
     ) -> RetryDenial | None:
         """Return what denies a retry, without counting one, see :meth:`take`."""
         if not repeatable and execution is not Execution.NOT_RUN:
             return RetryDenial.UNREPEATABLE
         if self._retries_by_tree.get(tree_id, 0) >= self._tree_retry_limit:
             return RetryDenial.TREE_LIMIT
-        if arrived and not self._budget(group).can_spend():
+        if arrived and not self._budget(group).can_spend(after_rejection):
             return RetryDenial.BUDGET
         return None
 
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -80,11 +80,11 @@
     def earn(self):
         """Count nothing."""
 
-    def can_spend(self):
+    def can_spend(self, after_rejection=False):
         """Allow the first retry."""
         return not self._spent
 
-    def try_spend(self):
+    def try_spend(self, after_rejection=False):
         """Count a retry."""
         allowed, self._spent = not self._spent, True
         return allowed
--- a/tests/test_late_rejections.py
+++ b/tests/test_late_rejections.py
@@ -29,11 +29,11 @@
     def earn(self):
         """Count nothing."""
 
-    def can_spend(self):
+    def can_spend(self, after_rejection=False):
         """Allow a retry unless one was counted lately."""
         return self._spent_at is None or anyio.current_time() > self._spent_at + 0.5
 
-    def try_spend(self):
+    def try_spend(self, after_rejection=False):
         """Count a retry."""
         allowed = self.can_spend()
         if allowed:
--- a/tests/test_retries_after_rejections.py
+++ b/tests/test_retries_after_rejections.py
@@ -119,6 +119,8 @@
             refused = Caller(FIELDS, request_id=b"r%d" % number)
             await refused.send_to(application)
             assert refused.status == 503
+        (budget,) = harness.context.retries._budgets.values()
+        assert not budget._retries
         place_replicas(harness, ["i-3", "i-4"], harness.server.address)
         await caller.send_to(application)
 
--- a/tests/test_retry_review.py
+++ b/tests/test_retry_review.py
@@ -154,11 +154,11 @@
     def earn(self):
         """Count nothing."""
 
-    def can_spend(self):
+    def can_spend(self, after_rejection=False):
         """Allow retries from that time on."""
         return anyio.current_time() >= self._allowed_at
 
-    def try_spend(self):
+    def try_spend(self, after_rejection=False):
         """Allow retries from that time on."""
         return self.can_spend()
 
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -67,7 +67,7 @@
     def earn(self):
         """Count nothing."""
 
-    def can_spend(self):
+    def can_spend(self, after_rejection=False):
         """Allow no retry."""
         return False
 
