Wait for the second probe of a replica only where the retry depends on it

Cause: the request waited for both probes in any case. A first crash of a whole request denies no retry, so that the second probe now runs beside it; it is waited for where the answer had begun and parts of the prompt are suspected, or where the request is already known to have ended a replica. tests/test_crash_probes.py fails before in two cases.

--- a/packages/node/src/lentilshore_node/delivery/crash_watch.py
+++ b/packages/node/src/lentilshore_node/delivery/crash_watch.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
-from lentilshore_kernel.types import RefusalReason, RetryDenial
+from lentilshore_kernel.types import Address, RefusalReason, RetryDenial
 from lentilshore_routing.crash_causes import Cause, part_causes, whole_request_cause
 from lentilshore_routing.routes import KeyOwner
 
@@ -26,6 +28,16 @@
 BLAMED_RETRY_AFTER_S = 30.0
 
 
+class _EndedAttempt(NamedTuple):
+    """A failed attempt, as it was when it ended."""
+
+    replica: str
+    address: Address
+    sent_at: float
+    answer_begun: bool
+    event_groups: int
+
+
 class CrashWatch:
     """Tells whether one request has ended a replica.
 
@@ -59,6 +71,8 @@
         self._event_groups = 0
         # Causes under which the request has ended a replica.
         self._crashed: set[Cause] = set()
+        # Kept so that it isn't collected before it has ended.
+        self._second_probe: asyncio.Task[None] | None = None
 
     @property
     def _whole_cause(self) -> Cause:
@@ -138,16 +152,49 @@
     async def check(self, error: UpstreamError) -> None:
         """Find out whether the replica of a failed attempt has ended.
 
+        A replica that still accepts connections is asked again later. The request
+        waits for that only if its next attempt depends on it.
+
         :param error: how the attempt failed.
         """
-        replica = self._plan.lease.replica.name
-        if not self._cut_at_beginning(error) or not self._context.view.usable(replica):
+        replica = self._plan.lease.replica
+        attempt = _EndedAttempt(
+            replica.name,
+            replica.address,
+            self._sent_at,
+            self._answer_begun,
+            self._event_groups,
+        )
+        if not self._cut_at_beginning(error) or not self._may_have_ended(attempt):
             return
-        if not await self._refuses_connections():
+        if await self._context.http.is_refused(replica.address):
+            self._record_crash(attempt)
+        elif self._crash_denies_retry(attempt):
+            await self._probe_again(attempt)
+        else:
+            self._second_probe = asyncio.ensure_future(self._probe_again(attempt))
+
+    async def _probe_again(self, attempt: _EndedAttempt) -> None:
+        await self._context.clock.sleep(SECOND_PROBE_DELAY_S)
+        if not await self._context.http.is_refused(attempt.address):
             return
+        if self._may_have_ended(attempt):
+            self._record_crash(attempt)
+
+    def _may_have_ended(self, attempt: _EndedAttempt) -> bool:
+        """Return whether the replica is still expected to run."""
+        return self._context.view.usable(attempt.replica)
+
+    def _crash_denies_retry(self, attempt: _EndedAttempt) -> bool:
+        """Return whether the request may not be sent again if its replica has ended."""
+        if attempt.answer_begun and self._part_causes:
+            return True
+        return self._context.blame.knows(self._whole_cause)
+
+    def _record_crash(self, attempt: _EndedAttempt) -> None:
         causes = [self._whole_cause]
         moment = "before_head"
-        if self._answer_begun:
+        if attempt.answer_begun:
             causes = [*self._part_causes, self._whole_cause]
             moment = "answer_beginning"
         self._crashed.update(causes)
@@ -156,13 +203,13 @@
         log_event(
             "replica_ended",
             request=self._request.request_id,
-            replica=replica,
+            replica=attempt.replica,
             moment=moment,
             digest=self._whole_cause.digest,
             parts=parts[:LOGGED_PARTS_LIMIT],
-            events=self._event_groups,
+            events=attempt.event_groups,
         )
-        self._context.record_crash(causes, replica, self._sent_at)
+        self._context.record_crash(causes, attempt.replica, attempt.sent_at)
 
     def _cut_at_beginning(self, error: UpstreamError) -> bool:
         if self._event_groups >= BEGINNING_EVENT_GROUPS:
@@ -170,12 +217,5 @@
         truncated = error.reason is RefusalReason.UPSTREAM_TRUNCATED
         return truncated or isinstance(error.__cause__, CallCutError)
 
-    async def _refuses_connections(self) -> bool:
-        address = self._plan.lease.replica.address
-        if await self._context.http.is_refused(address):
-            return True
-        await self._context.clock.sleep(SECOND_PROBE_DELAY_S)
-        return await self._context.http.is_refused(address)
-
     def _record_answer(self) -> None:
         self._context.record_answer(self._causes, self._request.request_id)
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -157,6 +157,10 @@
                 found = cause
         return found
 
+    def knows(self, cause: Cause) -> bool:
+        """Return whether a replica has crashed under a cause, as far as is known."""
+        return cause.digest in self._records
+
     def may_retry(self, causes: Sequence[Cause]) -> bool:
         """Return whether a request may be sent again after a replica has crashed.
 
--- /dev/null
+++ b/tests/test_crash_probes.py
@@ -0,0 +1,98 @@
+"""Probes of a replica that has broken off, and the retry that follows them."""
+
+import anyio
+import pytest
+
+from lentilshore_node.delivery import crash_watch
+from lentilshore_routing.crash_causes import part_causes
+from lentilshore_routing.routes import DeliveryMode, PromptPart
+from tests.test_gateway import Caller, GatewayHarness, route, signed, stream
+
+LOOKUP = route(DeliveryMode.IDEMPOTENT)
+STREAM = route(DeliveryMode.STREAM_RESUMABLE)
+PARTS = [(b"x-prompt-prefix", b"a1:300,b2:100,c3:50")]
+LATE_PROBE_S = 1.2
+
+
+# Guards against late retries: a lookup waited for the second probe of a replica that
+# had broken off and went on, though its retry did not depend on it.
+@pytest.mark.parametrize(
+    ("with_route", "fields", "last"),
+    [(LOOKUP, [], signed(b"whole")), (STREAM, PARTS, stream([1], "whole"))],
+    ids=["lookup", "before head"],
+)
+def test_a_retry_that_is_allowed_in_any_case_waits_for_no_probe(
+    with_route, fields, last, monkeypatch
+):
+    monkeypatch.setattr(crash_watch, "SECOND_PROBE_DELAY_S", LATE_PROBE_S)
+
+    async def act(harness, application, caller):
+        with anyio.fail_after(LATE_PROBE_S / 2):
+            await caller.send_to(application)
+
+    harness = GatewayHarness([["reset"], last], with_route)
+    caller = harness.run(Caller(fields), act)
+    assert caller.status == 200
+
+
+def test_a_second_crash_of_a_request_is_waited_for(monkeypatch):
+    monkeypatch.setattr(crash_watch, "SECOND_PROBE_DELAY_S", LATE_PROBE_S)
+
+    async def act(harness, application, caller):
+        with anyio.move_on_after(LATE_PROBE_S / 2):
+            await caller.send_to(application)
+        assert len(harness.server.requests) == 2
+        await anyio.sleep(LATE_PROBE_S)
+
+    async def refused_first(address):
+        probes.append(address)
+        return len(probes) == 1
+
+    probes = []
+    harness = GatewayHarness([["reset"], ["reset"], signed(b"whole")], LOOKUP)
+
+    async def act_with_probes(harness, application, caller):
+        harness.context.http.is_refused = refused_first
+        await act(harness, application, caller)
+
+    harness.run(Caller(), act_with_probes)
+
+
+# A replica that ends may accept connections for a moment after it has cut one.
+def test_a_crash_that_only_the_second_probe_shows_is_recorded():
+    async def act(harness, application, caller):
+        answers = iter([False, True])
+
+        async def is_refused(address):
+            return next(answers)
+
+        harness.context.http.is_refused = is_refused
+        await caller.send_to(application)
+        await anyio.sleep(4 * crash_watch.SECOND_PROBE_DELAY_S)
+        assert harness.context.blame.active
+
+    harness = GatewayHarness([["reset"], signed(b"whole")], LOOKUP)
+    caller = harness.run(Caller(), act)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+def test_a_begun_answer_with_parts_waits_for_the_second_probe(monkeypatch):
+    monkeypatch.setattr(crash_watch, "SECOND_PROBE_DELAY_S", 0.2)
+
+    async def act(harness, application, caller):
+        answers = iter([False, True])
+
+        async def is_refused(address):
+            return next(answers, True)
+
+        harness.context.http.is_refused = is_refused
+        await caller.send_to(application)
+
+    def begun(fields):
+        head, *_ = signed(b"whole")(fields)
+        return [head[:-3], "reset"]
+
+    harness = GatewayHarness([begun, signed(b"whole")], LOOKUP)
+    harness.run(Caller(PARTS), act)
+    parts = [PromptPart("a1", 300), PromptPart("b2", 100), PromptPart("c3", 50)]
+    assert all(harness.context.blame.knows(cause) for cause in part_causes(parts))
