Blame no sound lookup where replicas crash for other reasons too

Where several requests end replicas at once, sound ones were refused too, and explained crashes of the bad ones.

Causes, and changes: (1) blame looked at one request's crashes only. It now needs that the suspected causes explain four fifths of the crashes in its time. (2) Answers to whole requests were not remembered, and one answer since the first crash counted for four crashes; alike requests do alike, so that eight are wanted now. A gateway that blames now ranks the crashes, and ranks are told. (4) A call that tells of one cause listed all; it lists those that it tells.

--- a/packages/node/src/lentilshore_node/peers/blame_exchange.py
+++ b/packages/node/src/lentilshore_node/peers/blame_exchange.py
@@ -80,7 +80,7 @@
 class BlameCall(NamedTuple):
     """What the caller tells.
 
-    :param known: all causes that it knows.
+    :param known: the causes that it tells of, or all that it knows if it tells of none.
     :param news: what it tells of them unasked.
     """
 
@@ -214,9 +214,7 @@
         was_paused = directory.is_paused(peer)
         if causes:
             context.metrics.count("relay.blame_pushed")
-        told = tell(context)
-        news = [item for item in told if item.cause in causes]
-        call = BlameCall([_known(item) for item in told], news)
+        call = create_call(context, causes)
         asked_at = context.clock.monotonic()
         try:
             reply = await context.http.request(
@@ -255,6 +253,18 @@
             self._directory.record_failure(peer)
 
 
+def create_call(context: GatewayContext, causes: Collection[str]) -> BlameCall:
+    """Return what a gateway tells in a call.
+
+    :param causes: causes to tell of unasked; none to ask of all.
+    """
+    told = tell(context)
+    if not causes:
+        return BlameCall([_known(item) for item in told], [])
+    news = [item for item in told if item.cause in causes]
+    return BlameCall([_known(item) for item in news], news)
+
+
 def answer_call(context: GatewayContext, body: bytes) -> bytes:
     """Accept what another gateway tells; return the body of the answer.
 
@@ -266,6 +276,8 @@
     context.learn_crashes(call.news, context.clock.monotonic(), "peer")
     known = {item.cause: item for item in call.known}
     told = {item.cause: item for item in tell(context)}
+    if call.news:
+        told = {cause: told[cause] for cause in known.keys() & told.keys()}
     news = [item for item in told.values() if _adds(item, known.get(item.cause))]
     wanted = [item.cause for item in call.known if _lacks(told.get(item.cause), item)]
     return msgspec.msgpack.encode(BlameAnswer(_select(context, news), wanted))
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -17,7 +17,14 @@
 
 from lentilshore_kernel.clock import Clock
 
-from .crash_causes import SUSPECT_CRASHES, Cause, CauseRecord, Crash, Score
+from .crash_causes import (
+    MIN_EXPLAINED_SHARE,
+    SUSPECT_CRASHES,
+    Cause,
+    CauseRecord,
+    Crash,
+    Score,
+)
 from .crash_news import (
     MAX_ANSWERED_BEFORE,
     CauseNews,
@@ -134,8 +141,7 @@
         urgent = False
         for cause in causes:
             record = self._records.get(cause.digest)
-            if not cause.is_whole_request:
-                self._remember_answer(cause.digest, request, now)
+            self._remember_answer(cause.digest, request, now)
             if record is not None and not record.settled:
                 urgent |= record.add_answer(request, now)
         if urgent:
@@ -288,6 +294,8 @@
         self._blamed = {
             digest for digest, record in self._records.items() if record.is_blamed(now)
         }
+        for digest in self._blamed - before:
+            self._records[digest].rank_chain()
         return sorted(self._blamed - before)
 
     def _score_causes(self, condemned: set[str]) -> set[str]:
@@ -297,6 +305,8 @@
         :returns: digests of the causes that are condemned.
         """
         explained: set[str] = set()
+        for record in self._records.values():
+            record.outweighed = False
         for record in sorted(
             self._records.values(),
             key=lambda record: (record.digest not in condemned, record.preference()),
@@ -304,8 +314,32 @@
             record.score = record.count(explained)
             if record.explains_crashes:
                 explained.update(record.crashes)
+        self._weigh_requests(explained)
         return {record.digest for record in self._records.values() if record.condemned}
 
+    def _weigh_requests(self, explained: set[str]) -> None:
+        """Acquit whole requests in whose time replicas crash for other reasons too.
+
+        :param explained: replicas whose crashes suspected causes explain.
+        """
+        suspects = [r for r in self._records.values() if r.is_whole_request]
+        suspects = [record for record in suspects if record.convincing]
+        if not suspects:
+            return
+        ended_at = {
+            crash.replica: crash.ended_at
+            for record in self._records.values()
+            for crash in record.crashes.values()
+        }
+        for record in suspects:
+            first_at, last_at = record.score.first_at, record.last_crash_at
+            # Causes give slightly different times for the same crash.
+            in_its_time = set(record.crashes) | {
+                name for name, at in ended_at.items() if first_at <= at <= last_at
+            }
+            share = len(in_its_time & explained) / len(in_its_time)
+            record.outweighed = share < MIN_EXPLAINED_SHARE
+
     def _forget(self, now: float) -> None:
         """Forget causes that are of no interest, and those beyond the bound."""
         kept = [record for record in self._records.values() if record.is_kept(now)]
--- a/packages/routing/src/lentilshore_routing/crash_causes.py
+++ b/packages/routing/src/lentilshore_routing/crash_causes.py
@@ -37,6 +37,10 @@
 APART_S = 0.04
 # A cause explains crashes, before it is blamed, from this number of crashes in a row.
 SUSPECT_CRASHES = 2
+# A whole request is blamed only if the causes that are suspected explain this share of
+# the crashes in its time: where replicas crash for other reasons too, a sound one that
+# comes again is taken along several times in a row.
+MIN_EXPLAINED_SHARE = 0.8
 # Requests with a blamed cause are tried again after this time without a crash, so that
 # false blame ends. The next crash renews true blame at once.
 BLAME_MAX_S = 300.0
@@ -101,12 +105,14 @@
     :param crashes: all crashes since the first of them.
     :param apart: those of them that ended apart from the ones before.
     :param answers: answers since.
+    :param first_at: time of the first of the crashes in a row.
     """
 
     chained: int = 0
     crashes: int = 0
     apart: int = 0
     answers: int = 0
+    first_at: float = math.inf
 
 
 class CauseRecord:
@@ -121,12 +127,21 @@
         self.answers: dict[str, float] = {}
         # Result of the last review, without the crashes that other causes explain.
         self.score = Score()
+        # Whether too many crashes in its time have other reasons.
+        self.outweighed = False
 
     @property
     def is_whole_request(self) -> bool:
         """Whether the cause is a whole request."""
         return self.position == WHOLE_REQUEST_POSITION
 
+    @property
+    def _apart_s(self) -> float:
+        """Time between crashes of one rank that are in a row, seconds."""
+        # Few requests are alike, so that only time tells whether their crashes follow
+        # one another.
+        return APART_S if self.is_whole_request else math.inf
+
     @property
     def last_crash_at(self) -> float:
         """Time of the newest crash."""
@@ -141,9 +156,17 @@
     @property
     def condemned(self) -> bool:
         """Whether the crashes suffice for blame."""
+        return self.convincing and not self.outweighed
+
+    @property
+    def convincing(self) -> bool:
+        """Whether the crashes suffice for blame, those for other reasons aside."""
         score = self.score
         if score.chained <= CRASHES_PER_ANSWER * score.answers:
             return False
+        if self.is_whole_request and score.answers and score.chained < MAX_CRASHES:
+            # All requests that are alike do the same, other than those with one part.
+            return False
         if self.answered:
             return score.chained >= ANSWERED_BLAME_CRASHES
         if score.chained >= BLAME_CRASHES:
@@ -212,15 +235,14 @@
         return min(MAX_RANK, 1 + max(earlier, default=0))
 
     def add_crash(self, crash: Crash) -> bool:
-        """Add a crash; return whether it was new."""
+        """Add a crash; return whether it or its rank was new."""
         known = self.crashes.get(crash.replica)
         if known is not None:
             # The time of the end stays, so that it doesn't change from node to node.
             rank = max(known.rank, crash.rank)
             ended_by = min(known.ended_by, crash.ended_by)
-            known = known._replace(rank=rank, ended_by=ended_by)
-            self.crashes[crash.replica] = known
-            return False
+            self.crashes[crash.replica] = known._replace(rank=rank, ended_by=ended_by)
+            return rank > known.rank
         self.crashes[crash.replica] = crash
         if len(self.crashes) > MAX_CRASHES:
             oldest = min(self.crashes.values(), key=lambda c: (c.ended_at, c.replica))
@@ -244,10 +266,7 @@
         :param explained: digests of the replicas whose crashes don't count.
         """
         crashes = [c for c in self.crashes.values() if c.replica not in explained]
-        # Few requests are alike, so that only time tells whether their crashes follow
-        # one another.
-        apart_s = APART_S if self.is_whole_request else math.inf
-        chain = _chain(crashes, apart_s)
+        chain = _chain(crashes, self._apart_s)
         if not chain:
             return Score()
         first_at = chain[0].ended_at
@@ -257,8 +276,20 @@
             len(since),
             _count_apart(since),
             sum(at >= first_at for at in self.answers.values()),
+            first_at,
         )
 
+    def rank_chain(self) -> None:
+        """Rank the crashes in a row by their order.
+
+        Nodes know the times of crashes to some hundredths of a second only. The ranks
+        tell all of them which crashes one node has found to be in a row.
+        """
+        rank = 0
+        for crash in _chain(self.crashes.values(), self._apart_s):
+            rank = min(MAX_RANK, max(crash.rank, rank + 1))
+            self.crashes[crash.replica] = crash._replace(rank=rank)
+
     def forget_old(self, now: float) -> None:
         """Forget crashes that are too old to be told."""
         for crash in list(self.crashes.values()):
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -16,10 +16,9 @@
     PUSH_INTERVAL_S,
     RETRY_INTERVAL_S,
     BlameAnswer,
-    BlameCall,
-    KnownCause,
     answer_call,
     checksum,
+    create_call,
     tell,
 )
 from lentilshore_routing.crash_blame import CrashBlame
@@ -383,10 +382,7 @@
         """Call a gateway with news of some causes; it answers what it knows."""
         if not self._passes(gateway, peer):
             return
-        told = tell(gateway)
-        known = [KnownCause(i.cause, checksum(i), int(i.seen_age_s)) for i in told]
-        call = BlameCall(known, [item for item in told if item.cause in causes])
-        body = msgspec.msgpack.encode(call)
+        body = msgspec.msgpack.encode(create_call(gateway, causes))
         gateway.bytes += len(body)
         arrival = (gateway, peer, body, self.now, not causes)
         self.after(self._delay_s(), self._called, *arrival)
--- a/tests/test_blame_exchange.py
+++ b/tests/test_blame_exchange.py
@@ -38,6 +38,7 @@
     UnreadableBlameError,
     answer_call,
     checksum,
+    create_call,
     tell,
 )
 from lentilshore_node.peers.gateway_directory import GatewayDirectory
@@ -640,6 +641,23 @@
     assert counted(context, "blame_unsound")
 
 
+# Guards against bytes: each call that told of one cause listed all, and was answered
+# with all that differed.
+def test_a_call_that_tells_of_some_causes_is_about_them_only():
+    fleet = BlameFleet(2)
+    first, second = fleet.contexts.values()
+    for number in range(4):
+        fleet.crash("g0", f"r{number}", f"a{number}")
+        fleet.crash("g1", f"r{number}", f"b{number}")
+    cause = tell(first)[0].cause
+    call = create_call(first, [cause])
+    assert [item.cause for item in call.news] == [item.cause for item in call.known]
+    body = answer_call(second, msgspec.msgpack.encode(call))
+    answer = msgspec.msgpack.decode(body, type=BlameAnswer)
+    assert (answer.news, answer.wanted) == ([], [])
+    assert len(create_call(first, []).known) == len(tell(first))
+
+
 @pytest.mark.parametrize(
     "known", [KnownCause("x" * 9_000, 2**63, -(2**62)), KnownCause(PART, -1, 2**62)]
 )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -75,6 +75,14 @@
         return arrival.body == cls.bad_body
 
 
+class LookupTraffic(WholeTraffic):
+    """Requests without parts of which each comes again alike."""
+
+    def caller(self, number, bad):
+        body = b'{"find": %d}' % self._random.randrange(26)
+        return Caller(body=body, request_id=b"r%d" % number)
+
+
 class Fleet:
     """Gateways that know the same five replicas.
 
@@ -264,3 +272,18 @@
     assert fleet.served_share(stopped_s + DOWN_S, 50.0) > 0.99
     for context in fleet.gateways:
         assert len(context.blame.blamed) == 1
+
+
+# Sound lookups were refused for minutes after several had been taken along by crashes
+# that came close together.
+@pytest.mark.parametrize("gateways", [1, 6])
+@pytest.mark.parametrize("mode", DeliveryMode)
+@pytest.mark.parametrize("crash_pause_s", [0.25, 0.5, 1.0])
+def test_replicas_that_crash_by_themselves_blame_no_lookup(
+    crash_pause_s, mode, gateways
+):
+    fleet = Fleet(route(mode), gateways, LookupTraffic)
+    fleet.run(math.inf, crash_pause_s)
+    for context in fleet.gateways:
+        assert context.blame.blamed == []
+        assert "request_blamed" not in context.metrics.render()
