Count crashes under suspected requests as explained

Cause, traced in its logs: two crashes of another bad request, which was not blamed yet, came between its own, so that the suspected causes explained three of the five crashes in its time and not four fifths. What has two crashes in a row and was never answered now explains crashes in this as well.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -326,6 +326,9 @@
         suspects = [record for record in suspects if record.convincing]
         if not suspects:
             return
+        explained = explained.union(
+            *(r.crashes for r in self._records.values() if r.is_suspected)
+        )
         ended_at = {
             crash.replica: crash.ended_at
             for record in self._records.values()
--- a/packages/routing/src/lentilshore_routing/crash_causes.py
+++ b/packages/routing/src/lentilshore_routing/crash_causes.py
@@ -187,6 +187,11 @@
         suspect = score.chained >= SUSPECT_CRASHES and not score.answers
         return suspect or self.condemned
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether several replicas have crashed under the cause, and none answered."""
+        return self.score.chained >= SUSPECT_CRASHES and not self.answered
+
     @property
     def cleared(self) -> bool:
         """Whether answers or other causes clear the cause, so that a crash can wait."""
