Leave a store that is away to one gateway of each data centre

Cause: each gateway's three readers tried it by themselves, and all gateways wrote a due step of a roll-out again and again. A gateway whose reader answers now calls the store 1.5 s after a failure in the mean, whichever reader failed, and asks the other gateway meanwhile: one that has lost the store is asked again after 0.3 s instead of 3. Steps are not written before the store has been reached. A gateway that failed once also counts as reaching the store again once its reader tells it; it told nobody anything before.

--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -30,6 +30,9 @@
 # further failure, since entries of removed instances stay in the store.
 FAILED_PEER_PAUSE_S = 3.0
 MAX_FAILED_PEER_PAUSE_S = 60.0
+# A gateway that has answered, and has lost the store itself, is asked again after this
+# time: it tells of the store's return.
+USELESS_PEER_PAUSE_S = 0.3
 MAX_DOUBLINGS = 16  # keeps the power small; the pause reaches its limit before
 # A gateway asks this many others in turn before it calls the store itself.
 MAX_PEERS_ASKED = 2
@@ -83,6 +86,12 @@
         usable = [entry for entry in self._preferred if not self.is_paused(entry)]
         return usable[:limit]
 
+    @property
+    def has_reader(self) -> bool:
+        """Whether a gateway that reads the store before this one answers calls."""
+        failures = self._consecutive_failures
+        return any(entry.name not in failures for entry in self._preferred)
+
     def substitutes(self, limit: int = MAX_PEERS_ASKED) -> list[GatewayEntry]:
         """Return the gateways to ask where the store refuses this one.
 
@@ -157,18 +166,15 @@
         self._consecutive_failures[peer.name] = failures + 1
         doublings = min(failures, MAX_DOUBLINGS)
         pause_s = min(MAX_FAILED_PEER_PAUSE_S, FAILED_PEER_PAUSE_S * 2**doublings)
-        self._pause(peer, pause_s)
+        self._paused_until[peer.name] = self._clock.monotonic() + pause_s
+        # At most one line a pause and peer.
+        log_event("peer_unusable", peer=peer.name, pause_s=f"{pause_s:g}")
 
     def record_useless_answer(self, peer: GatewayEntry) -> None:
         """Record that a gateway has answered, and knows less than this one."""
         self._metrics.count("relay.peer_useless")
         self._consecutive_failures.pop(peer.name, None)
-        self._pause(peer, FAILED_PEER_PAUSE_S)
-
-    def _pause(self, peer: GatewayEntry, pause_s: float) -> None:
-        self._paused_until[peer.name] = self._clock.monotonic() + pause_s
-        # At most one line a pause and peer.
-        log_event("peer_unusable", peer=peer.name, pause_s=f"{pause_s:g}")
+        self._paused_until[peer.name] = self._clock.monotonic() + USELESS_PEER_PAUSE_S
 
     def record_answer(self, peer: GatewayEntry) -> None:
         """Record that a gateway has answered."""
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -15,7 +15,11 @@
 
 import msgspec
 
-from lentilshore_kernel.exceptions import StoreError, StoreHistoryGoneError
+from lentilshore_kernel.exceptions import (
+    StoreError,
+    StoreHistoryGoneError,
+    StoreUnavailableError,
+)
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.metrics import Metrics
 from lentilshore_kernel.types import StoreRevision
@@ -72,6 +76,7 @@
 CHANGES_MAX_AGE_S = 2 * WATCH_WAIT_S + 1.5
 TIMEOUT_LIMIT_MS = 10_000
 REVISION_LIMIT = 2**62
+RESTING = "the store is left alone for a moment after a failed call"
 
 
 class RelayServer:
@@ -203,6 +208,11 @@
         peers = self._directory.peers_to_ask(max_peers)
         return await self._ask_in_turn(peers, path, answer_type, max_age_s, wait_s)
 
+    @property
+    def has_reader(self) -> bool:
+        """Whether another gateway tells this one of the store's return."""
+        return self._directory.has_reader
+
     async def substitute_answer(
         self, path: str, answer_type: Any, max_age_s: float, wait_s: float = 0.0
     ) -> Any:
@@ -286,10 +296,10 @@
         """Return the changes after a revision, see :class:`Collection`.
 
         A call that may not wait goes to the store: it is made to find out whether the
-        store answers.
+        store answers. Where another gateway tells of that, it is asked.
         """
         watch_store = partial(self._collection.watch, after, wait_s)
-        if wait_s <= 0.0:
+        if wait_s <= 0.0 and not self._access.resting:
             return await self._watch_or_substitute(watch_store, after, wait_s)
         asked_at = self._clock.monotonic()
         peer_wait_s = min(wait_s, PEER_WAIT_S)
@@ -319,6 +329,8 @@
             changes = await self._substitute(after, peer_wait_s)
             if changes is not None:
                 return changes
+        if self._access.resting and self._peers.has_reader:
+            raise StoreUnavailableError(f"{self._part}: {RESTING}")
         try:
             return await self._access.call(watch_store)
         except StoreHistoryGoneError:
@@ -405,10 +417,15 @@
         if table is None:
             return await access.call(self._source.read_table)
         reading = await self._ask(self._peers.first_answer, table)
-        if reading is None and access.paused:
-            reading = await self._ask(self._peers.substitute_answer, table)
         if reading is not None:
+            access.record_relay()
             return reading
+        if access.paused:
+            reading = await self._ask(self._peers.substitute_answer, table)
+            if reading is not None:
+                return reading
+        if access.resting and self._peers.has_reader:
+            raise StoreUnavailableError(f"configuration: {RESTING}")
         try:
             return await access.call(self._source.read_table)
         except StoreError:
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -132,7 +132,7 @@
 
     def __post_init__(self) -> None:
         self.room = RoomQueue(self.clock)
-        self.store_access = StoreAccess(self.clock)
+        self.store_access = StoreAccess(self.clock, self.random)
         self.change_logs = {
             part: ChangeLog(self.clock) for part in (REPLICAS_PART, ROLLOUTS_PART)
         }
--- a/packages/node/src/lentilshore_node/state/rollout_controller.py
+++ b/packages/node/src/lentilshore_node/state/rollout_controller.py
@@ -54,7 +54,9 @@
             await self._write(rollout)
 
     async def _check(self, rollout: Rollout) -> None:
-        """Write the roll-out's next step if one is due."""
+        """Write the next step if one is due, and the store can be reached."""
+        if self._context.store_access.failing:
+            return
         successor = self._find_step(rollout)
         if successor is None:
             return
--- a/packages/node/src/lentilshore_node/state/store_access.py
+++ b/packages/node/src/lentilshore_node/state/store_access.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -14,6 +15,10 @@
 # After a failed call, the store is left alone for this time where another gateway
 # answers instead.
 STORE_PAUSE_S = 2.0
+# Mean time after a failed call for which a gateway leaves the store alone that another
+# one tells of the store's return, and its spread.
+FOLLOWER_REST_S = 1.5
+FOLLOWER_REST_SPREAD = 0.5
 
 
 class StoreAccess:
@@ -22,15 +27,18 @@
     The store may refuse some gateways while it serves the others.
 
     :param clock: source of time.
+    :param random_source: spreads the calls of gateways that follow another one.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, random_source: random.Random) -> None:
         self._clock = clock
+        self._random = random_source
         self._failed_at: float | None = None
+        self._rests_until = -math.inf
 
     @property
     def failing(self) -> bool:
-        """Whether the last call has failed."""
+        """Whether the last call has failed, and no reader has been reached since."""
         return self._failed_at is not None
 
     @property
@@ -39,6 +47,15 @@
         failed_at = -math.inf if self._failed_at is None else self._failed_at
         return self._clock.monotonic() - failed_at < STORE_PAUSE_S
 
+    @property
+    def resting(self) -> bool:
+        """Whether the store is left alone if another gateway tells of its return."""
+        return self.failing and self._clock.monotonic() < self._rests_until
+
+    def record_relay(self) -> None:
+        """Record that a gateway that reaches the store has told this one of it."""
+        self._failed_at = None
+
     async def call(self, operation: Callable[[], Awaitable[T]]) -> T:
         """Make a call, and record how it ends.
 
@@ -52,6 +69,8 @@
             raise
         except StoreError:
             self._failed_at = self._clock.monotonic()
+            spread = FOLLOWER_REST_SPREAD * (2.0 * self._random.random() - 1.0)
+            self._rests_until = self._failed_at + FOLLOWER_REST_S * (1.0 + spread)
             raise
         self._failed_at = None
         return result
--- a/tests/test_store_refusals.py
+++ b/tests/test_store_refusals.py
@@ -7,11 +7,13 @@
 import msgspec
 import pytest
 
+from lentilshore_kernel.exceptions import StoreUnavailableError
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock
 from lentilshore_node.clients.fleet_source import Change
 from lentilshore_node.peers.gateway_directory import (
     FAILED_PEER_PAUSE_S,
+    USELESS_PEER_PAUSE_S,
     GatewayDirectory,
 )
 from lentilshore_node.peers.relay_messages import (
@@ -22,7 +24,8 @@
     compress_table,
     decompress_table,
 )
-from tests.test_fleet_view import record
+from lentilshore_node.state.rollout_controller import RolloutController
+from tests.test_fleet_view import record, rollout
 from tests.test_fleet_view_updater import BOUNDS
 from tests.test_relay import NAMES, Fleet, entry, wait
 
@@ -178,7 +181,8 @@
     own = directory()
     for _ in range(6):
         own.record_useless_answer(entry("n2"))
-        own._clock.advance(FAILED_PEER_PAUSE_S + 0.01)
+        assert own.is_paused(entry("n2"))
+        own._clock.advance(USELESS_PEER_PAUSE_S + 0.01)
         assert not own.is_paused(entry("n2"))
 
 
@@ -207,3 +211,87 @@
             assert fleet.view(name).table.version == fleet.store.version
 
     Fleet().run(steps)
+
+
+# Guards against a storm of calls: each gateway called a store that was away six times a
+# second, so that a third of the calls of a day were made in eight seconds.
+@pytest.mark.parametrize("fault", ["cut", "silent"])
+def test_a_store_that_is_away_is_called_by_one_gateway_of_a_data_centre(fault):
+    async def steps(fleet):
+        await wait(fleet, 5.0)
+        for name in NAMES:
+            setattr(fleet.sources[name], fault, True)
+        await wait(fleet, 2.0)
+        calls = {name: fleet.sources[name].calls for name in NAMES}
+        await wait(fleet, 10.0)
+        for name in (fleet.follower, fleet.last):
+            # One call in FOLLOWER_REST_S, which may be shorter by half.
+            assert fleet.sources[name].calls - calls[name] <= 10.0 / 0.75 + 1
+        for name in NAMES:
+            setattr(fleet.sources[name], fault, False)
+        fleet.store.version += 1
+        await wait(fleet, 2.5)
+        for name in NAMES:
+            assert fleet.view(name).table.version == fleet.store.version
+            assert fleet.view(name).confirmed_age_s < READY_AGE_S
+
+    Fleet().run(steps)
+
+
+def test_a_gateway_whose_reader_is_lost_calls_a_store_that_is_away_itself():
+    async def steps(fleet):
+        await wait(fleet, 5.0)
+        for name in NAMES:
+            fleet.sources[name].cut = True
+        fleet.network.unreachable |= {fleet.reader, fleet.follower}
+        await wait(fleet, 3.0)
+        fleet.sources[fleet.last].cut = False
+        await wait(fleet, 1.5)
+        assert fleet.view(fleet.last).confirmed_age_s < READY_AGE_S
+
+    Fleet().run(steps)
+
+
+# Guards against a storm of calls: all gateways wrote the step that was due again and
+# again while the store was away.
+def test_no_step_of_a_rollout_is_written_while_the_store_cannot_be_reached():
+    written = []
+
+    async def steps(fleet):
+        context = fleet.contexts[fleet.reader]
+
+        async def write_rollout(record):
+            written.append(record)
+            raise StoreUnavailableError("away")
+
+        fleet.relayed[fleet.reader].write_rollout = write_rollout
+        await wait(fleet, 5.0)
+        context.view.update_rollout(rollout(None, 5))
+        fleet.sources[fleet.reader].cut = True
+        fleet.network.unreachable |= {fleet.follower, fleet.last}
+        await wait(fleet, 3.0)
+        controller = RolloutController(context, fleet.relayed[fleet.reader])
+        with fleet.clock.timeout(3.0):
+            await controller.run()
+        assert written == []
+        fleet.sources[fleet.reader].cut = False
+        with fleet.clock.timeout(3.0):
+            await controller.run()
+        assert written
+
+    Fleet().run(steps)
+
+
+def test_a_follower_that_failed_serves_others_once_its_reader_is_back():
+    async def steps(fleet):
+        await wait(fleet, 5.0)
+        for name in NAMES:
+            fleet.sources[name].cut = True
+        await wait(fleet, 5.0)
+        for name in NAMES:
+            fleet.sources[name].cut = False
+        await wait(fleet, 3.0)
+        server = fleet.network.servers[fleet.follower]
+        assert await server.answer("/relay/configuration", b"") is not None
+
+    Fleet().run(steps)
