--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -248,7 +248,7 @@
             self._last_retry_paid = False
             self._context.retries.refund(self._scope.group)
 
-    def record_end(self, error: UpstreamError) -> None:
+    def record_outcome(self, error: UpstreamError) -> None:
         """Record how the last attempt ended."""
         not_run = error.execution is Execution.NOT_RUN
         self._rejected = not_run and not reached_no_replica(error)
@@ -286,7 +286,7 @@
             self._counted_rejections += 1
         else:
             self._pacing.restart()
-        self.record_end(error)
+        self.record_outcome(error)
         if reached_no_replica(error):
             self.refund_retry()
         else:
--- a/packages/node/src/lentilshore_node/delivery/handover.py
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -170,7 +170,7 @@
             taken_up = self._taken_up = True
         except UpstreamError as error:
             failure = error
-            self._loop.record_end(error)
+            self._loop.record_outcome(error)
             if error.execution is Execution.NOT_RUN:
                 self._loop.give_back_retry()
             if reached_no_replica(error):
--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -32,7 +32,7 @@
 MAX_FAILED_PEER_PAUSE_S = 60.0
 # A gateway that has answered, and has lost the store itself, is asked again after this
 # time: it tells of the store's return.
-USELESS_PEER_PAUSE_S = 0.3
+STALE_PEER_PAUSE_S = 0.3
 MAX_DOUBLINGS = 16  # keeps the power small; the pause reaches its limit before
 # A gateway asks this many others in turn before it calls the store itself.
 MAX_PEERS_ASKED = 2
@@ -92,7 +92,7 @@
         failures = self._consecutive_failures
         return any(entry.name not in failures for entry in self._preferred)
 
-    def substitutes(self, limit: int = MAX_PEERS_ASKED) -> list[GatewayEntry]:
+    def fallback_peers(self, limit: int = MAX_PEERS_ASKED) -> list[GatewayEntry]:
         """Return the gateways to ask where the store refuses this one.
 
         Those of the same data centre come first, in the order in which they read the
@@ -170,11 +170,11 @@
         # At most one line a pause and peer.
         log_event("peer_unusable", peer=peer.name, pause_s=f"{pause_s:g}")
 
-    def record_useless_answer(self, peer: GatewayEntry) -> None:
+    def record_stale_answer(self, peer: GatewayEntry) -> None:
         """Record that a gateway has answered, and knows less than this one."""
-        self._metrics.count("relay.peer_useless")
+        self._metrics.count("relay.peer_stale")
         self._consecutive_failures.pop(peer.name, None)
-        self._paused_until[peer.name] = self._clock.monotonic() + USELESS_PEER_PAUSE_S
+        self._paused_until[peer.name] = self._clock.monotonic() + STALE_PEER_PAUSE_S
 
     def record_answer(self, peer: GatewayEntry) -> None:
         """Record that a gateway has answered."""
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -22,7 +22,8 @@
 from ..peers.blame_exchange import BlameExchange
 from ..peers.gateway_directory import GatewayDirectory
 from ..peers.limit_exchange import LimitExchange
-from ..peers.relay import PeerClient, RelayedSource, RelayServer
+from ..peers.relay import RelayServer
+from ..peers.relayed_source import PeerClient, RelayedSource
 from ..state.fleet_view_updater import FleetViewUpdater
 from ..state.gateway_context import BALANCER_REMOVAL_S, GatewayContext
 from ..state.rollout_controller import RolloutController
--- a/packages/node/src/lentilshore_node/state/store_access.py
+++ b/packages/node/src/lentilshore_node/state/store_access.py
@@ -17,8 +17,8 @@
 STORE_PAUSE_S = 2.0
 # Mean time after a failed call for which a gateway leaves the store alone that another
 # one tells of the store's return, and its spread.
-FOLLOWER_REST_S = 1.5
-FOLLOWER_REST_SPREAD = 0.5
+FOLLOWER_BACKOFF_S = 1.5
+FOLLOWER_BACKOFF_JITTER = 0.5
 
 
 class StoreAccess:
@@ -34,7 +34,7 @@
         self._clock = clock
         self._random = random_source
         self._failed_at: float | None = None
-        self._rests_until = -math.inf
+        self._backs_off_until = -math.inf
 
     @property
     def failing(self) -> bool:
@@ -48,11 +48,11 @@
         return self._clock.monotonic() - failed_at < STORE_PAUSE_S
 
     @property
-    def resting(self) -> bool:
+    def backing_off(self) -> bool:
         """Whether the store is left alone if another gateway tells of its return."""
-        return self.failing and self._clock.monotonic() < self._rests_until
+        return self.failing and self._clock.monotonic() < self._backs_off_until
 
-    def record_relay(self) -> None:
+    def record_relayed_answer(self) -> None:
         """Record that a gateway that reaches the store has told this one of it."""
         self._failed_at = None
 
@@ -69,8 +69,9 @@
             raise
         except StoreError:
             self._failed_at = self._clock.monotonic()
-            spread = FOLLOWER_REST_SPREAD * (2.0 * self._random.random() - 1.0)
-            self._rests_until = self._failed_at + FOLLOWER_REST_S * (1.0 + spread)
+            jitter = FOLLOWER_BACKOFF_JITTER * (2.0 * self._random.random() - 1.0)
+            backoff_s = FOLLOWER_BACKOFF_S * (1.0 + jitter)
+            self._backs_off_until = self._failed_at + backoff_s
             raise
         self._failed_at = None
         return result
--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -314,11 +314,11 @@
             record.score = record.count(explained)
             if record.explains_crashes:
                 explained.update(record.crashes)
-        self._weigh_requests(explained)
+        self._check_other_causes(explained)
         return {record.digest for record in self._records.values() if record.condemned}
 
-    def _weigh_requests(self, explained: set[str]) -> None:
-        """Acquit whole requests in whose time replicas crash for other reasons too.
+    def _check_other_causes(self, explained: set[str]) -> None:
+        """Mark whole requests between whose crashes others happened as outweighed.
 
         :param explained: replicas whose crashes suspected causes explain.
         """
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -32,11 +32,10 @@
 from lentilshore_node.peers.relay import (
     CHANGES_PATH,
     CONFIGURATION_PATH,
-    PeerClient,
-    RelayedSource,
     RelayServer,
 )
 from lentilshore_node.peers.relay_messages import RelayedChanges, decode_changes
+from lentilshore_node.peers.relayed_source import PeerClient, RelayedSource
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_node.state.change_log import (
     ANSWER_DELAY_S,
--- a/tests/test_store_refusals.py
+++ b/tests/test_store_refusals.py
@@ -13,7 +13,7 @@
 from lentilshore_node.clients.fleet_source import Change
 from lentilshore_node.peers.gateway_directory import (
     FAILED_PEER_PAUSE_S,
-    USELESS_PEER_PAUSE_S,
+    STALE_PEER_PAUSE_S,
     GatewayDirectory,
 )
 from lentilshore_node.peers.relay_messages import (
@@ -180,20 +180,20 @@
 def test_a_gateway_that_knows_less_is_paused_no_longer_each_time():
     own = directory()
     for _ in range(6):
-        own.record_useless_answer(entry("n2"))
+        own.record_stale_answer(entry("n2"))
         assert own.is_paused(entry("n2"))
-        own._clock.advance(USELESS_PEER_PAUSE_S + 0.01)
+        own._clock.advance(STALE_PEER_PAUSE_S + 0.01)
         assert not own.is_paused(entry("n2"))
 
 
-def test_substitutes_are_others_than_those_asked_first_and_include_a_far_one():
+def test_fallback_peers_are_not_those_asked_first_and_one_is_elsewhere():
     own = directory()
-    names = {peer.name for peer in own.substitutes()}
+    names = {peer.name for peer in own.fallback_peers()}
     assert names & {"n4", "n5"}
     assert not names & {peer.name for peer in own.peers_to_ask()}
     own.record_failure(entry("n4"))
     own.record_failure(entry("n5"))
-    assert {peer.name for peer in own.substitutes()} <= {"n2", "n3"}
+    assert {peer.name for peer in own.fallback_peers()} <= {"n2", "n3"}
 
 
 def test_a_store_that_is_away_is_called_again_after_its_return():
@@ -225,7 +225,7 @@
         calls = {name: fleet.sources[name].calls for name in NAMES}
         await wait(fleet, 10.0)
         for name in (fleet.follower, fleet.last):
-            # One call in FOLLOWER_REST_S, which may be shorter by half.
+            # One call in FOLLOWER_BACKOFF_S, which may be shorter by half.
             assert fleet.sources[name].calls - calls[name] <= 10.0 / 0.75 + 1
         for name in NAMES:
             setattr(fleet.sources[name], fault, False)
