Let begun streams wait longer for a retry of the budget

A caller whose answer has begun can't be told to come back, so that such a request now waits as long as it has time. tests/test_late_rejections.py fails before for a begun stream; one that has not begun ends with 502 as before.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -65,7 +65,8 @@
 # Longest time for which an answer in hand waits for a larger model's replica to take
 # the request up. The connection may take as long as the rest.
 ESCALATION_WAIT_S = 2 * TAKE_UP_S
-# Longest time after a handover for which a retry is asked for again.
+# Longest time after a handover for which a retry is asked for again. A request whose
+# answer has begun waits as long as it has time: its caller can't be told to come back.
 BUDGET_WAIT_S = 3.0
 
 
@@ -231,8 +232,10 @@
 
     async def wait_for_budget(self) -> bool:
         """Wait if an attempt was given up that might still have answered."""
-        now = self._context.clock.monotonic()
-        if now - self._handed_over_at >= BUDGET_WAIT_S:
+        waited_s = self._context.clock.monotonic() - self._handed_over_at
+        if waited_s == math.inf:
+            return False
+        if waited_s >= BUDGET_WAIT_S and not self._relay.started:
             return False
         self._context.metrics.count(retry_denial_counter(RetryDenial.BUDGET))
         log_event("retry_awaited", request=self._request.request_id)
--- a/tests/test_late_rejections.py
+++ b/tests/test_late_rejections.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from lentilshore_node.delivery import delivery
 from lentilshore_routing.routes import DeliveryMode
 from tests.test_gateway import Caller, GatewayHarness, event, route, signed, stream
 from tests.test_handover_races import after, chunk, rejection, stream_head
@@ -23,6 +24,8 @@
 class RefillingBudget:
     """Retry budget that allows a second retry some time after the first."""
 
+    refill_s = 0.5
+
     def __init__(self):
         self._spent_at = None
 
@@ -31,7 +34,9 @@
 
     def can_spend(self, after_rejection=False):
         """Allow a retry unless one was counted lately."""
-        return self._spent_at is None or anyio.current_time() > self._spent_at + 0.5
+        if self._spent_at is None:
+            return True
+        return anyio.current_time() > self._spent_at + self.refill_s
 
     def try_spend(self, after_rejection=False):
         """Count a retry."""
@@ -63,3 +68,34 @@
     harness = GatewayHarness([first, after(0.3, rejection), last], with_route)
     caller = harness.run(Caller([(b"x-model", b"*")]), act)
     assert (caller.status, caller.body, caller.complete) == (200, body, True)
+
+
+class SlowBudget(RefillingBudget):
+    """Retry budget that allows a second retry late."""
+
+    refill_s = 0.8
+
+
+# Guards against LOST: a stream that had begun was cut 3 s after a late rejection, with
+# time left. Its caller can't be told to come back.
+@pytest.mark.parametrize(
+    ("first", "last", "with_route", "expected"),
+    [
+        (silent_stream, stream([2], "whole"), STREAM, (200, True)),
+        (["hang"], signed(b"whole"), ANSWER, (502, True)),
+    ],
+    ids=["begun", "not begun"],
+)
+def test_a_begun_stream_waits_longer_for_a_retry_of_the_budget(
+    first, last, with_route, expected, monkeypatch
+):
+    monkeypatch.setattr(delivery, "BUDGET_WAIT_S", 0.2)
+    monkeypatch.setattr("lentilshore_node.delivery.attempts.WAIT_LIMIT_S", 0.0)
+
+    async def act(harness, application, caller):
+        harness.context.retries._create_budget = SlowBudget
+        await caller.send_to(application)
+
+    harness = GatewayHarness([first, after(0.3, rejection), last], with_route)
+    caller = harness.run(Caller([(b"x-deadline-ms", b"3000")]), act)
+    assert (caller.status, caller.complete) == expected
