Let few suspects explain crashes before a whole request is blamed

A sound lookup was blamed where replicas crash by themselves every 0.25 s (red test 0.25-idempotent-1).

Cause: four fifths of the crashes in a request's time must be explained by suspects, and other sound lookups that were taken along twice counted as such: between them they explained nearly all crashes. Suspects are counted now with the one first that explains most, and each must explain two crashes beside those before it.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -314,33 +314,38 @@
             record.score = record.count(explained)
             if record.explains_crashes:
                 explained.update(record.crashes)
-        self._check_other_causes(explained)
+        self._check_other_causes()
         return {record.digest for record in self._records.values() if record.condemned}
 
-    def _check_other_causes(self, explained: set[str]) -> None:
-        """Mark whole requests between whose crashes others happened as outweighed.
-
-        :param explained: replicas whose crashes suspected causes explain.
-        """
-        suspects = [r for r in self._records.values() if r.is_whole_request]
-        suspects = [record for record in suspects if record.convincing]
-        if not suspects:
+    def _check_other_causes(self) -> None:
+        """Mark whole requests between whose crashes others happened as outweighed."""
+        convincing = [r for r in self._records.values() if r.convincing]
+        convincing = [record for record in convincing if record.is_whole_request]
+        if not convincing:
             return
-        explained = explained.union(
-            *(r.crashes for r in self._records.values() if r.is_suspected)
-        )
+        suspects = [
+            record
+            for record in self._records.values()
+            if record.is_suspected or record.explains_crashes
+        ]
         ended_at = {
             crash.replica: crash.ended_at
             for record in self._records.values()
             for crash in record.crashes.values()
         }
-        for record in suspects:
+        for record in convincing:
             first_at, last_at = record.score.first_at, record.last_crash_at
             # Causes give slightly different times for the same crash.
-            in_its_time = set(record.crashes) | {
-                name for name, at in ended_at.items() if first_at <= at <= last_at
+            own = set(record.crashes)
+            others = {
+                name
+                for name, at in ended_at.items()
+                if first_at <= at <= last_at and name not in own
             }
-            share = len(in_its_time & explained) / len(in_its_time)
+            explained = len(own) + _count_explained(
+                others, [set(r.crashes) for r in suspects if r is not record]
+            )
+            share = explained / (len(own) + len(others))
             record.outweighed = share < MIN_EXPLAINED_SHARE
 
     def _forget(self, now: float) -> None:
@@ -352,6 +357,24 @@
         self._records = {record.digest: record for record in kept}
 
 
+def _count_explained(crashes: set[str], suspects: list[set[str]]) -> int:
+    """Return how many crashes few suspects explain, the one with most of them first.
+
+    A suspect explains :data:`SUSPECT_CRASHES` at least beside the others: where
+    replicas crash by themselves, each crash takes some request along.
+
+    :param crashes: names of the replicas that crashed.
+    :param suspects: names of the replicas that crashed under each suspected cause.
+    """
+    left = set(crashes)
+    while suspects:
+        most = max((suspect & left for suspect in suspects), key=len)
+        if len(most) < SUSPECT_CRASHES:
+            break
+        left -= most
+    return len(crashes) - len(left)
+
+
 def _suspicion(record: CauseRecord) -> tuple[bool, int, bool]:
     """Return the order in which other nodes are told, the last first."""
     return record.condemned, len(record.crashes), not record.is_whole_request
