Have other gateways serve what a gateway cut off from all replicas can't

Cause: a gateway served requests only through its own connections to replicas, so that each fault of those was a fault for all its callers, though other gateways reached the same replicas.

Connections that fail or fall silent at two replicas make a service suspected. It is then probed, and other gateways are asked at the same time whether they reach it. If only others do, a request goes as a whole to one of them, one hop at most. The receiver checks key and configuration itself, chooses version and replica, counts the request for its budgets, and returns a typed refusal where it does not serve. A hop that breaks counts as a possible run. A caller's leaving closes the call.

Rejections are counted by cause, for want of room or another one.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -92,6 +92,18 @@
         "outcome",
         "Calls between gateways, by outcome",
     ),
+    MetricFamily(
+        "forward",
+        "lentilshore_forwarded_requests",
+        "event",
+        "Requests that one gateway serves in place of another, by event",
+    ),
+    MetricFamily(
+        "rejection",
+        "lentilshore_replica_rejections",
+        "cause",
+        "Requests that replicas rejected without running them, by cause",
+    ),
     MetricFamily(
         "limit",
         "lentilshore_replica_limits",
--- a/packages/node/src/lentilshore_node/callers/forwarder.py
+++ b/packages/node/src/lentilshore_node/callers/forwarder.py
@@ -6,8 +6,10 @@
 from lentilshore_kernel.types import RefusalReason
 from lentilshore_routing.routes import KeyOwner, Route
 
+from ..clients.forwarded_requests import ForwardedRequest
 from ..clients.forwarding import ForwardRequest
-from ..delivery.delivery import Delivery
+from ..delivery.delivery import Delivery, ForwardedTerms
+from ..delivery.no_replica import OVERLOAD_RETRY_AFTER_S
 from ..delivery.outcome import Outcome
 from ..delivery.responder import Responder
 from ..state.gateway_context import GatewayContext
@@ -19,6 +21,8 @@
 # end waits for it, at most until this time after the node's start.
 FIRST_READ_TIMEOUT_S = 0.25
 FIRST_READ_POLL_S = 0.005
+# Requests that a gateway serves at once in place of others, beside its own.
+MAX_FORWARDED_IN_FLIGHT = 256
 
 
 class Forwarder:
@@ -83,6 +87,25 @@
         ):
             raise self._stale_refusal(RefusalReason.KEY_UNPROVED)
 
+    def check_may_serve(self, forwarded: ForwardedRequest) -> None:
+        """Check that this gateway may serve a request in place of the sender.
+
+        :raises RefusalError: if it may not; the request has not run.
+        """
+        context = self._context
+        if context.draining:
+            raise RefusalError(RefusalReason.DRAINING)
+        if context.forwarded_in_flight >= MAX_FORWARDED_IN_FLIGHT:
+            raise RefusalError(
+                RefusalReason.QUEUE_FULL,
+                detail=f"{MAX_FORWARDED_IN_FLIGHT} requests of others are in flight",
+                retry_after_s=OVERLOAD_RETRY_AFTER_S,
+            )
+        table = context.view.table
+        if table is not None and table.version < forwarded.table_version:
+            # Would undo for the caller what the sender has put in force.
+            raise self._stale_refusal(RefusalReason.CONFIGURATION_STALE)
+
     async def serve(
         self,
         request: ForwardRequest,
@@ -90,6 +113,7 @@
         customer: KeyOwner | None,
         received_at: float,
         responder: Responder,
+        forwarded: ForwardedTerms | None = None,
     ) -> Outcome:
         """Serve one request.
 
@@ -97,6 +121,7 @@
         :param customer: customer that sent it, None on a public route.
         :param received_at: time at which it was received, on the node's clock, seconds.
         :param responder: sends the answer to the caller.
+        :param forwarded: set if another gateway has sent the request.
         :raises RefusalError: if it is not served.
         """
         delivery = Delivery(
@@ -107,6 +132,7 @@
             customer,
             received_at,
             responder,
+            forwarded,
         )
         return await delivery.run()
 
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -16,17 +16,29 @@
 from lentilshore_routing.placement import ReplicaLease
 from lentilshore_routing.routes import CallerLimits
 
+from ..clients.forwarded_requests import (
+    MESSAGE_OVERHEAD_BYTES,
+    REFUSED,
+    RELAYED,
+    ForwardedRequest,
+    answer_field,
+    decode_forwarded,
+    encode_forwarded_refusal,
+)
 from ..clients.forwarding import ForwardRequest
 from ..clients.http_connection import HeaderFields
+from ..delivery.delivery import ForwardedTerms
 from ..delivery.outcome import Outcome
 from ..delivery.responder import (
     CLOSE_CONNECTION,
     AsgiResponder,
+    FieldAddingResponder,
     encode_refusal,
     send_json,
 )
 from ..state.gateway_context import (
     CALLER_BODY_TIMEOUT_S,
+    FORWARD_PATH,
     PEER_BODY_LIMIT_BYTES,
     PEER_BODY_TIMEOUT_S,
     PEER_PATHS,
@@ -100,6 +112,9 @@
         if self._answer_peer is None or not scope["path"].startswith(PEER_PATHS):
             await self._send_metrics(responder)
             return
+        if scope["path"] == FORWARD_PATH:
+            await self._serve_forwarded(scope, receive, responder)
+            return
         try:
             body = await read_body(
                 receive,
@@ -122,6 +137,106 @@
         await responder.start(status, fields)
         await responder.finish(content or b"")
 
+    async def _serve_forwarded(
+        self, scope: Any, receive: Receive, responder: AsgiResponder
+    ) -> None:
+        """Serve a request in place of another gateway."""
+        context = self._context
+        table = context.view.table
+        limits = table.limits if table else CallerLimits()
+        try:
+            body = await read_body(
+                receive,
+                context.clock,
+                limits.body_bytes + MESSAGE_OVERHEAD_BYTES,
+                PEER_BODY_TIMEOUT_S,
+                scope["headers"],
+            )
+            forwarded = decode_forwarded(body)
+        except LentilshoreError as error:
+            await self._refuse_peer(scope["path"], error, responder)
+            return
+        context.metrics.count("forward.received")
+        context.in_flight += 1
+        try:
+            await self._serve_in_place(forwarded, receive, responder)
+        finally:
+            context.in_flight -= 1
+
+    async def _serve_in_place(
+        self, forwarded: ForwardedRequest, receive: Receive, responder: AsgiResponder
+    ) -> None:
+        context, request_id = self._context, forwarded.request.request_id
+        try:
+            self._forwarder.check_may_serve(forwarded)
+            context.forwarded_in_flight += 1
+            try:
+                await self._serve_for_sender(forwarded, receive, responder)
+            finally:
+                context.forwarded_in_flight -= 1
+        except RefusalError as refusal:
+            await self._refuse_sender(refusal, forwarded, responder)
+        except Exception as error:  # noqa: BLE001
+            log_event(
+                "request_failed",
+                request=request_id or "-",
+                error=type(error).__name__,
+                detail=str(error),
+            )
+            refusal = RefusalError(RefusalReason.INTERNAL, Execution.UNKNOWN)
+            await self._refuse_sender(refusal, forwarded, responder)
+
+    async def _serve_for_sender(
+        self, forwarded: ForwardedRequest, receive: Receive, responder: AsgiResponder
+    ) -> None:
+        received_at = self._context.clock.monotonic()
+        request = forwarded.request._replace(deadline_s=forwarded.remaining_s)
+        route, customer = self._forwarder.route(request)
+        table = self._context.view.table
+        serve = partial(
+            self._forwarder.serve,
+            request,
+            route,
+            customer,
+            received_at,
+            FieldAddingResponder(responder, answer_field(forwarded.call_id, RELAYED)),
+            ForwardedTerms(forwarded.attempts_left, forwarded.counted),
+        )
+        outcome = await serve_until_disconnect(receive, serve)
+        log_fields = {
+            "route": route.name,
+            "configuration": table.version if table else 0,
+            "sender": forwarded.sender,
+        }
+        self._log_outcome(request, log_fields, outcome)
+
+    async def _refuse_sender(
+        self,
+        refusal: RefusalError,
+        forwarded: ForwardedRequest,
+        responder: AsgiResponder,
+    ) -> None:
+        self._context.metrics.count(f"forward.refused.{refusal.reason.value}")
+        log_event(
+            "forwarded_request_refused",
+            request=forwarded.request.request_id or "-",
+            sender=forwarded.sender,
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+            cut=responder.started,
+            detail=refusal.detail,
+        )
+        if responder.started:
+            # The sender sees that the answer is incomplete.
+            return
+        body = encode_forwarded_refusal(refusal)
+        fields = [
+            answer_field(forwarded.call_id, REFUSED),
+            ("content-length", str(len(body))),
+        ]
+        await responder.start(UNAVAILABLE_STATUS, fields)
+        await responder.finish(body)
+
     async def _refuse_peer(
         self, path: str, error: LentilshoreError, responder: AsgiResponder
     ) -> None:
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -74,6 +74,7 @@
 
     :param request_id: identifier of the answered request, empty if not stated.
     :param not_run: whether the replica states that the request did not run.
+    :param no_room: whether it rejected the request for want of room.
     :param misdirected: whether the answer comes from another replica than the chosen
         one.
     :param unaltered: whether the answer bears the replica's signature and no content
@@ -94,6 +95,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    no_room: bool = False
 
 
 class Translator(Protocol):
@@ -103,6 +105,10 @@
     def ready_path(self) -> str:
         """Path of the balancer's readiness probes."""
 
+    @property
+    def report_path(self) -> str:
+        """Path that replicas answer at once, with or without a free place."""
+
     def read_request(
         self, method: str, target: bytes, path: str, fields: HeaderFields
     ) -> ForwardRequest:
--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from lentilshore_kernel.json import decode_json
 from lentilshore_kernel.types import Address
@@ -24,6 +24,8 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
+# A connect that takes longer is reported, and may be abandoned.
+SLOW_CONNECT_S = 0.25
 # Longest wait for a server to refuse or accept a connection that is a probe.
 PROBE_TIMEOUT_S = 0.2
 # Limit per server.
@@ -56,6 +58,19 @@
         return decode_json(self.body)
 
 
+class ConnectionObserver(Protocol):
+    """Is told of connections to servers that fail."""
+
+    def record_connect_failed(self, address: Address) -> None:
+        """Record that a server refused a connection or did not answer."""
+
+    def record_slow_connect(self, address: Address) -> None:
+        """Record that a connect has taken :data:`SLOW_CONNECT_S` so far."""
+
+    def record_connection_lost(self, address: Address) -> None:
+        """Record that a connection was reset, or that its other end has vanished."""
+
+
 class Call:
     """A request that was sent, until its answer has ended or is no longer wanted.
 
@@ -107,6 +122,8 @@
         self._idle_connections: dict[Address, list[Connection]] = {}
         self._connections_opened = 0
         self._budget = BufferBudget()
+        self._observer: ConnectionObserver | None = None
+        self._connecting: dict[Address, set[asyncio.Timeout]] = {}
 
     @property
     def buffered_bytes(self) -> int:
@@ -118,6 +135,10 @@
         """Number of connections opened by this client."""
         return self._connections_opened
 
+    def report_connections(self, observer: ConnectionObserver) -> None:
+        """Tell an observer of connections that fail from now on."""
+        self._observer = observer
+
     async def close(self) -> None:
         """Close every idle connection."""
         for address in list(self._idle_connections):
@@ -243,6 +264,25 @@
             raise
         return call
 
+    def abandon_connects(self, address: Address) -> None:
+        """Fail the connects to a server that are under way."""
+        now = asyncio.get_running_loop().time()
+        for scope in list(self._connecting.get(address, ())):
+            scope.reschedule(now)
+
+    async def connects(self, address: Address, timeout_s: float) -> bool:
+        """Return whether a server accepts a connection, which is kept for later calls.
+
+        :param timeout_s: longest wait, seconds.
+        """
+        try:
+            connection = await self._connect(address, timeout_s)
+        except CallNotSentError:
+            return False
+        connection.end_call()
+        self._return_connection(address, connection)
+        return True
+
     async def is_refused(self, address: Address) -> bool:
         """Return whether a server refuses connections: its process has ended."""
         try:
@@ -274,17 +314,47 @@
         idle.append(connection)
 
     async def _connect(self, address: Address, timeout_s: float) -> Connection:
+        observer = self._observer
+        try:
+            connection = await self._open_connection(address, timeout_s)
+        except CallNotSentError:
+            if observer is not None:
+                observer.record_connect_failed(address)
+            raise
+        if observer is not None:
+            connection.report_loss(partial(observer.record_connection_lost, address))
+        return connection
+
+    async def _open_connection(self, address: Address, timeout_s: float) -> Connection:
         loop = asyncio.get_running_loop()
         self._connections_opened += 1
+        slow = None
+        if self._observer is not None:
+            slow = loop.call_later(
+                SLOW_CONNECT_S, self._observer.record_slow_connect, address
+            )
+        scopes = self._connecting.setdefault(address, set())
+        scope = asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s))
+        scopes.add(scope)
         try:
-            async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
-                _, connection = await loop.create_connection(
-                    Connection, address.host, address.port
-                )
+            async with scope:
+                return await self._dial(address)
         except TimeoutError as error:
             raise CallNotSentError(f"{address}: connection timed out") from error
         except OSError as error:
             raise CallNotSentError(f"{address}: connection failed: {error}") from error
+        finally:
+            if slow is not None:
+                slow.cancel()
+            scopes.discard(scope)
+            if not scopes and self._connecting.get(address) is scopes:
+                del self._connecting[address]
+
+    async def _dial(self, address: Address) -> Connection:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            Connection, address.host, address.port
+        )
         return connection
 
 
--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -132,6 +132,7 @@
         self._extend_timeout: TimeoutExtension | None = None
         self._idle_since = 0.0
         self._keep_alive_s = KEEP_ALIVE_TIMEOUT_S
+        self._on_lost: Callable[[], None] | None = None
         # Bytes of the current call before the body of its answer.
         self._bytes_before_body = 0
         self._skipped_answers = False
@@ -221,9 +222,15 @@
             self._answer_complete = True
         return False
 
+    def report_loss(self, on_lost: Callable[[], None]) -> None:
+        """Have a function called if the network or the server breaks the connection."""
+        self._on_lost = on_lost
+
     def connection_lost(self, error: Exception | None) -> None:
         """Fail an unfinished call and wake its reader."""
         self._closed = True
+        if error is not None and self._on_lost is not None:
+            self._on_lost()
         if not self._answer_complete:
             self._fail(CallCutError(f"connection lost: {error or 'closed'}"))
         self._writable.set()
--- a/packages/node/src/lentilshore_node/delivery/answer_heads.py
+++ b/packages/node/src/lentilshore_node/delivery/answer_heads.py
@@ -62,6 +62,8 @@
                 "another replica answers at the address of the chosen one",
             )
         if head.not_run:
+            cause = "room" if head.no_room else "other"
+            self._context.metrics.count(f"rejection.{cause}")
             raise UpstreamError(
                 RefusalReason.UPSTREAM_FULL,
                 Execution.NOT_RUN,
--- a/packages/node/src/lentilshore_node/delivery/attempt_planner.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_planner.py
@@ -9,10 +9,11 @@
 
 from ..clients.forwarding import ForwardRequest
 from ..state.gateway_context import GatewayContext
+from ..state.service_reach import Reach
 from .attempts import ExecutionProof
 from .crash_watch import CrashWatch
 from .handover import AttemptPlan
-from .no_replica import no_replica_refusal
+from .no_replica import no_replica_refusal, unreachable_refusal
 
 # Work that every request counts for when loads are compared; a call of a plain service
 # counts for no more than this.
@@ -59,11 +60,14 @@
         :param excluded: name of a replica that must not be chosen, and besides which
             an ejected one is not chosen either; empty for none.
         :raises RefusalError: ``no_upstream`` if no replica is available,
+            ``upstream_unreachable`` if only other gateways reach the service,
             ``key_unproved`` if the caller's key may have been withdrawn, or
             ``prompt_part_blamed`` or ``request_blamed`` if it crashes replicas.
         """
         self._check_key(self._route)
         self._crashes.check_blame()
+        if self._context.reach.state(self._service) is Reach.CUT_OFF:
+            raise unreachable_refusal(self._service, self._proof.execution)
         view = self._context.view
         rollout = view.rollouts.get(self._service)
         version = self._context.version_chooser.choose(
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable, Sequence
 from functools import partial
+from typing import NamedTuple
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
@@ -46,6 +47,7 @@
 from .measurements import AttemptMeasurements
 from .no_replica import NO_REPLICA_REASONS, overload_retry_after_s
 from .outcome import Outcome
+from .peer_forwarding import PeerForwarding
 from .responder import Responder
 
 # A replica that has answered nothing for this time may be unresponsive: its timeout is
@@ -58,6 +60,10 @@
 DEADLINE_MARGIN_S = 0.01
 # Limit of an answer that is not streamed.
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
+# Failures of a request that has not run, after which another gateway may serve it.
+UNREACHED_REASONS = frozenset(
+    (RefusalReason.UPSTREAM_FAILED, RefusalReason.NO_UPSTREAM)
+)
 # Time between two tries to hand over a request whose replica is silent.
 HANDOVER_INTERVAL_S = 0.25
 # The same after a replica has run the request and failed.
@@ -67,9 +73,23 @@
 ESCALATION_WAIT_S = 2 * TAKE_UP_S
 
 
+class ForwardedTerms(NamedTuple):
+    """Terms on which this gateway serves a request in place of another one.
+
+    :param attempts_left: number of attempts that may run.
+    :param counted: whether the request counts already for the retry budget.
+    """
+
+    attempts_left: int
+    counted: bool
+
+
 class Delivery:
     """Sends one request to replicas until one answers, and relays the answer.
 
+    If this gateway reaches no replica, another gateway serves the request in its place;
+    a request that comes from another gateway goes no further.
+
     :param context: context of the gateway.
     :param check_key: raises RefusalError if the caller's key may have been withdrawn.
     :param request: the caller's request.
@@ -77,6 +97,7 @@
     :param customer: customer that sent it, None on a public route.
     :param received_at: time at which it was received, on the node's clock, seconds.
     :param responder: sends the answer to the caller.
+    :param forwarded: set if another gateway has sent the request.
     """
 
     def __init__(
@@ -88,6 +109,7 @@
         customer: KeyOwner | None,
         received_at: float,
         responder: Responder,
+        forwarded: ForwardedTerms | None = None,
     ) -> None:
         self._context = context
         self._check_key = check_key
@@ -98,6 +120,10 @@
         if request.deadline_s is not None:
             limit_s = min(limit_s, request.deadline_s)
         self._deadline_at = received_at + limit_s
+        self._forwarded = forwarded
+        self._max_attempts = route.max_attempts
+        if forwarded is not None:
+            self._max_attempts = min(route.max_attempts, forwarded.attempts_left)
         self._service = route.pick_service(context.random.random())
         self._model = first_model(route.models) if route.models else ""
         self._attempts = 0
@@ -145,6 +171,16 @@
             self._heads.check_taken_up,
             self._record_unfollowed,
         )
+        self._forwarding = PeerForwarding(
+            context,
+            check_key,
+            request,
+            route,
+            self._service,
+            self._relay,
+            self._proof,
+            self,
+        )
         self._measurements = AttemptMeasurements(context, request, route)
         self._escalation = Escalation(
             context, request, route, self._measurements, received_at
@@ -200,12 +236,8 @@
         )
 
     async def _run(self) -> Outcome:
-        self._context.retries.record_first_attempt(self._service)
         try:
-            status = await self._loop.run(self._attempt)
-            # None: the request is to be sent to a larger model.
-            while status is None:
-                status = await self._loop.run(self._attempt)
+            status = await self._serve()
         except UpstreamError as error:
             status = await self._give_up(error)
         except RefusalError as refusal:
@@ -216,6 +248,55 @@
                 raise
         return self._outcome(status)
 
+    async def _serve(self) -> int:
+        """Send the request to replicas, or through a gateway that reaches some."""
+        counted = self._forwarded is not None and self._forwarded.counted
+        if self._forwarded is None and self._forwarding.available:
+            return await self._forwarding.run(counted)
+        if not counted:
+            self._context.retries.record_first_attempt(self._service)
+        try:
+            status = await self._loop.run(self._attempt)
+            # None: the request is to be sent to a larger model.
+            while status is None:
+                status = await self._loop.run(self._attempt)
+        except (UpstreamError, RefusalError) as error:
+            if not await self._may_forward_after(error):
+                raise
+        else:
+            return status
+        return await self._forwarding.run(counted=True)
+
+    async def _may_forward_after(self, error: UpstreamError | RefusalError) -> bool:
+        """Return whether another gateway may serve a request that failed here.
+
+        A request that may have run has taken its retry before its replica was chosen.
+        """
+        if self._forwarded is not None or self.retry_denial() is not None:
+            return False
+        if error.reason is not RefusalReason.UPSTREAM_UNREACHABLE and (
+            self.may_have_run or error.reason not in UNREACHED_REASONS
+        ):
+            return False
+        await self._context.reach.wait_for_verdict(self._service)
+        return self._forwarding.available
+
+    @property
+    def attempts_left(self) -> int:
+        """Number of attempts that may still run."""
+        return self._max_attempts - self._possible_runs
+
+    def take_retry(self, execution: Execution) -> RetryDenial | None:
+        """Take a retry from the budgets; return what denies it."""
+        return self._loop.take_retry(execution)
+
+    def record_forward(self, execution: Execution, attempts: int) -> None:
+        """Record the end of the attempts that another gateway was allowed."""
+        self._attempts += 1
+        if execution is not Execution.NOT_RUN:
+            self._possible_runs += attempts
+        self._proof.end(execution)
+
     def choose_replica(self, tried: Sequence[str]) -> ReplicaLease:
         """Choose a version of the service and a replica of that version.
 
@@ -255,6 +336,7 @@
                 self._route.delivery_mode.streaming and not self._streaming
             )
             self._measurements.record_stall(elapsed_s, first_event_pending)
+            self._context.reach.record_silence(self._service, lease.replica.name)
         self._log_failure(self._plan, error, elapsed_s)
         self._end_attempt(error.execution)
         if self._crashes.retry_denial is not None:
@@ -281,7 +363,7 @@
         resumable = self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE
         if self._relay.started and not resumable:
             return RetryDenial.ANSWER_STARTED
-        if self._possible_runs >= self._route.max_attempts:
+        if self._possible_runs >= self._max_attempts:
             return RetryDenial.ROUTE_ATTEMPTS
         if self._remaining_s < RETRY_MIN_REMAINING_S:
             return RetryDenial.TIME_LEFT
@@ -353,6 +435,9 @@
                 head = self._heads.read(plan, response, started_at)
                 self._crashes.record_head()
                 self._context.placement.record_answer(plan.lease.replica.name)
+                self._context.reach.record_answer(
+                    self._service, fresh_connection=response.connection_calls == 1
+                )
                 self._heads.check_may_begin(response)
                 if self._route.delivery_mode.streaming and response.status == 200:
                     return await self._relay_stream(response, head, started_at)
@@ -370,6 +455,8 @@
         limit_s = self._timeout_limit_s
         if limit_s <= 0:
             return 0.0
+        if self._may_leave_hung_replica:
+            return 0.0
         if not self._handover.under_way:
             extension_s = self._loaded_extension_s()
             if extension_s > 0:
@@ -377,6 +464,7 @@
             lease = self._plan.lease
             if self._context.placement.eject_unreachable(lease):
                 self._loop.report_ejection(lease, unreachable=True)
+                self._context.reach.record_silence(self._service, lease.replica.name)
         possible_runs = self._possible_runs
         if await self._hand_over(self._model, self._replica_name):
             return 0.0
@@ -386,6 +474,13 @@
         pause_s = RETRY_AT_ONCE_S if failed_run else HANDOVER_INTERVAL_S
         return min(limit_s, pause_s)
 
+    @property
+    def _may_leave_hung_replica(self) -> bool:
+        """Whether the attempt is cut off, and another gateway may repeat it."""
+        if self._forwarded is not None or self.retry_denial() is not None:
+            return False
+        return self._forwarding.available and not self._is_last_attempt
+
     def _loaded_extension_s(self) -> float:
         """Return the extension for a replica that has just answered some request."""
         if self._route.delivery_mode is not DeliveryMode.STREAM_RESUMABLE:
@@ -522,7 +617,7 @@
     @property
     def _is_last_attempt(self) -> bool:
         """Whether no further attempt is allowed if the current one may have run."""
-        return self._possible_runs + 1 >= self._route.max_attempts
+        return self._possible_runs + 1 >= self._max_attempts
 
     def _log_failure(
         self, plan: AttemptPlan, error: UpstreamError, elapsed_s: float
--- a/packages/node/src/lentilshore_node/delivery/no_replica.py
+++ b/packages/node/src/lentilshore_node/delivery/no_replica.py
@@ -12,6 +12,9 @@
 # Retry delay stated in refusals where no replica is available: a new replica or
 # configuration is usually known by then.
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
+# Retry delay stated where other gateways serve what this one can't: the caller's next
+# request reaches one of them.
+UNREACHABLE_RETRY_AFTER_S = 0.1
 # Reasons for which no replica may be sent a request.
 NO_REPLICA_REASONS = frozenset(
     (
@@ -49,6 +52,19 @@
     return RefusalError(reason, execution, detail, round(min(known), 2))
 
 
+def unreachable_refusal(service: str, execution: Execution) -> RefusalError:
+    """Return the refusal of a request whose service only other gateways reach.
+
+    :param execution: whether the request has run in an earlier attempt.
+    """
+    return RefusalError(
+        RefusalReason.UPSTREAM_UNREACHABLE,
+        execution,
+        f"this node reaches no replica of {service}",
+        UNREACHABLE_RETRY_AFTER_S,
+    )
+
+
 def overload_retry_after_s(placement: Placement, group: str) -> float:
     """Return when a caller may come back whose request the replicas rejected, seconds.
 
--- a/packages/node/src/lentilshore_node/delivery/responder.py
+++ b/packages/node/src/lentilshore_node/delivery/responder.py
@@ -99,6 +99,40 @@
         self._write_started_at = None
 
 
+class FieldAddingResponder:
+    """Answer with a header in addition.
+
+    :param responder: sends the answer.
+    :param added_field: name and value of the header.
+    """
+
+    def __init__(self, responder: Responder, added_field: tuple[str, str]) -> None:
+        self._responder = responder
+        self._added_field = added_field
+
+    @property
+    def started(self) -> bool:
+        """Whether status and headers have been sent."""
+        return self._responder.started
+
+    @property
+    def stalled_s(self) -> float:
+        """Time for which the caller has not read the pending data, seconds."""
+        return self._responder.stalled_s
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        await self._responder.start(status, [*headers, self._added_field])
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body; more parts follow."""
+        await self._responder.send(data)
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body; none follows."""
+        await self._responder.finish(data)
+
+
 def encode_refusal(refusal: RefusalError, request_id: str) -> bytes:
     """Return the JSON body of a refusal.
 
--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -115,6 +115,10 @@
             return []
         return [self._own.name, *(entry.name for entry in self._others)]
 
+    def others(self) -> list[GatewayEntry]:
+        """Return the other gateways that answer, as far as is known."""
+        return self._usable_others()
+
     @property
     def listed_from(self) -> float:
         """Time from which the others know of this gateway, on the node's clock."""
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -20,6 +20,7 @@
 from ..state.gateway_context import PEER_PATHS, GatewayBounds, GatewayContext
 from .blame_exchange import BLAME_PATH, answer_call
 from .limit_exchange import LIMITS_PATH, encode_limits
+from .reach_monitor import REACH_PATH, ReachMonitor
 from .relay_messages import ConfigurationState, compress_table, encode_changes
 
 CONFIGURATION_PATH = PEER_PATHS + "configuration"
@@ -36,11 +37,19 @@
 
     :param context: the gateway.
     :param source: the platform's store, for its era.
+    :param monitor: tells which services this gateway reaches; None where no other
+        gateway is known.
     """
 
-    def __init__(self, context: GatewayContext, source: FleetSource) -> None:
+    def __init__(
+        self,
+        context: GatewayContext,
+        source: FleetSource,
+        monitor: ReachMonitor | None = None,
+    ) -> None:
         self._context = context
         self._source = source
+        self._monitor = monitor
         # The newest table that was relayed, compressed, and its version.
         self._compressed: tuple[int, bytes] | None = None
 
@@ -59,7 +68,7 @@
         :param path: path of the call, which begins with :data:`PEER_PATHS`.
         :param query: query string of the call.
         :param body: body of the call.
-        :raises UnreadableBlameError: if the body can't be read.
+        :raises LentilshoreError: if the body can't be read.
         """
         if path == CONFIGURATION_PATH:
             return self._configuration(query)
@@ -69,6 +78,8 @@
             return encode_limits(self._context.limits)
         if path == BLAME_PATH:
             return answer_call(self._context, body)
+        if path == REACH_PATH and self._monitor is not None:
+            return await self._monitor.answer(body)
         return None
 
     def _configuration(self, query: bytes) -> bytes | None:
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -22,6 +22,7 @@
 from ..peers.blame_exchange import BlameExchange
 from ..peers.gateway_directory import GatewayDirectory
 from ..peers.limit_exchange import LimitExchange
+from ..peers.reach_monitor import ReachMonitor
 from ..peers.relay import RelayServer
 from ..peers.relayed_source import PeerClient, RelayedSource
 from ..state.fleet_view_updater import FleetViewUpdater
@@ -91,12 +92,15 @@
         # In the order of the fields of GatewayAddresses.
         ports = [s.getsockname()[1] for s in self._sockets]
         metrics_port = ports[2] if addresses.metrics else 0
-        application = GatewayApplication(
-            context, ports[1], metrics_port, RelayServer(context, source).answer
-        )
         self._directory: GatewayDirectory | None = None
+        self._monitor: ReachMonitor | None = None
         if addresses.metrics is not None:
             self._directory = _create_directory(context, source, addresses.metrics)
+            self._monitor = ReachMonitor(context, self._directory)
+            context.http.report_connections(context.reach)
+        relay = RelayServer(context, source, self._monitor)
+        application = GatewayApplication(context, ports[1], metrics_port, relay.answer)
+        if self._directory is not None:
             peers = PeerClient(self._directory, context.http, context.metrics)
             self._source = RelayedSource(source, peers, context)
         self._uvicorn_config = _server_config(application, context)
@@ -112,10 +116,10 @@
             FleetViewUpdater(self._context, self._source).start(group)
             controller = RolloutController(self._context, self._source)
             tasks = [controller.run, self._apply_limits, self._poll_settings]
-            if self._directory is not None:
+            if self._directory is not None and self._monitor is not None:
                 limits = LimitExchange(self._context, self._directory)
                 blame = BlameExchange(self._context, self._directory)
-                tasks += [self._directory.run, limits.run, blame.run]
+                tasks += [self._directory.run, limits.run, blame.run, self._monitor.run]
             for task in tasks:
                 group.start_soon(
                     keep_running, task, self._context.metrics, self._context.clock
--- a/packages/node/src/lentilshore_node/state/fleet_view.py
+++ b/packages/node/src/lentilshore_node/state/fleet_view.py
@@ -7,7 +7,7 @@
 
 from lentilshore_kernel.clock import Clock
 from lentilshore_kernel.metrics import Metrics, record_state_change
-from lentilshore_kernel.types import StateChange
+from lentilshore_kernel.types import Address, StateChange
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replicas import Replica
 from lentilshore_routing.rollout_record import Rollout, allowed_versions
@@ -56,6 +56,7 @@
         self._version_counts: dict[str, dict[str, int]] = {}
         # Names of the replicas that are not draining and run an allowed version.
         self._usable_names: set[str] = set()
+        self._records_by_address: dict[Address, ReplicaRecord] = {}
         self._log_change = partial(record_state_change, metrics)
 
     @property
@@ -248,6 +249,18 @@
         """
         return replica_name in self._usable_names
 
+    def service_replicas(self, service: str) -> list[Replica]:
+        """Return the replicas of a service to which requests may be sent."""
+        return [
+            record.replica
+            for record in self._records.values()
+            if record.service == service and self.usable(record.replica.name)
+        ]
+
+    def find_replica(self, address: Address) -> ReplicaRecord | None:
+        """Return the replica that listens at an address, None if none is known."""
+        return self._records_by_address.get(address)
+
     def _store_record(self, listed: ReplicaRecord) -> None:
         record = self._announced.apply(listed)
         known = self._records.get(record.identity)
@@ -304,6 +317,9 @@
             counts = versions.setdefault(record.service, {})
             counts[record.version] = counts.get(record.version, 0) + 1
         self._version_counts = versions
+        self._records_by_address = {
+            record.replica.address: record for record in self._records.values()
+        }
         self._usable_names = {
             record.replica.name
             for record in self._records.values()
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -30,6 +30,7 @@
 from .change_log import ChangeLog
 from .fleet_view import FleetView
 from .room_queue import RoomQueue
+from .service_reach import ServiceReach
 from .store_access import StoreAccess
 
 # Subtracted from the time within which a withdrawn key must be refused, because a
@@ -49,6 +50,8 @@
 
 # Beginning of the paths of other gateways' calls, on the port that serves metrics.
 PEER_PATHS = "/relay/"
+# Path of the calls in which this gateway serves requests in place of others.
+FORWARD_PATH = PEER_PATHS + "requests"
 # Bounds of the body of such a call: its size and the time in which it is received.
 PEER_BODY_LIMIT_BYTES = 32_768
 PEER_BODY_TIMEOUT_S = 2.0
@@ -124,8 +127,11 @@
     change_logs: dict[str, ChangeLog] = field(init=False)
     room: RoomQueue = field(init=False)
     store_access: StoreAccess = field(init=False)
+    reach: ServiceReach = field(init=False)
     draining: bool = False
     in_flight: int = 0
+    # Requests that this gateway serves in place of others.
+    forwarded_in_flight: int = 0
     _fresh_connections_until: dict[Address, float] = field(default_factory=dict)
     _logged_blame: dict[str, Cause] = field(default_factory=dict)
     _blame_changed: anyio.Event = field(default_factory=anyio.Event)
@@ -133,6 +139,7 @@
     def __post_init__(self) -> None:
         self.room = RoomQueue(self.clock)
         self.store_access = StoreAccess(self.clock, self.random)
+        self.reach = ServiceReach(self.clock, self.view, self.random, self.metrics)
         self.change_logs = {
             part: ChangeLog(self.clock) for part in (REPLICAS_PART, ROLLOUTS_PART)
         }
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -345,6 +345,12 @@
         state.ejected_until = max(state.ejected_until, now + UNREACHABLE_EJECTION_S)
         return True
 
+    def readmit(self, name: str) -> None:
+        """End the ejection of a replica that was out of reach and has been reached."""
+        state = self._states.get(name)
+        if state is not None:
+            state.ejected_until = 0.0
+
     def record_answer(self, name: str) -> None:
         """Record that a replica has just answered, in whole or in part."""
         state = self._states.get(name)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -22,7 +22,6 @@
     TableReading,
 )
 from lentilshore_node.clients.http_client import HttpClient
-from lentilshore_node.clients.http_connection import CallNotSentError
 from lentilshore_node.programs.gateway_assembly import create_gateway
 from lentilshore_node.programs.gateway_server import GatewayAddresses, GatewayServer
 from lentilshore_node.state.replica_record import ReplicaRecord
@@ -265,20 +264,15 @@
     def heal(self):
         self.cut = None
 
-    async def _connect(self, address, timeout_s):
+    async def _dial(self, address):
         if self.cut is not None and self._is_replica(address):
-            return await self._fail_to_connect(address, timeout_s)
-        connection = await super()._connect(address, timeout_s)
+            if self.cut != "hang":
+                raise ConnectionRefusedError("cut off")
+            return await super()._dial(Address(SWALLOWING_HOST, address.port))
+        connection = await super()._dial(address)
         self._live.append((address, connection))
         return connection
 
-    async def _fail_to_connect(self, address, timeout_s):
-        if self.cut != "hang":
-            error = ConnectionRefusedError("cut off")
-            raise CallNotSentError(f"{address}: cut off") from error
-        swallowing = Address(SWALLOWING_HOST, address.port)
-        return await super()._connect(swallowing, timeout_s)
-
 
 class _Unreachable:
     """Transport of a connection whose bytes get lost, ended after a while."""
@@ -355,10 +349,11 @@
         self.task.cancel()
         await asyncio.wait({self.task})
 
-    def count(self, prefix):
-        """Return the sum of the counters whose names begin with a prefix."""
-        totals = self.context.metrics.totals
-        return sum(n for name, n in totals.items() if name.startswith(prefix))
+    def count(self, name, label=""):
+        """Return the sum of a counter, of those with a label if one is given."""
+        lines = self.context.metrics.render().splitlines()
+        found = [n for n in lines if n.startswith(f"lentilshore_{name}_total{{")]
+        return sum(float(n.rpartition(" ")[2]) for n in found if label in n)
 
 
 class Fleet(NamedTuple):
