--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.soak import crashes, cuts, hints
+from tests.soak import crashes, cuts, gateway_cuts, hints
 from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
@@ -19,6 +19,8 @@
 from tests.soak.silences import LASTING_MIX, FullPlan, SilencePlan
 
 WARM_UP_S = 3.0
+# Until gateways that have started know one another.
+LONG_WARM_UP_S = 6.0
 CALM_S = 5.0
 SHOWN_PROBLEMS = 12
 
@@ -52,9 +54,19 @@
         limit_random,
         prompt_random,
         repeat_random,
+        cut_random,
     ) = (
         random.Random(f"{seed} {part}")
-        for part in ("plan", "fleet", "load", "rollout", "limit", "prompt", "repeat")
+        for part in (
+            "plan",
+            "fleet",
+            "load",
+            "rollout",
+            "limit",
+            "prompt",
+            "repeat",
+            "cut",
+        )
     )
     started_at = time.monotonic()
     directory.mkdir(parents=True)
@@ -77,6 +89,8 @@
             mix = crashes.REQUESTS_MIX
     elif options.cuts:
         mix = cuts.MIX
+    elif options.gateway_cuts:
+        mix = gateway_cuts.MIX
     callers = Callers(fleet, keys, load_random, f"r{seed}", mix, prompts, repeats)
 
     def write_log(text):
@@ -91,6 +105,8 @@
         plan = crashes.CrashPlan(*faults)
     elif options.cuts:
         plan = cuts.CutPlan(*faults)
+    elif options.gateway_cuts:
+        plan = gateway_cuts.GatewayCutPlan(*faults)
     elif options.hints:
         plan = hints.HintPlan(*faults)
     else:
@@ -99,11 +115,13 @@
         await fleet.start(size.gateways, size.services)
         await plan.write_config()
         load = asyncio.create_task(callers.run(size.callers, size.pause_s))
-        await asyncio.sleep(WARM_UP_S)
+        await asyncio.sleep(LONG_WARM_UP_S if options.gateway_cuts else WARM_UP_S)
         async with asyncio.TaskGroup() as group:
             group.create_task(plan.run(options.seconds))
             if options.limits:
                 group.create_task(plan.run_limits(limit_random, options.seconds))
+            if options.gateway_cuts:
+                group.create_task(plan.run_cuts(cut_random, time.time, options.seconds))
             if options.rollouts:
                 group.create_task(plan.run_rollouts(rollout_random, options.seconds))
         calm_since = time.time() + AFTERMATH_S
@@ -153,6 +171,11 @@
         action="store_true",
         help="replicas cut answers midway, some without length and chunks",
     )
+    parser.add_argument(
+        "--gateway-cuts",
+        action="store_true",
+        help="gateways lose all replicas, and nothing else, one set after the other",
+    )
     parser.add_argument(
         "--hints",
         action="store_true",
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,7 @@
 from tests.soak.crashes import BLAMED, CrashCheck
 from tests.soak.cuts import cut_problems
 from tests.soak.fleet import AFTERMATH_S, GRACE_S, REVOKE_MS
+from tests.soak.gateway_cuts import recover_problems
 from tests.soak.hints import hint_problems
 from tests.soak.limits import limit_problems
 from tests.soak.losses import Evidence, lost_problems
@@ -75,6 +76,9 @@
             )
         if self._fleet.gives_hints:
             found += hint_problems(self._callers, self._limits, self._was_interrupted)
+        found += recover_problems(
+            self._callers, self._fleet.gateway_cuts, self._fleet.disturbances.touch
+        )
         found += CrashCheck(self._callers, self._limits, self._is_in_touch).problems()
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
@@ -90,9 +94,12 @@
                 g.name: [end.asked_at for end in g.ends if end.asked_at]
                 for g in self._fleet.gateways
             },
-            lambda *span: any(
-                spans.touch(*span)
-                for spans in (self._fleet.disturbances, self._fleet.broken)
+            lambda *span: (
+                any(
+                    spans.touch(*span)
+                    for spans in (self._fleet.disturbances, self._fleet.broken)
+                )
+                or self._were_cut(*span)
             ),
             replicas,
             [entry for entry in self._limits if entry["event"] == "crash"],
@@ -153,7 +160,7 @@
             disturbed = any(
                 spans.touch(subjects, before["time"], ended)
                 for spans in (self._fleet.disturbances, self._fleet.silences)
-            )
+            ) or self._were_cut(subjects, before["time"], ended)
             if late_s > OVERLAP_LIMIT_S and not disturbed:
                 yield (
                     f"TWICE {sent.name} ({sent.kind}) by {sent.gateway}: "
@@ -161,6 +168,15 @@
                     f"stalled for {stalled_s:.2f}"
                 )
 
+    def _were_cut(self, subjects, begin, end):
+        """Return whether a gateway reached no replica, or had just been cut off."""
+        return any(
+            cut.gateways & subjects
+            and cut.begin <= end
+            and cut.end + AFTERMATH_S >= begin
+            for cut in self._fleet.gateway_cuts
+        )
+
     def _stalled_s(self, replica, begin, end):
         """Return for how long a replica's process stood still in a span of time."""
         return sum(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -195,6 +195,10 @@
         self.disturbances = Disturbances()
         # Sound replicas that were silent for a moment: no disturbance.
         self.silences = Disturbances(SILENCE_AFTERMATH_S)
+        # Gateways that were cut off from all replicas, and faults of the links from
+        # their hosts to all replicas.
+        self.gateway_cuts = []
+        self.replica_link_faults = {}
         # Share of the requests, and a number of repeats beside it.
         self.retry_budget = (0.9, 52)
         # Times at which replicas send answers that nobody asked for.
@@ -261,6 +265,7 @@
         """Start a replica under a new name."""
         name = f"i-{next(self._replica_numbers)}"
         link = await self._link(name, None)
+        link.source_faults = self.replica_link_faults
         store_link = await self._link((name, "store"), self.store.address)
         replica = ReplicaProcess(name, service, version, link)
         host = f"{self._host}.{next(self._numbers)}"
@@ -316,9 +321,14 @@
         settings = self.directory / f"{name}.toml"
         self.write_settings(name, host, store_link.address)
         paths = sorted((self._code / "packages").glob("*/src"))
+        paths += [
+            self._code / "platform" / "src",
+            Path(__file__).parent / "gateway_site",
+        ]
         environment = os.environ | {
             "LENTILSHORE_CONFIG": str(settings),
-            "PYTHONPATH": ":".join(map(str, [*paths, self._code / "platform" / "src"])),
+            "PYTHONPATH": ":".join(map(str, paths)),
+            "SOAK_HOST": host,
         }
         command = [sys.executable, "-m", "lentilshore_platform"]
         child = self._child(LoggingChild, name, lambda: command, environment)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,11 +32,14 @@
     def __init__(self, host):
         self._host = host
         self._server = None
-        self._writers = set()
+        # Hosts that called, by writer.
+        self._writers = {}
         self.address = ""
         # Address to which connections are forwarded; None refuses them.
         self.target = None
         self.fault = LinkFault()
+        # Faults of the connections from one host each, in place of the fault of all.
+        self.source_faults = {}
 
     async def open(self):
         """Start to listen."""
@@ -48,13 +51,18 @@
         self._server.close()
         self.reset()
 
-    def reset(self):
-        """Reset all connections."""
-        for writer in list(self._writers):
-            reset(writer)
+    def reset(self, source=None):
+        """Reset all connections, or those from one host."""
+        for writer, host in list(self._writers.items()):
+            if source in (None, host):
+                reset(writer)
+
+    def _fault_of(self, source):
+        return self.source_faults.get(source, self.fault)
 
     async def _serve(self, reader, writer):
-        if self.fault.refuses or self.target is None:
+        source = writer.get_extra_info("peername")[0]
+        if self._fault_of(source).refuses or self.target is None:
             reset(writer)
             return
         host, port = self.target.rsplit(":", 1)
@@ -64,29 +72,29 @@
             reset(writer)
             return
         ends = {writer, far_writer}
-        self._writers |= ends
+        self._writers |= dict.fromkeys(ends, source)
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer, "up"),
-                self._pump(far_reader, writer, "down"),
+                self._pump(reader, far_writer, "up", source),
+                self._pump(far_reader, writer, "down", source),
             )
         except (ConnectionError, asyncio.CancelledError):
             for end in ends:
                 reset(end)
         finally:
-            self._writers -= ends
             for end in ends:
+                self._writers.pop(end, None)
                 end.close()
 
-    async def _pump(self, reader, writer, direction):
+    async def _pump(self, reader, writer, direction, source):
         while data := await reader.read(BLOCK_BYTES):
-            if self.fault.delay_s:
-                await asyncio.sleep(self.fault.delay_s)
-            while direction in self.fault.holds:
+            if delay_s := self._fault_of(source).delay_s:
+                await asyncio.sleep(delay_s)
+            while direction in self._fault_of(source).holds:
                 await asyncio.sleep(POLL_S)
             writer.write(data)
             await writer.drain()
-        while direction in self.fault.holds:
+        while direction in self._fault_of(source).holds:
             await asyncio.sleep(POLL_S)
         # A half-closed connection stays open in the other direction only while a
         # caller reads; these peers close both at once.
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,6 +10,7 @@
 from tests.soak.callers import KINDS, Seen, Sent
 from tests.soak.checks import Checks
 from tests.soak.crashes import CrashCheck, Prompt, Prompts
+from tests.soak.gateway_cuts import Cut, recover_problems
 from tests.soak.losses import Evidence, lost_problems
 from tests.soak.repeats import Repeats
 from tests.soak.wire import encode_in_chunks, read_message
@@ -262,6 +263,7 @@
         gateways=(),
         disturbances=calm,
         silences=calm,
+        gateway_cuts=[],
     )
     return Checks(records((sent, seen)), fleet, {})
 
@@ -368,3 +370,35 @@
     assert problem == (
         f"TWICE r (stream) by g-1: i-1 works on for 0.80 s, stalled for {shown}"
     )
+
+
+def tries(gateway, number, served, at):
+    """Return requests to a gateway at a time, of which some are served."""
+    for index in range(number):
+        sent = sent_request(f"{gateway}-{at}-{index}", "once", at)
+        seen = Seen(at + 0.1, 200 if index < served else 503, SIGNED, b"", True)
+        yield sent._replace(gateway=gateway), seen
+
+
+CUT = Cut(frozenset({"g-1"}), "reset", 100.0, 108.0)
+
+
+@pytest.mark.parametrize(
+    ("here", "at", "disturbed", "problems"),
+    [
+        ((50, 10), 104.0, False, 1),
+        ((50, 40), 104.0, False, 0),
+        # No more failures than the rule bears: 10 and 1 in 50.
+        ((10, 0), 104.0, False, 0),
+        ((12, 0), 104.0, False, 1),
+        # Before the rule counts, and after the cut has healed.
+        ((50, 10), 102.9, False, 0),
+        ((50, 10), 108.1, False, 0),
+        ((50, 10), 104.0, True, 0),
+    ],
+)
+def test_cut_gateways_that_serve_far_worse_are_found(here, at, disturbed, problems):
+    number, served = here
+    callers = records(*tries("g-1", number, served, at), *tries("g-2", 20, 19, at))
+    found = list(recover_problems(callers, [CUT], lambda *span: disturbed))
+    assert len(found) == problems
