--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from lentilshore_node.peers import gateway_directory
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 LISTED_TEST_PREFIX = "tests/"
 
@@ -20,3 +22,9 @@
     for item in items:
         if item.nodeid in listed:
             item.add_marker(pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt"))
+
+
+@pytest.fixture
+def early_gateway_lists(monkeypatch):
+    """Have gateways register at once, so that they soon know one another."""
+    monkeypatch.setattr(gateway_directory, "REGISTRATION_SPREAD_S", 0.05)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -48,6 +48,8 @@
 UNACKNOWLEDGED_S = 2.0
 # Longest time until gateways that start know one another.
 START_LIMIT_S = 12.0
+# A replica that has rejected too many requests is down for this time.
+FALL_S = 4.0
 SWALLOWING_HOST = "127.255.0.7"
 _fleet_numbers = itertools.count(1)
 
@@ -90,11 +92,25 @@
 
     :param name: its identity.
     :param work_s: time of a plain request, seconds.
+    :param slots: requests that it runs at once; None for any number.
+    :param queue: requests that it lets wait.
     """
 
-    def __init__(self, name, work_s=0.02):
+    def __init__(self, name, work_s=0.02, slots=None, queue=4):
         self.name = name
         self.work_s = work_s
+        self.slots = slots
+        self.queue = queue
+        # Rejections a second for want of room that it bears, None for any number, and
+        # whether it says so.
+        self.bears = None
+        self.says_so = True
+        self.falls = []
+        self.rejected_at = []
+        # Time spent in runs, seconds.
+        self.busy_s = 0.0
+        self._places = asyncio.Semaphore(slots or 1_000_000)
+        self._waiting = 0
         self.event_count = 5
         self.event_pause_s = 0.02
         self.address = None
@@ -130,10 +146,44 @@
 
     async def answer(self, request, reader, writer):
         """Answer a request; return whether the connection stays open."""
-        fields = request.fields
-        if "x-attempt-id" not in fields:
+        if "x-attempt-id" not in request.fields:
             writer.write(encode("HTTP/1.1 400 No", {"X-Not-Executed": "1"}, b""))
             return True
+        if self._places.locked() and self._waiting >= self.queue:
+            return self._reject(request, writer)
+        self._waiting += 1
+        try:
+            await self._places.acquire()
+        finally:
+            self._waiting -= 1
+        began_at = asyncio.get_running_loop().time()
+        try:
+            return await self._run(request, reader, writer)
+        finally:
+            self.busy_s += asyncio.get_running_loop().time() - began_at
+            self._places.release()
+
+    def _reject(self, request, writer):
+        now = asyncio.get_running_loop().time()
+        self.rejected_at = [at for at in self.rejected_at if at > now - 1.0] + [now]
+        fields = {"X-Attempt-Id": request.fields["x-attempt-id"], "X-Not-Executed": "1"}
+        writer.write(encode("HTTP/1.1 503 Full", fields | self._room_field(), b""))
+        if self.bears is not None and len(self.rejected_at) > self.bears:
+            self.falls.append(now)
+            self.rejected_at = []
+            self.stop()
+            asyncio.get_running_loop().call_later(
+                FALL_S, lambda: asyncio.ensure_future(self.start())
+            )
+        return True
+
+    def _room_field(self):
+        if self.bears is None or not self.says_so:
+            return {}
+        return {"Server-Brittle": str(self.bears)}
+
+    async def _run(self, request, reader, writer):
+        fields = request.fields
         name = fields["x-attempt-id"]
         loop = asyncio.get_running_loop()
         run = Run(self.name, loop.time(), fields)
@@ -155,7 +205,8 @@
 
     def signed(self, name):
         """Return the headers of an answer to a request that ran."""
-        return {"X-Attempt-Id": name, "X-Response-Signature": "s1"}
+        fields = {"X-Attempt-Id": name, "X-Response-Signature": "s1"}
+        return fields | self._room_field()
 
     async def _stream(self, name, fields, writer, gone):
         heads = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
@@ -526,6 +577,12 @@
         of = [a for a in self.answers if a.gateway in names and a.sent_at >= since]
         return sum(a.served for a in of) / max(1, len(of))
 
+    def statuses_of_all(self):
+        return Counter(a.status for a in self.answers)
+
+    def count(self, status):
+        return self.statuses_of_all()[status]
+
     def statuses(self, gateways):
         names = {gateway.name for gateway in gateways}
         return Counter(a.status for a in self.answers if a.gateway in names)
--- a/tests/test_cut_gateways.py
+++ b/tests/test_cut_gateways.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from lentilshore_node.peers import gateway_directory
 from tests.gateway_fleet import Callers, StandinReplica, running_fleet
 
 # From this time after the cut the cut gateways serve as the others do.
@@ -13,9 +12,7 @@
 KINDS = ("once", "safe", "stream", "tail")
 
 
-@pytest.fixture(autouse=True)
-def early_lists(monkeypatch):
-    monkeypatch.setattr(gateway_directory, "REGISTRATION_SPREAD_S", 0.05)
+pytestmark = pytest.mark.usefixtures("early_gateway_lists")
 
 
 def replicas(count=5):
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -16,7 +16,6 @@
     encode_forwarded_refusal,
 )
 from lentilshore_node.clients.forwarding import ForwardRequest
-from lentilshore_node.peers import gateway_directory
 from lentilshore_node.state.gateway_context import FORWARD_PATH
 from lentilshore_node.state.service_reach import Reach
 from lentilshore_routing.routes import CallerLimits, KeyOwner, RouteTable
@@ -38,9 +37,7 @@
 LEFT_LIMIT_S = 0.5
 
 
-@pytest.fixture(autouse=True)
-def early_lists(monkeypatch):
-    monkeypatch.setattr(gateway_directory, "REGISTRATION_SPREAD_S", 0.05)
+pytestmark = pytest.mark.usefixtures("early_gateway_lists")
 
 
 def replicas(count=3, **options):
