Give each brittle replica one gateway that sends it requests

Cause: the room of a replica belongs to the whole fleet, and each gateway sent by what it saw alone; a rejection sent the request on to the next replica in step.

While a replica of a service says so, each of its replicas has one dispatcher among the gateways, the first by rendezvous hashing that answers. The others have it serve their requests, as a gateway that is cut off does. The dispatcher sends no more than the replica's places, pauses it after a rejection, and begins small when it takes over. What finds no place is refused at once, or after 0.1 s at the dispatcher.

--- a/packages/kernel/src/lentilshore_kernel/exceptions.py
+++ b/packages/kernel/src/lentilshore_kernel/exceptions.py
@@ -34,6 +34,7 @@
     RefusalReason.UPSTREAM_REPLACED: 503,
     RefusalReason.UPSTREAM_LIMITED: 503,
     RefusalReason.UPSTREAM_UNREACHABLE: 503,
+    RefusalReason.UPSTREAM_BUSY: 503,
     RefusalReason.PROMPT_PART_BLAMED: 503,
     RefusalReason.REQUEST_BLAMED: 503,
     RefusalReason.UPSTREAM_PAUSED: 503,
--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -110,6 +110,12 @@
         "event",
         "Limits in answers of replicas, by what could not be done with them",
     ),
+    MetricFamily(
+        "room",
+        "lentilshore_replica_room",
+        "event",
+        "Statements of replicas that bear few rejections, by what could not be done",
+    ),
     MetricFamily(
         "pause",
         "lentilshore_replica_pauses",
--- a/packages/kernel/src/lentilshore_kernel/types.py
+++ b/packages/kernel/src/lentilshore_kernel/types.py
@@ -46,6 +46,7 @@
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LIMITED = "upstream_limited"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_BUSY = "upstream_busy"
     PROMPT_PART_BLAMED = "prompt_part_blamed"
     REQUEST_BLAMED = "request_blamed"
     UPSTREAM_PAUSED = "upstream_paused"
@@ -90,6 +91,7 @@
     BUDGET = "budget"
     PROMPT_PART_SUSPECTED = "prompt_part_suspected"
     REQUEST_SUSPECTED = "request_suspected"
+    NO_ROOM = "no_room"
 
 
 class StateChange(StrEnum):
@@ -106,6 +108,8 @@
     REPLICA_EJECTED = "replica_rested"
     REPLICA_LIMITED = "replica_limited"
     REPLICA_LIMIT_ENDED = "replica_limit_ended"
+    REPLICA_SCARCE = "replica_scarce"
+    REPLICA_SCARCITY_ENDED = "replica_scarcity_ended"
     PROMPT_PART_BLAMED = "prompt_part_blamed"
     PROMPT_PART_CLEARED = "prompt_part_cleared"
     REQUEST_BLAMED = "request_blamed"
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -167,6 +167,10 @@
         self, forwarded: ForwardedRequest, receive: Receive, responder: AsgiResponder
     ) -> None:
         context, request_id = self._context, forwarded.request.request_id
+        learned = context.replica_room.learn(forwarded.room, context.clock.monotonic())
+        if learned:
+            context.log_room(learned, forwarded.sender)
+        context.silence_hints.update(forwarded.silent)
         try:
             self._forwarder.check_may_serve(forwarded)
             context.forwarded_in_flight += 1
--- a/packages/node/src/lentilshore_node/clients/forwarded_requests.py
+++ b/packages/node/src/lentilshore_node/clients/forwarded_requests.py
@@ -9,6 +9,7 @@
 
 from lentilshore_kernel.exceptions import LentilshoreError, RefusalError
 from lentilshore_kernel.types import Execution, RefusalReason
+from lentilshore_routing.replica_room import RoomNews
 
 from .forwarding import ForwardRequest
 from .http_connection import HeaderFields
@@ -36,6 +37,8 @@
     :param table_version: version of the configuration by which it was admitted.
     :param attempts_left: number of attempts that may run.
     :param counted: whether the sender has counted it for its retry budget.
+    :param room: what the sender knows of replicas that bear few rejections.
+    :param silent: names of gateways that don't serve the sender.
     """
 
     call_id: int
@@ -45,6 +48,8 @@
     table_version: int
     attempts_left: int
     counted: bool
+    room: list[RoomNews] = []
+    silent: list[str] = []
 
 
 class _Refusal(msgspec.Struct):
--- a/packages/node/src/lentilshore_node/clients/forwarding.py
+++ b/packages/node/src/lentilshore_node/clients/forwarding.py
@@ -75,6 +75,8 @@
     :param request_id: identifier of the answered request, empty if not stated.
     :param not_run: whether the replica states that the request did not run.
     :param no_room: whether it rejected the request for want of room.
+    :param rejections_per_s: requests that the replica can reject a second without
+        ending; None if it states none, not a number if it can't be read.
     :param misdirected: whether the answer comes from another replica than the chosen
         one.
     :param unaltered: whether the answer bears the replica's signature and no content
@@ -96,6 +98,7 @@
     leaving: bool = False
     pause_s: float | None = None
     no_room: bool = False
+    rejections_per_s: float | None = None
 
 
 class Translator(Protocol):
--- a/packages/node/src/lentilshore_node/delivery/answer_heads.py
+++ b/packages/node/src/lentilshore_node/delivery/answer_heads.py
@@ -51,6 +51,7 @@
             "connection_calls": response.connection_calls,
         }
         self._record_limit(plan.lease, head, sent_at)
+        self._record_room(plan.lease, head, sent_at)
         if head.pause_s is not None and not head.misdirected:
             self._context.record_pause(plan.lease.replica.name, head.pause_s)
         if head.leaving and not head.misdirected:
@@ -101,6 +102,21 @@
                 f"status {response.status} does not resume a stream",
             )
 
+    def _record_room(
+        self, lease: ReplicaLease, head: AnswerHead, sent_at: float
+    ) -> None:
+        """Record what the answer says of the replica's room, as with its limit."""
+        name = lease.replica.name
+        if head.misdirected:
+            return
+        if head.rejections_per_s is not None or head.unaltered:
+            self._context.record_room(name, head.rejections_per_s, sent_at)
+        if head.no_room:
+            in_flight = self._context.placement.in_flight(name)
+            self._context.replica_room.record_rejection(name, in_flight)
+        elif head.unaltered:
+            self._context.replica_room.record_end(name)
+
     def _record_limit(
         self, lease: ReplicaLease, head: AnswerHead, sent_at: float
     ) -> None:
--- a/packages/node/src/lentilshore_node/delivery/attempt_planner.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_planner.py
@@ -66,7 +66,9 @@
         """
         self._check_key(self._route)
         self._crashes.check_blame()
-        if self._context.reach.state(self._service) is Reach.CUT_OFF:
+        if self._context.reach.state(
+            self._service
+        ) is Reach.CUT_OFF and not self._context.replica_room.is_scarce(self._service):
             raise unreachable_refusal(self._service, self._proof.execution)
         view = self._context.view
         rollout = view.rollouts.get(self._service)
--- a/packages/node/src/lentilshore_node/delivery/crash_watch.py
+++ b/packages/node/src/lentilshore_node/delivery/crash_watch.py
@@ -167,6 +167,9 @@
         )
         if not self._cut_at_beginning(error) or not self._may_have_ended(attempt):
             return
+        if self._context.replica_room.rejected_lately(replica.name):
+            # It may have ended since it had to reject others.
+            return
         if await self._context.http.is_refused(replica.address):
             self._record_crash(attempt)
         elif self._crash_denies_retry(attempt):
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -31,6 +31,7 @@
 from ..clients.http_client import Call
 from ..clients.http_connection import Response
 from ..state.gateway_context import GatewayContext
+from ..state.service_reach import Reach
 from .answer_heads import (
     GATEWAY_TIMEOUT_STATUS,
     AnswerHeads,
@@ -60,10 +61,19 @@
 DEADLINE_MARGIN_S = 0.01
 # Limit of an answer that is not streamed.
 BUFFERED_ANSWER_LIMIT_BYTES = 4_194_304
-# Failures of a request that has not run, after which another gateway may serve it.
+# Refusals after which another gateway may serve a request, and failures after which one
+# may if the request has not run.
+ELSEWHERE_REASONS = frozenset(
+    (RefusalReason.UPSTREAM_UNREACHABLE, RefusalReason.UPSTREAM_BUSY)
+)
 UNREACHED_REASONS = frozenset(
     (RefusalReason.UPSTREAM_FAILED, RefusalReason.NO_UPSTREAM)
 )
+# Longest wait of a request from another gateway until a replica has a free place.
+PLACE_WAIT_S = 0.1
+# Rejections for want of room after which a request is sent to no replica that bears few
+# of them: it may be too large for all.
+MAX_SCARCE_REJECTIONS = 2
 # Time between two tries to hand over a request whose replica is silent.
 HANDOVER_INTERVAL_S = 0.25
 # The same after a replica has run the request and failed.
@@ -130,6 +140,8 @@
         self._attempt_started_at = received_at
         # Number of ended attempts that ran or may have run.
         self._possible_runs = 0
+        # Rejections for want of room by replicas that bear few of them.
+        self._scarce_rejections = 0
         # Whether the events of the current attempt are being relayed.
         self._streaming = False
         # When the current wait for data from the replica began, on the node's clock.
@@ -251,7 +263,9 @@
     async def _serve(self) -> int:
         """Send the request to replicas, or through a gateway that reaches some."""
         counted = self._forwarded is not None and self._forwarded.counted
-        if self._forwarded is None and self._forwarding.available:
+        if self._forwarded is not None:
+            await self._wait_for_place()
+        elif self._context.serving_peers.must_serve(self._service):
             return await self._forwarding.run(counted)
         if not counted:
             self._context.retries.record_first_attempt(self._service)
@@ -267,6 +281,19 @@
             return status
         return await self._forwarding.run(counted=True)
 
+    async def _wait_for_place(self) -> None:
+        """Wait for a moment if all places that this gateway may use are taken."""
+        context, service = self._context, self._service
+        ends_at = context.clock.monotonic() + PLACE_WAIT_S
+        while (
+            context.replica_room.is_scarce(service)
+            and not context.placement.has_place(service)
+            and (remaining_s := ends_at - context.clock.monotonic()) > 0
+        ):
+            versions = context.view.version_counts(service)
+            group = f"{service}@{next(iter(versions), '')}"
+            await context.room.wait(group, remaining_s)
+
     async def _may_forward_after(self, error: UpstreamError | RefusalError) -> bool:
         """Return whether another gateway may serve a request that failed here.
 
@@ -274,7 +301,7 @@
         """
         if self._forwarded is not None or self.retry_denial() is not None:
             return False
-        if error.reason is not RefusalReason.UPSTREAM_UNREACHABLE and (
+        if error.reason not in ELSEWHERE_REASONS and (
             self.may_have_run or error.reason not in UNREACHED_REASONS
         ):
             return False
@@ -337,6 +364,9 @@
             )
             self._measurements.record_stall(elapsed_s, first_event_pending)
             self._context.reach.record_silence(self._service, lease.replica.name)
+        if error.reason is RefusalReason.UPSTREAM_FULL:
+            scarce = self._context.replica_room.is_scarce(self._service)
+            self._scarce_rejections += scarce
         self._log_failure(self._plan, error, elapsed_s)
         self._end_attempt(error.execution)
         if self._crashes.retry_denial is not None:
@@ -355,11 +385,14 @@
         """Return what denies another attempt, None for nothing.
 
         None is allowed while the request or a part of its prompt may end replicas, once
-        a stream that can't be resumed has started, once the route's attempts are used
-        up, or shortly before the deadline.
+        replicas that bear few rejections have rejected it, once a stream that can't be
+        resumed has started, once the route's attempts are used up, or shortly before
+        the deadline.
         """
         if (denial := self._crashes.retry_denial) is not None:
             return denial
+        if self._scarce_rejections >= MAX_SCARCE_REJECTIONS:
+            return RetryDenial.NO_ROOM
         resumable = self._route.delivery_mode is DeliveryMode.STREAM_RESUMABLE
         if self._relay.started and not resumable:
             return RetryDenial.ANSWER_STARTED
@@ -479,7 +512,8 @@
         """Whether the attempt is cut off, and another gateway may repeat it."""
         if self._forwarded is not None or self.retry_denial() is not None:
             return False
-        return self._forwarding.available and not self._is_last_attempt
+        cut_off = self._context.reach.state(self._service) is Reach.CUT_OFF
+        return cut_off and not self._is_last_attempt
 
     def _loaded_extension_s(self) -> float:
         """Return the extension for a replica that has just answered some request."""
--- a/packages/node/src/lentilshore_node/delivery/no_replica.py
+++ b/packages/node/src/lentilshore_node/delivery/no_replica.py
@@ -37,6 +37,13 @@
     limit_retry_after_s = placement.limit_retry_after_s(group)
     pause_retry_after_s = placement.pause_retry_after_s(group)
     known = [s for s in (limit_retry_after_s, pause_retry_after_s) if s is not None]
+    if placement.is_scarce(group):
+        return RefusalError(
+            RefusalReason.UPSTREAM_BUSY,
+            execution,
+            f"all places of {group} that this node may use are taken",
+            OVERLOAD_RETRY_AFTER_S,
+        )
     if not known:
         return RefusalError(
             RefusalReason.NO_UPSTREAM,
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -1,4 +1,4 @@
-"""Has other gateways serve a request whose service this gateway does not reach."""
+"""Has other gateways serve a request that this gateway may send to no replica."""
 
 from __future__ import annotations
 
@@ -56,12 +56,13 @@
         RefusalReason.KEY_UNPROVED,
         RefusalReason.NO_UPSTREAM,
         RefusalReason.QUEUE_FULL,
+        RefusalReason.UPSTREAM_BUSY,
         RefusalReason.UPSTREAM_FAILED,
         RefusalReason.UPSTREAM_UNREACHABLE,
     )
 )
-# Refusals that depend on the other gateway alone. It is used no longer for a while.
-UNFIT_REASONS = ELSEWHERE_REASONS - {RefusalReason.QUEUE_FULL}
+# Refusals for want of room; after the others a gateway is used no longer for a while.
+FULL_REASONS = frozenset((RefusalReason.QUEUE_FULL, RefusalReason.UPSTREAM_BUSY))
 _call_ids = itertools.count(1)
 
 
@@ -144,7 +145,7 @@
     @property
     def available(self) -> bool:
         """Whether another gateway is known that serves what this one can't."""
-        return bool(self._context.reach.peers(self._service))
+        return self._context.serving_peers.has_any(self._service)
 
     async def run(self, counted: bool) -> int:
         """Return the status of the answer, which has been relayed.
@@ -154,7 +155,7 @@
         """
         last: RefusalError | None = None
         while len(self._tried) < MAX_FORWARDS:
-            peer = self._context.reach.choose_peer(self._service, self._tried)
+            peer = self._context.serving_peers.choose(self._service, self._tried)
             if peer is None:
                 break
             self._tried.add(peer.name)
@@ -174,7 +175,7 @@
         # One attempt is kept for the case that the other gateway breaks off.
         attempts = max(1, self._state.attempts_left - 1)
         forward = _Forward(next(_call_ids), peer, attempts)
-        self._context.reach.begin(peer)
+        self._context.serving_peers.begin(peer)
         execution = Execution.NOT_RUN
         try:
             with raising_upstream_errors():
@@ -193,7 +194,7 @@
             execution = refusal.execution
             raise
         finally:
-            self._context.reach.end(peer)
+            self._context.serving_peers.end(peer)
             self._state.record_forward(execution, attempts)
 
     async def _start(self, forward: _Forward, counted: bool) -> Call:
@@ -211,15 +212,18 @@
         remaining_s = self._state.remaining_s - DEADLINE_MARGIN_S
         if remaining_s <= 0:
             raise RefusalError(RefusalReason.DEADLINE_EXCEEDED, self._proof.execution)
-        table = self._context.view.table
+        context, table = self._context, self._context.view.table
+        scarce = context.replica_room.is_scarce(self._service)
         message = ForwardedRequest(
             forward.call_id,
-            self._context.node_name,
+            context.node_name,
             self._request._replace(resume_after=self._relay.resume_after),
             remaining_s,
             table.version if table else 0,
             forward.attempts,
             counted,
+            context.replica_room.tell(self._service) if scarce else [],
+            context.serving_peers.unfit if scarce else [],
         )
         body = encode_forwarded(message)
         fields = [
@@ -283,9 +287,12 @@
         return self._state.take_retry(refusal.execution) is None
 
     def _report_failure(self, peer: GatewayEntry, refusal: RefusalError) -> None:
+        peers = self._context.serving_peers
         broken = refusal.execution is not Execution.NOT_RUN
-        if broken or refusal.reason in UNFIT_REASONS:
-            self._context.reach.drop_peer(self._service, peer)
+        if refusal.reason in FULL_REASONS:
+            peers.record_full(peer)
+        elif broken or refusal.reason in ELSEWHERE_REASONS:
+            peers.record_unfit(self._service, peer)
         self._context.metrics.count(f"forward.failed.{refusal.reason.value}")
         log_event(
             "forward_failed",
--- a/packages/node/src/lentilshore_node/peers/gateway_directory.py
+++ b/packages/node/src/lentilshore_node/peers/gateway_directory.py
@@ -115,6 +115,11 @@
             return []
         return [self._own.name, *(entry.name for entry in self._others)]
 
+    @property
+    def all_others(self) -> list[GatewayEntry]:
+        """All other gateways, whether they answer or not."""
+        return list(self._others)
+
     def others(self) -> list[GatewayEntry]:
         """Return the other gateways that answer, as far as is known."""
         return self._usable_others()
--- a/packages/node/src/lentilshore_node/peers/relay.py
+++ b/packages/node/src/lentilshore_node/peers/relay.py
@@ -22,6 +22,7 @@
 from .limit_exchange import LIMITS_PATH, encode_limits
 from .reach_monitor import REACH_PATH, ReachMonitor
 from .relay_messages import ConfigurationState, compress_table, encode_changes
+from .room_exchange import ROOM_PATH, RoomExchange
 
 CONFIGURATION_PATH = PEER_PATHS + "configuration"
 CHANGES_PATH = PEER_PATHS + "changes"
@@ -39,6 +40,7 @@
     :param source: the platform's store, for its era.
     :param monitor: tells which services this gateway reaches; None where no other
         gateway is known.
+    :param room: tells of replicas that bear few rejections; None likewise.
     """
 
     def __init__(
@@ -46,10 +48,12 @@
         context: GatewayContext,
         source: FleetSource,
         monitor: ReachMonitor | None = None,
+        room: RoomExchange | None = None,
     ) -> None:
         self._context = context
         self._source = source
         self._monitor = monitor
+        self._room = room
         # The newest table that was relayed, compressed, and its version.
         self._compressed: tuple[int, bytes] | None = None
 
@@ -80,6 +84,8 @@
             return answer_call(self._context, body)
         if path == REACH_PATH and self._monitor is not None:
             return await self._monitor.answer(body)
+        if path == ROOM_PATH and self._room is not None:
+            return self._room.answer(body)
         return None
 
     def _configuration(self, query: bytes) -> bytes | None:
--- a/packages/node/src/lentilshore_node/programs/gateway_assembly.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_assembly.py
@@ -11,6 +11,7 @@
 from lentilshore_routing.crash_blame import CrashBlame
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replica_limits import ReplicaLimits
+from lentilshore_routing.replica_room import ReplicaRoom
 from lentilshore_routing.retries import RetryPolicy, SlidingWindowBudget
 from lentilshore_routing.version_choice import VersionChooser
 
@@ -67,7 +68,8 @@
     :param translator: reads and writes the deployment's headers.
     """
     limits = ReplicaLimits(node, clock, random_source)
-    placement = Placement(node, clock, random_source, data_centre, limits)
+    replica_room = ReplicaRoom(node, clock)
+    placement = Placement(node, clock, random_source, data_centre, limits, replica_room)
     return GatewayContext(
         node_name=node,
         data_centre=data_centre,
@@ -80,6 +82,7 @@
         ),
         placement=placement,
         limits=limits,
+        replica_room=replica_room,
         blame=CrashBlame(clock, random_source),
         retries=RetryPolicy(
             REQUEST_RETRY_LIMIT, partial(create_retry_budget, bounds, clock)
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -25,6 +25,7 @@
 from ..peers.reach_monitor import ReachMonitor
 from ..peers.relay import RelayServer
 from ..peers.relayed_source import PeerClient, RelayedSource
+from ..peers.room_exchange import RoomExchange
 from ..state.fleet_view_updater import FleetViewUpdater
 from ..state.gateway_context import BALANCER_REMOVAL_S, GatewayContext
 from ..state.rollout_controller import RolloutController
@@ -94,11 +95,13 @@
         metrics_port = ports[2] if addresses.metrics else 0
         self._directory: GatewayDirectory | None = None
         self._monitor: ReachMonitor | None = None
+        self._room: RoomExchange | None = None
         if addresses.metrics is not None:
             self._directory = _create_directory(context, source, addresses.metrics)
             self._monitor = ReachMonitor(context, self._directory)
+            self._room = RoomExchange(context, self._directory)
             context.http.report_connections(context.reach)
-        relay = RelayServer(context, source, self._monitor)
+        relay = RelayServer(context, source, self._monitor, self._room)
         application = GatewayApplication(context, ports[1], metrics_port, relay.answer)
         if self._directory is not None:
             peers = PeerClient(self._directory, context.http, context.metrics)
@@ -116,10 +119,13 @@
             FleetViewUpdater(self._context, self._source).start(group)
             controller = RolloutController(self._context, self._source)
             tasks = [controller.run, self._apply_limits, self._poll_settings]
-            if self._directory is not None and self._monitor is not None:
+            if self._directory is not None:
                 limits = LimitExchange(self._context, self._directory)
                 blame = BlameExchange(self._context, self._directory)
-                tasks += [self._directory.run, limits.run, blame.run, self._monitor.run]
+                tasks += [self._directory.run, limits.run, blame.run]
+            for component in (self._monitor, self._room):
+                if component is not None:
+                    tasks.append(component.run)
             for task in tasks:
                 group.start_soon(
                     keep_running, task, self._context.metrics, self._context.clock
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -21,6 +21,7 @@
 from lentilshore_routing.first_event_times import FirstEventTimes
 from lentilshore_routing.placement import Placement
 from lentilshore_routing.replica_limits import ReplicaLimits
+from lentilshore_routing.replica_room import ReplicaRoom
 from lentilshore_routing.retries import RetryPolicy
 from lentilshore_routing.version_choice import VersionChooser
 from lentilshore_routing.version_evidence import LatencyBaseline, VersionEvidence
@@ -31,6 +32,7 @@
 from .fleet_view import FleetView
 from .room_queue import RoomQueue
 from .service_reach import ServiceReach
+from .serving_peers import ServingPeers
 from .store_access import StoreAccess
 
 # Subtracted from the time within which a withdrawn key must be refused, because a
@@ -101,6 +103,7 @@
 
     :param node_name: name of this instance.
     :param limits: limits that replicas name, which ``placement`` keeps to.
+    :param replica_room: replicas that bear few rejections, of which ``placement`` asks.
     :param blame: counts the crashes of replicas for each cause that requests bear.
     :param version_chooser: chooses the version that serves each request.
     :param log_sampler: selects the requests whose routine lines are logged.
@@ -115,6 +118,7 @@
     view: FleetView
     placement: Placement
     limits: ReplicaLimits
+    replica_room: ReplicaRoom
     blame: CrashBlame
     retries: RetryPolicy
     version_chooser: VersionChooser
@@ -128,18 +132,25 @@
     room: RoomQueue = field(init=False)
     store_access: StoreAccess = field(init=False)
     reach: ServiceReach = field(init=False)
+    serving_peers: ServingPeers = field(init=False)
     draining: bool = False
     in_flight: int = 0
     # Requests that this gateway serves in place of others.
     forwarded_in_flight: int = 0
+    # Gateways of which others say that they are silent.
+    silence_hints: set[str] = field(default_factory=set)
     _fresh_connections_until: dict[Address, float] = field(default_factory=dict)
     _logged_blame: dict[str, Cause] = field(default_factory=dict)
     _blame_changed: anyio.Event = field(default_factory=anyio.Event)
+    _room_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.room = RoomQueue(self.clock)
         self.store_access = StoreAccess(self.clock, self.random)
-        self.reach = ServiceReach(self.clock, self.view, self.random, self.metrics)
+        self.reach = ServiceReach(self.clock, self.view, self.metrics)
+        self.serving_peers = ServingPeers(
+            self.clock, self.random, self.reach, self.replica_room, self.placement
+        )
         self.change_logs = {
             part: ChangeLog(self.clock) for part in (REPLICAS_PART, ROLLOUTS_PART)
         }
@@ -193,6 +204,54 @@
         if self.limits.observe(replica, limit_per_s, sent_at):
             self.log_limit(replica, "answer")
 
+    def record_room(
+        self, replica: str, rejections_per_s: float | None, sent_at: float
+    ) -> None:
+        """Record what an answer of a replica says of the rejections that it bears.
+
+        :param rejections_per_s: rejections a second; None if it states none, not a
+            number if that can't be read, which counts as none that it bears.
+        :param sent_at: time at which the request was sent, on the node's clock,
+            seconds.
+        """
+        if rejections_per_s is not None and math.isnan(rejections_per_s):
+            self.metrics.count("room.unreadable")
+            log_event("room_unreadable", replica=replica)
+            rejections_per_s = 0.0
+        if self.replica_room.observe(replica, rejections_per_s, sent_at):
+            self.log_room([replica], "answer")
+
+    def log_room(self, replicas: Iterable[str], source: str) -> None:
+        """Log that replicas have begun or ceased to bear few rejections.
+
+        Wakes those that wait for a change.
+
+        :param source: whether an answer or a peer told of the change.
+        """
+        told = {news.replica: news for news in self.replica_room.tell()}
+        for replica in replicas:
+            news = told.get(replica)
+            if news is None or news.rejections_per_s < 0:
+                change = StateChange.REPLICA_SCARCITY_ENDED
+                record_state_change(
+                    self.metrics, change, replica=replica, source=source
+                )
+                continue
+            record_state_change(
+                self.metrics,
+                StateChange.REPLICA_SCARCE,
+                replica=replica,
+                source=source,
+                rejections_per_s=f"{news.rejections_per_s:g}",
+                dispatcher=self.replica_room.dispatcher(replica) or "-",
+            )
+        self._room_changed.set()
+
+    async def wait_for_room_news(self) -> None:
+        """Wait until something has changed in what replicas say of their room."""
+        self._room_changed = anyio.Event()
+        await self._room_changed.wait()
+
     def record_pause(self, replica: str, pause_s: float) -> None:
         """Record that a replica wants nothing from this gateway for some time.
 
--- a/packages/node/src/lentilshore_node/state/service_reach.py
+++ b/packages/node/src/lentilshore_node/state/service_reach.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import math
-import random
-from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from enum import StrEnum
 
 import anyio
@@ -64,7 +62,6 @@
 
     :param clock: measures ages.
     :param view: knows the replicas.
-    :param random_source: chooses among gateways.
     :param metrics: counts the changes.
     """
 
@@ -72,18 +69,14 @@
         self,
         clock: Clock,
         view: FleetView,
-        random_source: random.Random,
         metrics: Metrics,
     ) -> None:
         self._clock = clock
         self._view = view
-        self._random = random_source
         self._metrics = metrics
         self._services: dict[str, _Service] = {}
         self._unexamined: list[str] = []
         self._suspicion = anyio.Event()
-        # Requests in flight by gateway that serves them in place of this one.
-        self._in_flight: Counter[str] = Counter()
 
     def state(self, service: str) -> Reach:
         """Return what is known of the way to a service."""
@@ -136,29 +129,6 @@
         known = self._services.get(service)
         return known.peers if known else ()
 
-    def choose_peer(
-        self, service: str, excluded: Collection[str]
-    ) -> GatewayEntry | None:
-        """Return the better of two random gateways that reach a service.
-
-        :param excluded: names of gateways that must not be chosen.
-        """
-        usable = [p for p in self.peers(service) if p.name not in excluded]
-        if not usable:
-            return None
-        pair = self._random.sample(usable, min(2, len(usable)))
-        return min(pair, key=lambda peer: self._in_flight[peer.name])
-
-    def begin(self, peer: GatewayEntry) -> None:
-        """Count a request that a gateway begins to serve in place of this one."""
-        self._in_flight[peer.name] += 1
-
-    def end(self, peer: GatewayEntry) -> None:
-        """Count the end of such a request."""
-        self._in_flight[peer.name] -= 1
-        if self._in_flight[peer.name] <= 0:
-            del self._in_flight[peer.name]
-
     def may_wait_for(self, service: str, peer: GatewayEntry) -> bool:
         """Return whether a gateway still answers, as far as is known."""
         if self.state(service) is not Reach.CUT_OFF:
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -12,6 +12,7 @@
 
 from .replica_limits import ReplicaLimits
 from .replica_pauses import ReplicaPauses
+from .replica_room import ReplicaRoom
 from .replicas import Replica, ReplicaGroup, choose_subset
 
 # Candidate replicas for a request: the first on the hash ring, for prefix cache hits,
@@ -98,6 +99,7 @@
     :param data_centre: data centre of this node, whose replicas are preferred; empty
         for no preference.
     :param limits: limits that replicas name; None where no replica names any.
+    :param replica_room: replicas that bear few rejections; None where none says so.
     """
 
     def __init__(
@@ -107,7 +109,9 @@
         random_source: random.Random,
         data_centre: str = "",
         limits: ReplicaLimits | None = None,
+        replica_room: ReplicaRoom | None = None,
     ) -> None:
+        self._replica_room = replica_room or ReplicaRoom(node, clock)
         self._limits = limits or ReplicaLimits(node, clock, random_source)
         self._pauses = ReplicaPauses(clock, random_source)
         self._node = node
@@ -146,6 +150,7 @@
         new = {name: _ReplicaState() for name in names - serving.keys()}
         self._states = serving | new
         self._limits.set_replicas(names)
+        self._replica_room.set_replicas(active)
         groups: dict[str, list[Replica]] = {}
         for replica in sorted(active):
             for group in replica.groups:
@@ -266,6 +271,18 @@
         paused = [r.name for r in replicas if self._pauses.paused(r.name)]
         return self._pauses.retry_after_s(paused) if paused else None
 
+    def is_scarce(self, group: str) -> bool:
+        """Return whether replicas of a group bear few rejections."""
+        return self._replica_room.is_scarce(group.partition("@")[0])
+
+    def has_place(self, service: str) -> bool:
+        """Return whether a replica that bears few rejections has a place for this node.
+
+        :param service: service whose replicas bear few rejections.
+        """
+        names = self._replica_room.own_replicas(service)
+        return any(name in self._states and self._may_send(name) for name in names)
+
     def has_usable(self, group: str, excluded: Sequence[str]) -> bool:
         """Return whether a replica of a group may be sent a request and is not ejected.
 
@@ -472,7 +489,11 @@
 
     def _may_send(self, name: str) -> bool:
         """Return whether a replica itself allows this node to send it a request now."""
-        return not self._pauses.paused(name) and self._limits.allows(name)
+        return (
+            not self._pauses.paused(name)
+            and self._limits.allows(name)
+            and self._replica_room.allows(name, self.in_flight(name))
+        )
 
     def _score(
         self,
--- a/packages/routing/src/lentilshore_routing/replicas.py
+++ b/packages/routing/src/lentilshore_routing/replicas.py
@@ -26,6 +26,7 @@
     :param groups: versions or services that it serves.
     :param draining: whether it takes no new requests.
     :param identity: identifier that the process itself uses, empty if it is the name.
+    :param places: requests that it runs at once, 0 if not known.
     """
 
     name: str
@@ -35,6 +36,7 @@
     groups: tuple[str, ...]
     draining: bool = False
     identity: str = ""
+    places: int = 0
 
 
 class ReplicaGroup:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -101,10 +101,10 @@
         self.work_s = work_s
         self.slots = slots
         self.queue = queue
-        # Rejections a second for want of room that it bears, None for any number, and
-        # whether it says so.
+        # Rejections a second for want of room that it says that it bears, None for any
+        # number, and whether it falls over if it has to reject more.
         self.bears = None
-        self.says_so = True
+        self.falls_over = False
         self.falls = []
         self.rejected_at = []
         # Time spent in runs, seconds.
@@ -119,12 +119,14 @@
         self.connections = 0
         self._server = None
         self._writers = set()
+        # No port that the kernel gives to other connections meanwhile.
+        self._host = "127.255.0.9"
 
     async def start(self):
         port = self.address.port if self.address else 0
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._serve, self._host, port)
         port = self._server.sockets[0].getsockname()[1]
-        self.address = Address("127.0.0.1", port)
+        self.address = Address(self._host, port)
 
     def stop(self):
         """End as a crash does."""
@@ -168,7 +170,7 @@
         self.rejected_at = [at for at in self.rejected_at if at > now - 1.0] + [now]
         fields = {"X-Attempt-Id": request.fields["x-attempt-id"], "X-Not-Executed": "1"}
         writer.write(encode("HTTP/1.1 503 Full", fields | self._room_field(), b""))
-        if self.bears is not None and len(self.rejected_at) > self.bears:
+        if self.falls_over and len(self.rejected_at) > self.bears:
             self.falls.append(now)
             self.rejected_at = []
             self.stop()
@@ -178,7 +180,7 @@
         return True
 
     def _room_field(self):
-        if self.bears is None or not self.says_so:
+        if self.bears is None:
             return {}
         return {"Server-Brittle": str(self.bears)}
 
@@ -285,7 +287,9 @@
 def _record(replica):
     groups = (f"{SERVICE}@v1",)
     address, name = replica.address, replica.name
-    placed = Replica(name, "forward", address, "dc-1", groups, identity=name)
+    placed = Replica(
+        name, "forward", address, "dc-1", groups, False, name, replica.slots or 0
+    )
     return ReplicaRecord(name, 0, SERVICE, "v1", placed)
 
 
@@ -548,7 +552,7 @@
             **dict(fields),
         }
         sent_at = loop.time()
-        writer.write(encode(f"POST /{kind}/x HTTP/1.1", heads, b"payload"))
+        writer.write(encode(f"POST /{kind}/x?{name} HTTP/1.1", heads, b"payload"))
         try:
             async with asyncio.timeout(DEADLINE_S + 1.0):
                 answer = await read_message(reader)
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -21,11 +21,6 @@
     return math.floor(2 + 0.1 * replica_count)
 
 
-async def turn_brittle(replicas, rejections_per_s):
-    for replica in replicas:
-        replica.bears = rejections_per_s
-
-
 async def load(fleet, caller_count, seconds):
     gateways = fleet.gateways * math.ceil(caller_count / len(fleet.gateways))
     callers = Callers()
@@ -40,10 +35,11 @@
     ]
     async with running_fleet(gateway_count, replicas) as fleet:
         await load(fleet, caller_count, 0.5)
-        await turn_brittle(replicas, rejections_per_s)
+        for replica in replicas:
+            replica.bears = rejections_per_s
         await load(fleet, caller_count, STABILITY_S)
         for replica in replicas:
-            replica.queue, replica.busy_s, replica.falls = BRITTLE_QUEUE, 0.0, []
+            replica.queue, replica.falls_over, replica.busy_s = BRITTLE_QUEUE, True, 0.0
         callers = await load(fleet, caller_count, LASTS_S)
     used = sum(r.busy_s for r in replicas) / (LASTS_S * SLOTS * replica_count)
     return sum(len(r.falls) for r in replicas), used, callers
