--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.soak import crashes, cuts, gateway_cuts, hints
+from tests.soak import brittle, crashes, cuts, gateway_cuts, hints
 from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
@@ -55,6 +55,7 @@
         prompt_random,
         repeat_random,
         cut_random,
+        brittle_random,
     ) = (
         random.Random(f"{seed} {part}")
         for part in (
@@ -66,6 +67,7 @@
             "prompt",
             "repeat",
             "cut",
+            "brittle",
         )
     )
     started_at = time.monotonic()
@@ -91,6 +93,9 @@
         mix = cuts.MIX
     elif options.gateway_cuts:
         mix = gateway_cuts.MIX
+    elif options.brittle:
+        fleet.renames_replicas = True
+        mix = brittle.MIX
     callers = Callers(fleet, keys, load_random, f"r{seed}", mix, prompts, repeats)
 
     def write_log(text):
@@ -101,6 +106,8 @@
         plan = FullPlan(*faults)
     elif options.silences:
         plan = SilencePlan(*faults)
+    elif options.brittle:
+        plan = brittle.BrittlePlan(*faults)
     elif fleet.renames_replicas:
         plan = crashes.CrashPlan(*faults)
     elif options.cuts:
@@ -114,14 +121,20 @@
     try:
         await fleet.start(size.gateways, size.services)
         await plan.write_config()
-        load = asyncio.create_task(callers.run(size.callers, size.pause_s))
-        await asyncio.sleep(LONG_WARM_UP_S if options.gateway_cuts else WARM_UP_S)
+        pause_s = size.pause_s * (brittle.PAUSE_SHARE if options.brittle else 1.0)
+        load = asyncio.create_task(callers.run(size.callers, pause_s))
+        forwards = options.gateway_cuts or options.brittle
+        await asyncio.sleep(LONG_WARM_UP_S if forwards else WARM_UP_S)
         async with asyncio.TaskGroup() as group:
             group.create_task(plan.run(options.seconds))
             if options.limits:
                 group.create_task(plan.run_limits(limit_random, options.seconds))
             if options.gateway_cuts:
                 group.create_task(plan.run_cuts(cut_random, time.time, options.seconds))
+            if options.brittle:
+                group.create_task(
+                    plan.run_brittle(brittle_random, time.time, options.seconds)
+                )
             if options.rollouts:
                 group.create_task(plan.run_rollouts(rollout_random, options.seconds))
         calm_since = time.time() + AFTERMATH_S
@@ -176,6 +189,11 @@
         action="store_true",
         help="gateways lose all replicas, and nothing else, one set after the other",
     )
+    parser.add_argument(
+        "--brittle",
+        action="store_true",
+        help="replicas fall over when they have to reject more than a few requests",
+    )
     parser.add_argument(
         "--hints",
         action="store_true",
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 import json
 from collections import Counter, defaultdict
 
+from tests.soak.brittle import fall_problems
 from tests.soak.callers import KINDS, PROMISE_STATUSES, STREAMS
 from tests.soak.crashes import BLAMED, CrashCheck
 from tests.soak.cuts import cut_problems
@@ -76,6 +77,12 @@
             )
         if self._fleet.gives_hints:
             found += hint_problems(self._callers, self._limits, self._was_interrupted)
+        found += fall_problems(
+            [entry for entry in self._limits if entry["event"] == "fall"],
+            self._fleet.brittle_times,
+            self._gateway_of,
+            self._fleet.disturbances.touch,
+        )
         found += recover_problems(
             self._callers, self._fleet.gateway_cuts, self._fleet.disturbances.touch
         )
@@ -102,7 +109,7 @@
                 or self._were_cut(*span)
             ),
             replicas,
-            [entry for entry in self._limits if entry["event"] == "crash"],
+            [entry for entry in self._limits if entry["event"] in ("crash", "fall")],
             {entry["id"] for entry in self._limits if entry["event"] == "arrival"},
         )
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -7,7 +7,7 @@
 import time
 from itertools import count
 from pathlib import Path
-from signal import SIGCONT, SIGKILL, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from typing import NamedTuple
 
 from tests.soak.callers import STREAMS
@@ -157,6 +157,14 @@
             self.stop_asked_at = time.time()
         self._process.send_signal(number)
 
+    def pause(self):
+        """Have the process stand still."""
+        self.send_signal(SIGSTOP)
+
+    def wake(self):
+        """Have the process go on."""
+        self.send_signal(SIGCONT)
+
     async def end(self, number=SIGKILL):
         """End the process for good."""
         self._wanted = False
@@ -199,6 +207,8 @@
         # their hosts to all replicas.
         self.gateway_cuts = []
         self.replica_link_faults = {}
+        # Times in which the replicas of a service said that they bear few rejections.
+        self.brittle_times = []
         # Share of the requests, and a number of repeats beside it.
         self.retry_budget = (0.9, 52)
         # Times at which replicas send answers that nobody asked for.
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -7,6 +7,7 @@
 import asyncio
 import hashlib
 import json
+import math
 import os
 import random
 import sys
@@ -61,10 +62,14 @@
         self._born = int(time.time() * 1000)
         # Shares of requests with a fault: shed, error, lose, hang, extra, unnamed,
         # cut (of events), retry_after (of rejections); limit: requests a second that
-        # are named in answers; places: most runs until the time full_until.
+        # are named in answers; places: most runs until the time full_until; bears:
+        # rejections a second for want of room past which it ends, from weak_at on,
+        # and tells whether it says so.
         self._faults = {}
         self._state = "ready"
         self._run_count = 0
+        # Times and identifiers of what was rejected lately for want of room.
+        self._rejected = []
 
     async def run(self):
         """Serve until the process is ended."""
@@ -115,6 +120,8 @@
         if self._options["gives_hints"] and self._state in ("draining", "leaving"):
             self._record_limit("leaving", fields)
             fields = fields | {"Server-Leaving": "1"}
+        if self._faults.get("tells"):
+            fields = fields | {"Server-Brittle": f"{self._faults['bears']}"}
         limit = self._faults.get("limit")
         if limit is None:
             return fields
@@ -153,7 +160,10 @@
             return await self._reject("400 Bad Request", NOT_RUN, writer, late)
         if time.time() < self._faults.get("full_until", 0.0):
             await asyncio.sleep(self._random.uniform(*FULL_DELAY_S))
-        if self._is_full() or self._hit("shed"):
+        is_full = self._is_full()
+        if is_full:
+            self._count_rejection(request)
+        if is_full or self._hit("shed"):
             fields = echo | NOT_RUN | self._retry_after(request)
             return await self._reject("503 Service Unavailable", fields, writer, late)
         gone = asyncio.create_task(reader.read(1))
@@ -166,7 +176,23 @@
     def _is_full(self):
         if time.time() < self._faults.get("full_until", 0.0):
             return self._running + self._waiting >= self._faults["places"]
-        return self._slots.locked() and self._waiting >= self._options["queue"]
+        queue = 1 if self._is_weak else self._options["queue"]
+        return self._slots.locked() and self._waiting >= queue
+
+    @property
+    def _is_weak(self):
+        return time.time() >= self._faults.get("weak_at", math.inf)
+
+    def _count_rejection(self, request):
+        """Count a rejection for want of room, and end if it was one too many."""
+        now = time.time()
+        recent = [entry for entry in self._rejected if entry[0] > now - 1.0]
+        self._rejected = [*recent, (now, request.fields.get("x-attempt-id", ""))]
+        if not self._is_weak or len(self._rejected) <= self._faults["bears"]:
+            return
+        about = {"born": self._born, "rejected": [name for _, name in self._rejected]}
+        self._record("fall", request, **about, limit=None)
+        os._exit(CRASH_STATUS)
 
     async def _queue_and_run(self, request, writer, late, gone):
         deadline = time.monotonic() + int(request.fields["x-deadline-ms"]) / 1000
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -264,6 +264,7 @@
         disturbances=calm,
         silences=calm,
         gateway_cuts=[],
+        brittle_times=[],
     )
     return Checks(records((sent, seen)), fleet, {})
 
