Repeat requests that a gateway breaks off which served them for another

Cause: that gateway alone had counted them, so that the sender's budget had no requests to allow retries for. The sender counts a request whose call has broken off. A silent gateway is asked whether it still runs, so that a frozen one holds no request that may be repeated.

--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -112,7 +112,7 @@
         if self._answer_peer is None or not scope["path"].startswith(PEER_PATHS):
             await self._send_metrics(responder)
             return
-        if scope["path"] == FORWARD_PATH:
+        if scope["path"] == FORWARD_PATH and scope["method"] == "POST":
             await self._serve_forwarded(scope, receive, responder)
             return
         try:
--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -16,6 +16,7 @@
     KEEP_ALIVE_TIMEOUT_S,
     AnswerFilter,
     BufferBudget,
+    CallBrokenError,
     CallNotSentError,
     Connection,
     HeaderFields,
@@ -283,6 +284,17 @@
         self._return_connection(address, connection)
         return True
 
+    async def answers(self, address: Address, path: str, timeout_s: float) -> bool:
+        """Return whether a server answers a GET of a path, with any status.
+
+        :param timeout_s: longest wait for a connection and for the answer, seconds.
+        """
+        try:
+            async with self.open("GET", address, path, timeout_s=timeout_s):
+                return True
+        except (CallNotSentError, CallBrokenError):
+            return False
+
     async def is_refused(self, address: Address) -> bool:
         """Return whether a server refuses connections: its process has ended."""
         try:
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -40,9 +40,11 @@
 # Gateways that are tried for one request.
 MAX_FORWARDS = 3
 CONNECT_TIMEOUT_S = 0.3
-# Interval at which a silent gateway is checked, and longest idle time of a connection
-# that is used again.
-CHECK_INTERVAL_S = 0.25
+# Interval at which a silent gateway is asked whether it still runs, and the longest
+# wait for its answer.
+CHECK_INTERVAL_S = 0.5
+CHECK_TIMEOUT_S = 0.3
+# Longest idle time of a connection that is used again.
 IDLE_LIMIT_S = 2.0
 # The other gateway's time ends this long before the request's, so that its refusal
 # arrives in time.
@@ -164,9 +166,12 @@
             except RefusalError as refusal:
                 last = refusal
                 self._report_failure(peer, refusal)
+                if not counted and self._proof.execution is not Execution.NOT_RUN:
+                    # The gateway that has counted it may have ended.
+                    self._context.retries.record_first_attempt(self._service)
+                    counted = True
                 if not self._may_try_next(refusal):
                     raise
-            counted = counted or self._proof.execution is not Execution.NOT_RUN
         if last is not None:
             raise last
         raise unreachable_refusal(self._service, self._proof.execution)
@@ -236,8 +241,14 @@
         return data
 
     async def _extend(self, peer: GatewayEntry) -> float:
-        """Return for how long to wait on for a silent gateway, 0 to give it up."""
-        if not self._context.reach.may_wait_for(self._service, peer):
+        """Return for how long to wait on for a silent gateway, 0 to give it up.
+
+        Giving up helps only a request that may be repeated elsewhere.
+        """
+        repeatable = self._route.delivery_mode.repeatable
+        if repeatable and not await self._context.http.answers(
+            peer.address, FORWARD_PATH, CHECK_TIMEOUT_S
+        ):
             return 0.0
         return max(0.0, min(CHECK_INTERVAL_S, self._state.remaining_s))
 
--- a/packages/node/src/lentilshore_node/peers/reach_monitor.py
+++ b/packages/node/src/lentilshore_node/peers/reach_monitor.py
@@ -160,17 +160,10 @@
 
         A connection alone proves little: a proxy on the way may have accepted it.
         """
-        http = self._context.http
+        http, path = self._context.http, self._context.translator.report_path
         if not await http.connects(replica.address, PROBE_CONNECT_S):
             return False
-        path = self._context.translator.report_path
-        try:
-            async with http.open(
-                "GET", replica.address, path, timeout_s=PROBE_ANSWER_S
-            ):
-                return True
-        except (CallNotSentError, CallBrokenError):
-            return False
+        return await http.answers(replica.address, path, PROBE_ANSWER_S)
 
     async def _ask_some(self, service: str) -> list[GatewayEntry]:
         """Return the gateways that say that they reach a service, near ones first."""
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -102,11 +102,13 @@
             self._room = RoomExchange(context, self._directory)
             context.http.report_connections(context.reach)
         relay = RelayServer(context, source, self._monitor, self._room)
-        application = GatewayApplication(context, ports[1], metrics_port, relay.answer)
+        self._application = GatewayApplication(
+            context, ports[1], metrics_port, relay.answer
+        )
         if self._directory is not None:
             peers = PeerClient(self._directory, context.http, context.metrics)
             self._source = RelayedSource(source, peers, context)
-        self._uvicorn_config = _server_config(application, context)
+        self._uvicorn_config = _server_config(self._application, context)
         self._server = _Server(self._uvicorn_config)
 
     async def run(self) -> bool:
--- a/packages/node/src/lentilshore_node/state/service_reach.py
+++ b/packages/node/src/lentilshore_node/state/service_reach.py
@@ -129,12 +129,6 @@
         known = self._services.get(service)
         return known.peers if known else ()
 
-    def may_wait_for(self, service: str, peer: GatewayEntry) -> bool:
-        """Return whether a gateway still answers, as far as is known."""
-        if self.state(service) is not Reach.CUT_OFF:
-            return True
-        return any(known.name == peer.name for known in self.peers(service))
-
     def drop_peer(self, service: str, peer: GatewayEntry) -> None:
         """Use a gateway no longer until it is known again to reach the service."""
         known = self._known(service)
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -32,6 +32,8 @@
     :param replicas: names of the replicas by service.
     :param crashes: lines of the replicas about crashes.
     :param arrived: names of the requests that reached a replica.
+    :param is_lost_elsewhere: whether a request ended with a gateway that another one
+        had asked to serve it.
     """
 
     runs: dict
@@ -41,6 +43,7 @@
     replicas: dict
     crashes: list
     arrived: set
+    is_lost_elsewhere: Callable = lambda sent, seen: False
 
 
 def lost_problems(callers, evidence):
@@ -88,6 +91,8 @@
     stops = evidence.stops[sent.gateway]
     if any(_is_out_of_grace(sent.at, seen.at, at) for at in stops):
         return True
+    if evidence.is_lost_elsewhere(sent, seen):
+        return True
     ends = [evidence.ends.get(run["run"]) for run in ran]
     if any(end is None or end["how"] in BROKEN_ENDS for end in ends):
         return True
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -170,6 +170,44 @@
     assert answered.status in ((200, None) if kind == "tail" else (502, 504))
 
 
+# LOST: the budget of a gateway that forwards had no requests to allow retries for.
+def test_all_that_was_under_way_at_a_gateway_that_ends_is_repeated():
+    slow = replicas(work_s=0.4)
+
+    async def main():
+        async with running_fleet(3, slow) as fleet:
+            cut, *others = fleet.gateways
+            await cut_off([cut])
+            sending = [
+                asyncio.create_task(send_one(cut, "safe", f"many{n}"))
+                for n in range(40)
+            ]
+            while sum(g.context.forwarded_in_flight for g in others) < 40:
+                await asyncio.sleep(0.005)
+            await others[0].kill()
+            return await asyncio.gather(*sending)
+
+    answers = asyncio.run(main())
+    assert [a.status for a in answers] == [200] * 40
+
+
+# A frozen gateway answers nothing; what may be repeated does not wait for it.
+def test_a_gateway_that_stands_still_is_given_up():
+    async def main():
+        async with running_fleet(3, replicas()) as fleet:
+            cut, frozen, _ = fleet.gateways
+            await cut_off([cut])
+
+            async def stand_still(*_):
+                await asyncio.sleep(10)
+
+            frozen.server._application._serve_internal = stand_still
+            return [await send_one(cut, "safe", f"f{n}") for n in range(4)]
+
+    answers = asyncio.run(main())
+    assert all(a.served for a in answers)
+
+
 def test_a_replica_that_is_down_for_all_is_no_cut():
     async def main():
         async with running_fleet(3, replicas()) as fleet:
