--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -353,7 +353,8 @@
                 return await self._dial(address)
         except TimeoutError as error:
             raise CallNotSentError(f"{address}: connection timed out") from error
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # The last two: the port is out of range, or the host is no name.
             raise CallNotSentError(f"{address}: connection failed: {error}") from error
         finally:
             if slow is not None:
