Refuse late requests of a planned stop, and answer those that are not completed

Here listeners close after 2.6 s, but a request on a connection that was accepted just before was still taken, and all that was not completed at the end lost its connection, whether it had run or not.

Requests that come more than 2.8 s after the signal are refused at once as not run. At the end of the grace period what is under way is answered with what is proved of its execution. A gateway that stops serves requests of others until then, if no other gateway can.

--- a/packages/node/src/lentilshore_node/callers/forwarder.py
+++ b/packages/node/src/lentilshore_node/callers/forwarder.py
@@ -10,7 +10,6 @@
 from ..clients.forwarding import ForwardRequest
 from ..delivery.delivery import Delivery, ForwardedTerms
 from ..delivery.no_replica import OVERLOAD_RETRY_AFTER_S
-from ..delivery.outcome import Outcome
 from ..delivery.responder import Responder
 from ..state.gateway_context import GatewayContext
 
@@ -87,14 +86,25 @@
         ):
             raise self._stale_refusal(RefusalReason.KEY_UNPROVED)
 
+    def check_accepts(self) -> None:
+        """Refuse a request that comes too late before this node stops.
+
+        :raises RefusalError: ``draining``.
+        """
+        if not self._context.accepts_requests:
+            raise RefusalError(
+                RefusalReason.DRAINING,
+                detail="this node stops",
+                retry_after_s=OTHER_NODE_RETRY_AFTER_S,
+            )
+
     def check_may_serve(self, forwarded: ForwardedRequest) -> None:
         """Check that this gateway may serve a request in place of the sender.
 
         :raises RefusalError: if it may not; the request has not run.
         """
         context = self._context
-        if context.draining:
-            raise RefusalError(RefusalReason.DRAINING)
+        self.check_accepts()
         if context.forwarded_in_flight >= MAX_FORWARDED_IN_FLIGHT:
             raise RefusalError(
                 RefusalReason.QUEUE_FULL,
@@ -106,7 +116,7 @@
             # Would undo for the caller what the sender has put in force.
             raise self._stale_refusal(RefusalReason.CONFIGURATION_STALE)
 
-    async def serve(
+    def create_delivery(
         self,
         request: ForwardRequest,
         route: Route,
@@ -114,17 +124,16 @@
         received_at: float,
         responder: Responder,
         forwarded: ForwardedTerms | None = None,
-    ) -> Outcome:
-        """Serve one request.
+    ) -> Delivery:
+        """Return the delivery of one request, which is not run yet.
 
         :param route: route of the request, as returned by :meth:`route`.
         :param customer: customer that sent it, None on a public route.
         :param received_at: time at which it was received, on the node's clock, seconds.
         :param responder: sends the answer to the caller.
         :param forwarded: set if another gateway has sent the request.
-        :raises RefusalError: if it is not served.
         """
-        delivery = Delivery(
+        return Delivery(
             self._context,
             self.require_key_proof,
             request,
@@ -134,7 +143,19 @@
             responder,
             forwarded,
         )
-        return await delivery.run()
+
+    async def wait_for_stop(self, delivery: Delivery) -> RefusalError:
+        """Return the refusal of a request that is not completed before the node stops.
+
+        Waits until then.
+        """
+        await self._context.grace_over.wait()
+        return RefusalError(
+            RefusalReason.DRAINING,
+            delivery.execution,
+            "this node stops before the request is completed",
+            OTHER_NODE_RETRY_AFTER_S,
+        )
 
     def _stale_refusal(self, reason: RefusalReason) -> RefusalError:
         age_s = self._context.view.confirmed_age_s
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -27,7 +27,7 @@
 )
 from ..clients.forwarding import ForwardRequest
 from ..clients.http_connection import HeaderFields
-from ..delivery.delivery import ForwardedTerms
+from ..delivery.delivery import Delivery, ForwardedTerms
 from ..delivery.outcome import Outcome
 from ..delivery.responder import (
     CLOSE_CONNECTION,
@@ -197,8 +197,7 @@
         request = forwarded.request._replace(deadline_s=forwarded.remaining_s)
         route, customer = self._forwarder.route(request)
         table = self._context.view.table
-        serve = partial(
-            self._forwarder.serve,
+        delivery = self._forwarder.create_delivery(
             request,
             route,
             customer,
@@ -206,7 +205,7 @@
             FieldAddingResponder(responder, answer_field(forwarded.call_id, RELAYED)),
             ForwardedTerms(forwarded.attempts_left, forwarded.counted),
         )
-        outcome = await serve_until_disconnect(receive, serve)
+        outcome = await self._run_delivery(receive, delivery)
         log_fields = {
             "route": route.name,
             "configuration": table.version if table else 0,
@@ -302,6 +301,7 @@
         responder: AsgiResponder,
     ) -> None:
         received_at = self._context.clock.monotonic()
+        self._forwarder.check_accepts()
         await self._forwarder.wait_for_first_read()
         route, customer = self._forwarder.route(head)
         table = self._context.view.table
@@ -316,10 +316,10 @@
         )
         if body:
             head = head._replace(body=body)
-        serve = partial(
-            self._forwarder.serve, head, route, customer, received_at, responder
+        delivery = self._forwarder.create_delivery(
+            head, route, customer, received_at, responder
         )
-        outcome = await serve_until_disconnect(receive, serve)
+        outcome = await self._run_delivery(receive, delivery)
         log_fields = {
             "route": route.name,
             "configuration": table.version if table else 0,
@@ -327,6 +327,13 @@
         }
         self._log_outcome(head, log_fields, outcome)
 
+    async def _run_delivery(
+        self, receive: Receive, delivery: Delivery
+    ) -> Outcome | None:
+        """Run a delivery until its caller leaves or this node stops."""
+        wait_for_stop = partial(self._forwarder.wait_for_stop, delivery)
+        return await serve_until_disconnect(receive, delivery.run, wait_for_stop)
+
     def _log_outcome(
         self, head: ForwardRequest, log_fields: dict[str, Any], outcome: Outcome | None
     ) -> None:
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -308,6 +308,11 @@
         await self._context.reach.wait_for_verdict(self._service)
         return self._forwarding.available
 
+    @property
+    def execution(self) -> Execution:
+        """Whether the request has run, as far as is known now."""
+        return self._proof.execution
+
     @property
     def attempts_left(self) -> int:
         """Number of attempts that may still run."""
--- a/packages/node/src/lentilshore_node/programs/gateway_server.py
+++ b/packages/node/src/lentilshore_node/programs/gateway_server.py
@@ -41,6 +41,8 @@
 # Reserved at the end of the grace period for a stop, to close the remaining
 # connections.
 STOP_MARGIN_S = 0.7
+# Time in which requests that are not completed get their last answer.
+LAST_ANSWERS_S = 0.2
 LIMITS_POLL_S = 0.5
 # Well below the time that a changed setting may take until it is in force.
 SETTINGS_POLL_S = 1.0
@@ -192,17 +194,21 @@
         """Serve until the balancer has removed the node, then complete requests."""
         clock = self._context.clock
         started_at = clock.monotonic()
-        self._context.draining = True
+        self._context.begin_to_stop()
         log_event("draining", in_flight=self._context.in_flight)
         await clock.sleep(BALANCER_REMOVAL_S)
         self._server.should_exit = True
-        ends_at = started_at + self._context.bounds.grace_s - STOP_MARGIN_S
+        grace_s = self._context.bounds.grace_s
+        ends_at = started_at + grace_s - STOP_MARGIN_S - LAST_ANSWERS_S
         last_active_at = clock.monotonic()
         # The HTTP server closes the idle connections meanwhile.
         while clock.monotonic() < min(ends_at, last_active_at + DRAIN_QUIET_S):
             await clock.sleep(DRAIN_POLL_S)
             if self._context.in_flight:
                 last_active_at = clock.monotonic()
+        self._context.grace_over.set()
+        if self._context.in_flight:
+            await clock.sleep(LAST_ANSWERS_S)
 
 
 def _create_directory(
--- a/packages/node/src/lentilshore_node/state/gateway_context.py
+++ b/packages/node/src/lentilshore_node/state/gateway_context.py
@@ -48,6 +48,9 @@
 FRESH_CONNECTIONS_S = 10.0
 # The balancer probes every second and removes a node after two failed probes.
 BALANCER_REMOVAL_S = 2.6
+# A stopping node refuses requests that come later after the signal, since it may not be
+# able to complete them.
+LAST_REQUEST_S = 2.8
 
 
 # Beginning of the paths of other gateways' calls, on the port that serves metrics.
@@ -133,7 +136,10 @@
     store_access: StoreAccess = field(init=False)
     reach: ServiceReach = field(init=False)
     serving_peers: ServingPeers = field(init=False)
-    draining: bool = False
+    # When the node was told to stop, on its clock, seconds; infinite before.
+    stopping_since: float = math.inf
+    # Set when the time to complete requests is over.
+    grace_over: anyio.Event = field(default_factory=anyio.Event)
     in_flight: int = 0
     # Requests that this gateway serves in place of others.
     forwarded_in_flight: int = 0
@@ -155,6 +161,20 @@
             part: ChangeLog(self.clock) for part in (REPLICAS_PART, ROLLOUTS_PART)
         }
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node was told to stop."""
+        return self.stopping_since < math.inf
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether a request that comes now can be completed before the node stops."""
+        return self.clock.monotonic() < self.stopping_since + LAST_REQUEST_S
+
+    def begin_to_stop(self) -> None:
+        """Record that the node was told to stop."""
+        self.stopping_since = min(self.stopping_since, self.clock.monotonic())
+
     @property
     def ready(self) -> bool:
         """Whether a balancer should send requests here."""
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -252,16 +252,18 @@
 
     :param replicas: stand-ins of the replicas.
     :param entries: entries of the gateways.
+    :param timeout_s: longest time of a request, seconds.
     """
 
     era = 1
     table_data = b""
 
-    def __init__(self, replicas, entries):
+    def __init__(self, replicas, entries, timeout_s):
         self._replicas = replicas
         self._entries = entries
         owners = {KEY: KeyOwner("customer", None)}
-        self.table = RouteTable(1, ROUTES, owners, CallerLimits(), {})
+        routes = [route._replace(timeout_s=timeout_s) for route in ROUTES]
+        self.table = RouteTable(1, routes, owners, CallerLimits(), {})
 
     @property
     def replicas(self):
@@ -420,7 +422,9 @@
 
 
 @asynccontextmanager
-async def running_fleet(gateway_count, replicas, data_centres=1):
+async def running_fleet(
+    gateway_count, replicas, data_centres=1, timeout_s=ROUTE_TIMEOUT_S
+):
     """Start gateways before replicas, and wait until they know one another."""
     for replica in replicas:
         await replica.start()
@@ -435,7 +439,8 @@
         )
         for number in range(1, gateway_count + 1)
     ]
-    store = FleetStore(replicas, [gateway.entry for gateway in gateways])
+    entries = [gateway.entry for gateway in gateways]
+    store = FleetStore(replicas, entries, timeout_s)
     with ExitStack() as stack:
         stack.enter_context(_swallowing_ports(replica_addresses))
         for gateway in gateways:
@@ -540,21 +545,20 @@
 
         await asyncio.gather(*(call(g, n) for n, g in enumerate(gateways)))
 
-    async def send(self, gateway, kind, reader, writer, key=KEY, fields=()):
+    async def send(self, gateway, kind, reader, writer, key=KEY, deadline_s=DEADLINE_S):
         """Send a request and record its end; return whether to go on."""
         loop = asyncio.get_running_loop()
         name = f"{self._prefix}-{next(self._numbers)}"
         heads = {
             "Host": HOST,
             "X-Attempt-Id": name,
-            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "X-Deadline-Ms": str(int(deadline_s * 1000)),
             "Authorization": f"Bearer {key}",
-            **dict(fields),
         }
         sent_at = loop.time()
         writer.write(encode(f"POST /{kind}/x?{name} HTTP/1.1", heads, b"payload"))
         try:
-            async with asyncio.timeout(DEADLINE_S + 1.0):
+            async with asyncio.timeout(deadline_s + 1.0):
                 answer = await read_message(reader)
         except (EOFError, OSError, TimeoutError):
             self.answers.append(Answered(name, gateway.name, kind, sent_at, None))
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -1,6 +1,7 @@
 """Requests that one gateway serves in place of another, which reaches no replica."""
 
 import asyncio
+import time
 
 import msgspec
 import pytest
@@ -21,6 +22,7 @@
 from lentilshore_routing.routes import CallerLimits, KeyOwner, RouteTable
 from tests.gateway_fleet import (
     CALLER_PORT,
+    DEADLINE_S,
     KEY,
     PEER_PORT,
     ROUTES,
@@ -34,6 +36,7 @@
 from tests.soak.wire import encode, read_message, reset
 
 KNOWN_S = 1.0
+CLOCK = time.CLOCK_BOOTTIME
 LEFT_LIMIT_S = 0.5
 
 
@@ -44,17 +47,22 @@
     return [StandinReplica(f"i-{number}", **options) for number in range(1, count + 1)]
 
 
-async def cut_off(gateways, manner="reset"):
-    """Cut gateways off, and wait until they know it."""
+async def cut_off(gateways, manner="reset", served=True):
+    """Cut gateways off, and wait until they know it.
+
+    :param served: whether other gateways serve what they get meanwhile.
+    """
     for gateway in gateways:
         gateway.http.cut_off(manner)
     async with asyncio.timeout(3.0):
-        await asyncio.gather(*(learn(gateway) for gateway in gateways))
+        await asyncio.gather(*(learn(gateway, served) for gateway in gateways))
 
 
-async def learn(gateway):
+async def learn(gateway, served):
     while gateway.context.reach.state(SERVICE) is not Reach.CUT_OFF:
-        await send_one(gateway, "safe", f"learn-{gateway.name}")
+        deadline_s = DEADLINE_S if served else 0.1
+        name = f"learn-{gateway.name}"
+        await send_one(gateway, "safe", name, deadline_s=deadline_s)
         await asyncio.sleep(0.05)
 
 
@@ -343,7 +351,7 @@
         async with running_fleet(3, replicas()) as fleet:
             cut, stopping, _ = fleet.gateways
             await cut_off([cut])
-            stopping.context.draining = True
+            stopping.context.stopping_since = time.clock_gettime(CLOCK) - 3.0
             answers = [await send_one(cut, "once", f"s{n}") for n in range(6)]
             served = stopping.count("requests", "served")
             return answers, served
@@ -353,6 +361,18 @@
     assert served == 0
 
 
+def test_a_gateway_that_stops_soon_serves_if_no_other_does():
+    async def main():
+        async with running_fleet(2, replicas()) as fleet:
+            cut, stopping = fleet.gateways
+            await cut_off([cut])
+            stopping.context.begin_to_stop()
+            await asyncio.sleep(KNOWN_S)
+            return await send_one(cut, "once")
+
+    assert asyncio.run(main()).served
+
+
 def test_a_request_goes_through_one_gateway_at_most():
     """Two cut gateways that take each other for sound don't forward in a circle."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -497,7 +497,7 @@
 
 def test_answers_of_a_draining_node_close_their_connection():
     async def act(harness, application, caller):
-        harness.context.draining = True
+        harness.context.begin_to_stop()
         await caller.send_to(application)
 
     assert (
