--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -29,6 +29,7 @@
 SLOW_CONNECT_S = 0.25
 # Longest wait for a server to refuse or accept a connection that is a probe.
 PROBE_TIMEOUT_S = 0.2
+PROBE_LIMIT_BYTES = 65_536
 # Limit per server.
 MAX_IDLE_CONNECTIONS = 64
 # A large body on a slow link takes longer than a server may be silent.
@@ -271,26 +272,21 @@
         for scope in list(self._connecting.get(address, ())):
             scope.reschedule(now)
 
-    async def connects(self, address: Address, timeout_s: float) -> bool:
-        """Return whether a server accepts a connection, which is kept for later calls.
-
-        :param timeout_s: longest wait, seconds.
-        """
-        try:
-            connection = await self._connect(address, timeout_s)
-        except CallNotSentError:
-            return False
-        connection.end_call()
-        self._return_connection(address, connection)
-        return True
-
-    async def answers(self, address: Address, path: str, timeout_s: float) -> bool:
+    async def answers(
+        self, address: Address, path: str, timeout_s: float, reuse: bool = True
+    ) -> bool:
         """Return whether a server answers a GET of a path, with any status.
 
-        :param timeout_s: longest wait for a connection and for the answer, seconds.
+        :param timeout_s: longest wait for a connection, and for the answer, seconds.
+        :param reuse: whether a connection that has carried other calls will do.
         """
+        fields = [(b"host", str(address).encode())]
+        data = encode_request(b"GET", path.encode(), fields, None)
         try:
-            async with self.open("GET", address, path, timeout_s=timeout_s):
+            async with self.exchange(
+                address, lambda: data, timeout_s, reuse=reuse
+            ) as response:
+                await response.read(PROBE_LIMIT_BYTES)
                 return True
         except (CallNotSentError, CallBrokenError):
             return False
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -44,6 +44,8 @@
 # wait for its answer.
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 0.3
+# Pause of a request that may have run, and finds all places taken, before jitter.
+FULL_PAUSE_S = 0.05
 # Longest idle time of a connection that is used again.
 IDLE_LIMIT_S = 2.0
 # The other gateway's time ends this long before the request's, so that its refusal
@@ -143,6 +145,8 @@
         self._proof = proof
         self._state = state
         self._tried: set[str] = set()
+        # Whether this gateway has counted the request itself.
+        self._counted = False
 
     @property
     def available(self) -> bool:
@@ -155,6 +159,18 @@
         :param counted: whether the request counts already for the retry budget.
         :raises RefusalError: if no gateway serves it.
         """
+        while True:
+            try:
+                return await self._try_peers(counted)
+            except RefusalError as refusal:
+                counted = counted or self._counted
+                if not self._may_wait_after(refusal):
+                    raise
+            self._tried.clear()
+            random_share = 0.5 + self._context.random.random()
+            await self._context.clock.sleep(FULL_PAUSE_S * random_share)
+
+    async def _try_peers(self, counted: bool) -> int:
         last: RefusalError | None = None
         while len(self._tried) < MAX_FORWARDS:
             peer = self._context.serving_peers.choose(self._service, self._tried)
@@ -162,20 +178,34 @@
                 break
             self._tried.add(peer.name)
             try:
-                return await self._forward(peer, counted)
+                return await self._forward(peer, counted or self._counted)
             except RefusalError as refusal:
                 last = refusal
                 self._report_failure(peer, refusal)
-                if not counted and self._proof.execution is not Execution.NOT_RUN:
+                if not (counted or self._counted) and self._may_have_run:
                     # The gateway that has counted it may have ended.
                     self._context.retries.record_first_attempt(self._service)
-                    counted = True
+                    self._counted = True
                 if not self._may_try_next(refusal):
                     raise
         if last is not None:
             raise last
         raise unreachable_refusal(self._service, self._proof.execution)
 
+    @property
+    def _may_have_run(self) -> bool:
+        return self._proof.execution is not Execution.NOT_RUN
+
+    def _may_wait_after(self, refusal: RefusalError) -> bool:
+        """Return whether a request waits for a place rather than to end with a failure.
+
+        One that has not run is refused: its caller may come back for certain.
+        """
+        if not self._may_have_run or refusal.reason not in FULL_REASONS:
+            return False
+        repeatable = self._route.delivery_mode.repeatable
+        return repeatable and self._state.retry_denial() is None
+
     async def _forward(self, peer: GatewayEntry, counted: bool) -> int:
         # One attempt is kept for the case that the other gateway breaks off.
         attempts = max(1, self._state.attempts_left - 1)
@@ -291,10 +321,13 @@
     def _may_try_next(self, refusal: RefusalError) -> bool:
         if self._state.retry_denial() is not None:
             return False
-        if self._proof.execution is Execution.NOT_RUN:
+        if not self._may_have_run:
             return refusal.reason in ELSEWHERE_REASONS
         if not self._route.delivery_mode.repeatable:
             return False
+        if refusal.execution is Execution.NOT_RUN:
+            # The retry that was taken has reached no replica.
+            return refusal.reason in ELSEWHERE_REASONS
         return self._state.take_retry(refusal.execution) is None
 
     def _report_failure(self, peer: GatewayEntry, refusal: RefusalError) -> None:
--- a/packages/node/src/lentilshore_node/peers/reach_monitor.py
+++ b/packages/node/src/lentilshore_node/peers/reach_monitor.py
@@ -22,9 +22,8 @@
 
 REACH_PATH = PEER_PATHS + "reach"
 HEADERS = {"content-type": "application/msgpack"}
-# Longest wait for a replica to accept a connection, and to answer a probe on it.
-PROBE_CONNECT_S = 0.25
-PROBE_ANSWER_S = 0.5
+# Longest wait for a replica to accept a connection, and as long to answer on it.
+PROBE_TIMEOUT_S = 0.25
 # Replicas probed at once. All of them must fail before a service counts as cut off.
 PROBED_REPLICAS = 4
 CALL_TIMEOUT_S = 0.3
@@ -52,10 +51,12 @@
 
     :param reached: whether it reaches a replica of the service and takes requests.
     :param peers: names of other gateways that do, as it was told.
+    :param stopping: whether it stops soon.
     """
 
     reached: bool
     peers: list[str] = []
+    stopping: bool = False
 
 
 class ReachMonitor:
@@ -69,6 +70,8 @@
         self._context = context
         self._directory = directory
         self._reach = context.reach
+        # Gateways that stop soon, as they said when they were asked last.
+        self._stopping: set[str] = set()
         # Gateways of which others have told, by service.
         self._told: dict[str, set[str]] = {}
 
@@ -90,10 +93,13 @@
         question = _decode(body, ReachQuestion)
         reached = await self._reaches(question.service)
         peers = [peer.name for peer in self._reach.peers(question.service)]
-        return msgspec.msgpack.encode(ReachAnswer(reached, peers[:TOLD_PEERS]))
+        stopping = self._context.draining
+        return msgspec.msgpack.encode(
+            ReachAnswer(reached, peers[:TOLD_PEERS], stopping)
+        )
 
     async def _reaches(self, service: str) -> bool:
-        if self._context.draining or not self._context.view.complete:
+        if not self._context.accepts_requests or not self._context.view.complete:
             return False
         if self._reach.state(service) is not Reach.REACHED:
             return False
@@ -158,12 +164,13 @@
     async def _answers(self, replica: Replica) -> bool:
         """Return whether a replica answers a request that does not wait its turn.
 
-        A connection alone proves little: a proxy on the way may have accepted it.
+        A connection alone proves little, since a proxy on the way may have accepted it;
+        an old one may live on though new ones fail.
         """
-        http, path = self._context.http, self._context.translator.report_path
-        if not await http.connects(replica.address, PROBE_CONNECT_S):
-            return False
-        return await http.answers(replica.address, path, PROBE_ANSWER_S)
+        path = self._context.translator.report_path
+        return await self._context.http.answers(
+            replica.address, path, PROBE_TIMEOUT_S, reuse=False
+        )
 
     async def _ask_some(self, service: str) -> list[GatewayEntry]:
         """Return the gateways that say that they reach a service, near ones first."""
@@ -180,6 +187,8 @@
         reached = await _select(
             list(chosen.values()), lambda peer: self._ask(service, peer)
         )
+        lasting = [entry for entry in reached if entry.name not in self._stopping]
+        reached = lasting or reached
         near = [entry for entry in reached if entry.data_centre == own]
         # One gateway alone would bear all requests of a cut data centre.
         return (near if len(near) > 1 else reached)[:KEPT_PEERS]
@@ -210,6 +219,9 @@
             log_event("reach_unreadable", peer=peer.name, detail=str(error))
             return False
         self._directory.record_answer(peer)
+        self._stopping.discard(peer.name)
+        if answer.stopping:
+            self._stopping.add(peer.name)
         self._told.setdefault(service, set()).update(answer.peers[:TOLD_PEERS])
         return answer.reached
 
