--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -105,6 +105,9 @@
         # number, and whether it falls over if it has to reject more.
         self.bears = None
         self.falls_over = False
+        # Requests a second that it takes from all gateways, as it says; None for any.
+        self.limit = None
+        self.arrived_at = []
         self.falls = []
         self.rejected_at = []
         # Time spent in runs, seconds.
@@ -151,6 +154,7 @@
         if "x-attempt-id" not in request.fields:
             writer.write(encode("HTTP/1.1 400 No", {"X-Not-Executed": "1"}, b""))
             return True
+        self.arrived_at.append(asyncio.get_running_loop().time())
         if self._places.locked() and self._waiting >= self.queue:
             return self._reject(request, writer)
         self._waiting += 1
@@ -169,7 +173,7 @@
         now = asyncio.get_running_loop().time()
         self.rejected_at = [at for at in self.rejected_at if at > now - 1.0] + [now]
         fields = {"X-Attempt-Id": request.fields["x-attempt-id"], "X-Not-Executed": "1"}
-        writer.write(encode("HTTP/1.1 503 Full", fields | self._room_field(), b""))
+        writer.write(encode("HTTP/1.1 503 Full", fields | self._need_fields(), b""))
         if self.falls_over and len(self.rejected_at) > self.bears:
             self.falls.append(now)
             self.rejected_at = []
@@ -179,10 +183,13 @@
             )
         return True
 
-    def _room_field(self):
-        if self.bears is None:
-            return {}
-        return {"Server-Brittle": str(self.bears)}
+    def _need_fields(self):
+        fields = {}
+        if self.bears is not None:
+            fields["Server-Brittle"] = str(self.bears)
+        if self.limit is not None:
+            fields["Server-Limit"] = str(self.limit)
+        return fields
 
     async def _run(self, request, reader, writer):
         fields = request.fields
@@ -208,7 +215,7 @@
     def signed(self, name):
         """Return the headers of an answer to a request that ran."""
         fields = {"X-Attempt-Id": name, "X-Response-Signature": "s1"}
-        return fields | self._room_field()
+        return fields | self._need_fields()
 
     async def _stream(self, name, fields, writer, gone):
         heads = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
