--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -52,6 +52,8 @@
 UNAVAILABLE_STATUS = 503
 BAD_GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
+# Names of silent gateways that are taken from one forwarded request.
+MAX_SILENCE_HINTS = 16
 
 # Returns the body of the answer to a path, its query and a body, None if there is none.
 PeerAnswer = Callable[[str, bytes, bytes], Awaitable[bytes | None]]
@@ -170,7 +172,7 @@
         learned = context.replica_room.learn(forwarded.room, context.clock.monotonic())
         if learned:
             context.log_room(learned, forwarded.sender)
-        context.silence_hints.update(forwarded.silent)
+        context.silence_hints.update(forwarded.silent[:MAX_SILENCE_HINTS])
         try:
             self._forwarder.check_may_serve(forwarded)
             context.forwarded_in_flight += 1
--- a/packages/node/src/lentilshore_node/peers/reach_monitor.py
+++ b/packages/node/src/lentilshore_node/peers/reach_monitor.py
@@ -27,13 +27,17 @@
 # Replicas probed at once. All of them must fail before a service counts as cut off.
 PROBED_REPLICAS = 4
 CALL_TIMEOUT_S = 0.3
-# Pause between two examinations of a service that is out of reach, before jitter.
+# Pause between two examinations of a service that is out of reach, before jitter. It
+# doubles, up to the limit, while no other gateway is known to reach it either.
 EXAMINATION_INTERVAL_S = 0.3
+MAX_EXAMINATION_INTERVAL_S = 2.0
 # Gateways asked at once, and names of further ones that an answer gives.
 ASKED_PEERS = 8
 TOLD_PEERS = 8
-# Gateways kept to share the requests among; more than one gateway's load needs.
-KEPT_PEERS = 16
+# Gateways kept to share the requests among. Once so many are known, one more is asked
+# at a time.
+KEPT_PEERS = 8
+ENOUGH_PEERS = 4
 
 
 class UnreadableReachError(LentilshoreError):
@@ -110,6 +114,7 @@
     async def _examine(self, service: str) -> None:
         """Examine a service until this gateway reaches it."""
         context = self._context
+        interval_s = EXAMINATION_INTERVAL_S
         while True:
             reached, peers = await self._look_around(service)
             if reached or not self._reach.replicas(service):
@@ -120,8 +125,12 @@
             self._reach.conclude(service, reach, peers)
             if peers and not was_cut_off:
                 self._abandon_connections(service)
-            delay_s = EXAMINATION_INTERVAL_S * (0.5 + context.random.random())
-            await context.clock.sleep(delay_s)
+            await context.clock.sleep(interval_s * (0.5 + context.random.random()))
+            interval_s = (
+                EXAMINATION_INTERVAL_S
+                if peers
+                else min(MAX_EXAMINATION_INTERVAL_S, 2 * interval_s)
+            )
 
     async def _look_around(
         self, service: str
@@ -179,8 +188,9 @@
         others = self._directory.others()
         chosen = {entry.name: entry for entry in known[:KEPT_PEERS]}
         named = [entry for entry in others if entry.name in told]
+        limit = ASKED_PEERS if len(known) < ENOUGH_PEERS else 1
         for group in (named, others):
-            count = min(ASKED_PEERS, len(group))
+            count = min(limit, len(group))
             for entry in self._context.random.sample(group, count):
                 chosen.setdefault(entry.name, entry)
         own = self._context.data_centre
