--- a/packages/node/src/lentilshore_node/clients/http_connection.py
+++ b/packages/node/src/lentilshore_node/clients/http_connection.py
@@ -265,9 +265,7 @@
             self._fail(AnswerTooLargeError("head", HEAD_LIMIT_BYTES))
             return
         self._status = self._parser.get_status_code()
-        self._headers = {
-            k.decode("latin-1").lower(): v.decode("latin-1") for k, v in self._fields
-        }
+        self._headers = _combine(self._fields)
         if 100 <= self._status < 200:
             self._fields = []
             return
@@ -518,6 +516,16 @@
         return asyncio.get_running_loop().time() + extension_s
 
 
+def _combine(fields: HeaderFields) -> dict[str, str]:
+    """Return headers by name in lower case; unequal values of one name are joined."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in fields:
+        name, value = raw_name.decode("latin-1").lower(), raw_value.decode("latin-1")
+        known = headers.get(name, value)
+        headers[name] = value if known == value else f"{known}, {value}"
+    return headers
+
+
 def _enable_dead_peer_detection(tcp_socket: socket.socket) -> None:
     """Enable the detection of a peer that vanished without closing the connection."""
     tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -44,7 +44,12 @@
     "lentilshore_node.peers.blame_exchange",
     "lentilshore_node.peers.gateway_directory",
     "lentilshore_node.peers.limit_exchange",
+    "lentilshore_node.delivery.peer_forwarding",
+    "lentilshore_node.peers.reach_monitor",
     "lentilshore_node.peers.relay",
+    "lentilshore_node.peers.room_exchange",
+    "lentilshore_node.state.service_reach",
+    "lentilshore_node.state.serving_peers",
     "lentilshore_node.state.rollout_progress",
     "lentilshore_routing.crash_blame",
     "lentilshore_routing.crash_causes",
@@ -53,6 +58,7 @@
     "lentilshore_routing.model_choice",
     "lentilshore_routing.replica_limits",
     "lentilshore_routing.replica_pauses",
+    "lentilshore_routing.replica_room",
     "lentilshore_routing.retries",
     "lentilshore_routing.rollouts",
     "lentilshore_routing.staging",
@@ -62,7 +68,7 @@
 # Names that only the users' platform uses; the product must not depend on them.
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-response-signature|x-expect-instance|x-not-executed"
-    r"|server-limit|server-leaving|x-prompt-prefix|x-token-usage|x-confidence"
+    r"|server-limit|server-leaving|server-brittle|x-prompt-prefix|x-token-usage|x-confidence"
     r"|x-deadline-ms|x-tenant"
     r"|/lentilshore/|traffic_split|gap_aim_ms|path_prefix|api_keys|as_of|wait_ms",
     re.IGNORECASE,
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from lentilshore_kernel.types import Address
 from tests.gateway_fleet import Callers, StandinReplica, running_fleet
+from tests.test_gateway import ONCE_ROUTE, Caller, GatewayHarness, signed
 
 pytestmark = pytest.mark.usefixtures("early_gateway_lists")
 
@@ -52,3 +54,36 @@
     falls, _, callers = asyncio.run(play(7, 5, caller_count, 2))
     assert falls <= allowed_falls(5), callers.statuses_of_all()
     assert not callers.count(502)
+
+
+# What can't be read is taken for the most careful value: no rejection at all.
+@pytest.mark.parametrize(
+    ("fields", "places"),
+    [
+        (["Server-Brittle: 2"], 4),
+        (["Server-Brittle: 1e9"], 3),
+        (["Server-Brittle: 1000000000"], 4),
+        (["Server-Brittle: 0"], 3),
+        (["Server-Brittle: -1"], 3),
+        (["Server-Brittle: nan"], 3),
+        (["Server-Brittle: "], 3),
+        (["Server-Brittle: 2", "Server-Brittle: 3"], 3),
+        (["Server-Brittle: 2", "Server-Brittle: 2"], 4),
+        ([], 1_000),
+    ],
+)
+def test_what_a_replica_says_of_its_room_is_read_carefully(fields, places):
+    harness = GatewayHarness([signed(extra=fields)], ONCE_ROUTE)
+
+    async def act(harness, application, caller):
+        record = harness.context.view.find_replica(Address(*harness.server.address))
+        roomy = record.replica._replace(places=4)
+        view = harness.context.view
+        view.replace_replicas([record._replace(replica=roomy)])
+        room = harness.context.replica_room
+        room.set_nodes(["n1"])
+        await caller.send_to(application)
+        harness.allowed = sum(room.allows(roomy.name, n) for n in range(1_000))
+
+    harness.run(Caller(), act)
+    assert harness.allowed == places
