Wait for a retry with what may have run elsewhere, and serve what this gateway may itself

Requests that may not be repeated were sent to gateways that were down behind a link that accepts connections (502 instead of another gateway): a gateway that has not answered within 2 s is asked first.

--- a/packages/node/src/lentilshore_node/clients/http_client.py
+++ b/packages/node/src/lentilshore_node/clients/http_client.py
@@ -266,6 +266,14 @@
             raise
         return call
 
+    def has_idle(self, address: Address, max_idle_s: float) -> bool:
+        """Return whether a connection to a server may be used again.
+
+        :param max_idle_s: longest time since its last call, seconds.
+        """
+        idle = self._idle_connections.get(address, [])
+        return any(c.usable and c.idle_s < max_idle_s for c in idle)
+
     def abandon_connects(self, address: Address) -> None:
         """Fail the connects to a server that are under way."""
         now = asyncio.get_running_loop().time()
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -261,25 +261,44 @@
         return self._outcome(status)
 
     async def _serve(self) -> int:
-        """Send the request to replicas, or through a gateway that reaches some."""
+        """Send the request to replicas, or through a gateway that may."""
         counted = self._forwarded is not None and self._forwarded.counted
         if self._forwarded is not None:
             await self._wait_for_place()
         elif self._context.serving_peers.must_serve(self._service):
-            return await self._forwarding.run(counted)
+            return await self._forward(counted)
         if not counted:
             self._context.retries.record_first_attempt(self._service)
         try:
-            status = await self._loop.run(self._attempt)
-            # None: the request is to be sent to a larger model.
-            while status is None:
-                status = await self._loop.run(self._attempt)
+            return await self._serve_directly()
         except (UpstreamError, RefusalError) as error:
             if not await self._may_forward_after(error):
                 raise
-        else:
-            return status
-        return await self._forwarding.run(counted=True)
+        return await self._forward(counted=True)
+
+    async def _serve_directly(self) -> int:
+        status = await self._loop.run(self._attempt)
+        # None: the request is to be sent to a larger model.
+        while status is None:
+            status = await self._loop.run(self._attempt)
+        return status
+
+    async def _forward(self, counted: bool) -> int:
+        """Have another gateway serve the request, or serve it once none is left."""
+        try:
+            return await self._forwarding.run(counted)
+        except RefusalError as refusal:
+            # This gateway may have become the dispatcher of a replica meanwhile.
+            dispatches = self._context.replica_room.is_scarce(
+                self._service
+            ) and self._context.placement.has_place(self._service)
+            if not dispatches or refusal.reason not in ELSEWHERE_REASONS:
+                raise
+            if self.retry_denial() is not None:
+                raise
+        if not counted:
+            self._context.retries.record_first_attempt(self._service)
+        return await self._serve_directly()
 
     async def _wait_for_place(self) -> None:
         """Wait for a moment if all places that this gateway may use are taken."""
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -9,6 +9,7 @@
 
 from lentilshore_kernel.exceptions import RefusalError, UpstreamError
 from lentilshore_kernel.logs import log_event
+from lentilshore_kernel.metrics import retry_denial_counter
 from lentilshore_kernel.types import Execution, RefusalReason, RetryDenial
 from lentilshore_routing.routes import Route
 
@@ -46,6 +47,8 @@
 CHECK_TIMEOUT_S = 0.3
 # Pause of a request that may have run, and finds all places taken, before jitter.
 FULL_PAUSE_S = 0.05
+# Interval at which a retry is asked for that the budget denies.
+BUDGET_INTERVAL_S = 0.1
 # Longest idle time of a connection that is used again.
 IDLE_LIMIT_S = 2.0
 # The other gateway's time ends this long before the request's, so that its refusal
@@ -186,7 +189,7 @@
                     # The gateway that has counted it may have ended.
                     self._context.retries.record_first_attempt(self._service)
                     self._counted = True
-                if not self._may_try_next(refusal):
+                if not await self._may_try_next(refusal):
                     raise
         if last is not None:
             raise last
@@ -233,6 +236,7 @@
             self._state.record_forward(execution, attempts)
 
     async def _start(self, forward: _Forward, counted: bool) -> Call:
+        await self._check_answers(forward.peer)
         return await self._context.http.start(
             forward.peer.address,
             partial(self._encode, forward, counted),
@@ -242,6 +246,25 @@
             partial(self._extend, forward.peer),
         )
 
+    async def _check_answers(self, peer: GatewayEntry) -> None:
+        """Check that a gateway answers before it gets what can't be repeated.
+
+        A proxy on the way may accept a connection though the gateway is down.
+
+        :raises UpstreamError: if it does not; nothing was sent.
+        """
+        http = self._context.http
+        if self._route.delivery_mode.repeatable:
+            return
+        if http.has_idle(peer.address, IDLE_LIMIT_S):
+            return
+        if not await http.answers(peer.address, FORWARD_PATH, CHECK_TIMEOUT_S):
+            raise UpstreamError(
+                RefusalReason.UPSTREAM_FAILED,
+                Execution.NOT_RUN,
+                f"{peer.name} does not answer",
+            )
+
     def _encode(self, forward: _Forward, counted: bool) -> bytes:
         self._check_key(self._route)
         remaining_s = self._state.remaining_s - DEADLINE_MARGIN_S
@@ -318,7 +341,7 @@
         answer = self._relay.read_answer(response, await response.read())
         await self._relay.send_buffered(answer)
 
-    def _may_try_next(self, refusal: RefusalError) -> bool:
+    async def _may_try_next(self, refusal: RefusalError) -> bool:
         if self._state.retry_denial() is not None:
             return False
         if not self._may_have_run:
@@ -328,7 +351,26 @@
         if refusal.execution is Execution.NOT_RUN:
             # The retry that was taken has reached no replica.
             return refusal.reason in ELSEWHERE_REASONS
-        return self._state.take_retry(refusal.execution) is None
+        return await self._take_retry(refusal.execution)
+
+    async def _take_retry(self, execution: Execution) -> bool:
+        """Take a retry, waiting for one as long as the request has time."""
+        while (denial := self._state.take_retry(execution)) is not None:
+            if denial is not RetryDenial.BUDGET:
+                break
+            await self._context.clock.sleep(BUDGET_INTERVAL_S)
+            if (denial := self._state.retry_denial()) is not None:
+                break
+        if denial is not None:
+            self._context.metrics.count(retry_denial_counter(denial))
+            log_event(
+                "retry_denied",
+                request=self._request.request_id,
+                cause=denial.value,
+                gateways=len(self._tried),
+                remaining_ms=f"{self._state.remaining_s * 1000:.0f}",
+            )
+        return denial is None
 
     def _report_failure(self, peer: GatewayEntry, refusal: RefusalError) -> None:
         peers = self._context.serving_peers
