Serve forwarded requests by an older configuration that says the same of them

The receiver compares route and customer where its configuration is older, and an unknown key or path there is no final refusal. What may have run goes on to try all gateways while it has time.

--- a/packages/node/src/lentilshore_node/callers/forwarder.py
+++ b/packages/node/src/lentilshore_node/callers/forwarder.py
@@ -6,7 +6,7 @@
 from lentilshore_kernel.types import RefusalReason
 from lentilshore_routing.routes import KeyOwner, Route
 
-from ..clients.forwarded_requests import ForwardedRequest
+from ..clients.forwarded_requests import ForwardedRequest, admission_checksum
 from ..clients.forwarding import ForwardRequest
 from ..delivery.delivery import Delivery, ForwardedTerms
 from ..delivery.no_replica import OVERLOAD_RETRY_AFTER_S
@@ -111,10 +111,6 @@
                 detail=f"{MAX_FORWARDED_IN_FLIGHT} requests of others are in flight",
                 retry_after_s=OVERLOAD_RETRY_AFTER_S,
             )
-        table = context.view.table
-        if table is not None and table.version < forwarded.table_version:
-            # Would undo for the caller what the sender has put in force.
-            raise self._stale_refusal(RefusalReason.CONFIGURATION_STALE)
 
     def create_delivery(
         self,
@@ -144,6 +140,31 @@
             forwarded,
         )
 
+    def route_forwarded(
+        self, forwarded: ForwardedRequest
+    ) -> tuple[Route, KeyOwner | None]:
+        """Return route and customer of a request that another gateway has admitted.
+
+        Serving it by an older configuration that says otherwise would undo for the
+        caller what the sender has put in force.
+
+        :raises RefusalError: as :meth:`route`; ``configuration_stale`` if the sender's
+            newer configuration says otherwise.
+        """
+        table = self._context.view.table
+        is_older = table is not None and table.version < forwarded.table_version
+        try:
+            route, customer = self.route(forwarded.request)
+        except RefusalError as refusal:
+            if is_older:
+                raise self._stale_refusal(
+                    RefusalReason.CONFIGURATION_STALE
+                ) from refusal
+            raise
+        if is_older and admission_checksum(route, customer) != forwarded.admission:
+            raise self._stale_refusal(RefusalReason.CONFIGURATION_STALE)
+        return route, customer
+
     async def wait_for_stop(self, delivery: Delivery) -> RefusalError:
         """Return the refusal of a request that is not completed before the node stops.
 
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -197,7 +197,7 @@
     ) -> None:
         received_at = self._context.clock.monotonic()
         request = forwarded.request._replace(deadline_s=forwarded.remaining_s)
-        route, customer = self._forwarder.route(request)
+        route, customer = self._forwarder.route_forwarded(forwarded)
         table = self._context.view.table
         delivery = self._forwarder.create_delivery(
             request,
--- a/packages/node/src/lentilshore_node/clients/forwarded_requests.py
+++ b/packages/node/src/lentilshore_node/clients/forwarded_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from typing import Any
 
 import msgspec
@@ -10,6 +11,7 @@
 from lentilshore_kernel.exceptions import LentilshoreError, RefusalError
 from lentilshore_kernel.types import Execution, RefusalReason
 from lentilshore_routing.replica_room import RoomNews
+from lentilshore_routing.routes import KeyOwner, Route
 
 from .forwarding import ForwardRequest
 from .http_connection import HeaderFields
@@ -35,6 +37,7 @@
     :param request: the request, with the caller's key.
     :param remaining_s: time until its deadline, seconds.
     :param table_version: version of the configuration by which it was admitted.
+    :param admission: checksum of what that configuration says of the request.
     :param attempts_left: number of attempts that may run.
     :param counted: whether the sender has counted it for its retry budget.
     :param room: what the sender knows of replicas that bear few rejections.
@@ -46,6 +49,7 @@
     request: ForwardRequest
     remaining_s: float
     table_version: int
+    admission: int
     attempts_left: int
     counted: bool
     room: list[RoomNews] = []
@@ -59,6 +63,11 @@
     retry_after_s: float | None
 
 
+def admission_checksum(route: Route, customer: KeyOwner | None) -> int:
+    """Return a checksum of the route and the customer of a request."""
+    return zlib.crc32(repr((route, customer)).encode())
+
+
 def encode_forwarded(forwarded: ForwardedRequest) -> bytes:
     """Return the body of a call."""
     return msgspec.msgpack.encode(forwarded)
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -188,6 +188,7 @@
             check_key,
             request,
             route,
+            customer,
             self._service,
             self._relay,
             self._proof,
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -11,7 +11,7 @@
 from lentilshore_kernel.logs import log_event
 from lentilshore_kernel.metrics import retry_denial_counter
 from lentilshore_kernel.types import Execution, RefusalReason, RetryDenial
-from lentilshore_routing.routes import Route
+from lentilshore_routing.routes import KeyOwner, Route
 
 from ..clients.engine import raising_upstream_errors
 from ..clients.event_splitter import EventPace
@@ -21,6 +21,7 @@
     RELAYED,
     ForwardedRequest,
     UnreadableForwardError,
+    admission_checksum,
     answer_kind,
     decode_forwarded_refusal,
     encode_forwarded,
@@ -45,8 +46,9 @@
 # wait for its answer.
 CHECK_INTERVAL_S = 0.5
 CHECK_TIMEOUT_S = 0.3
-# Pause of a request that may have run, and finds all places taken, before jitter.
-FULL_PAUSE_S = 0.05
+# Pause of a request that may have run before all gateways are tried again, before
+# jitter.
+PAUSE_S = 0.05
 # Interval at which a retry is asked for that the budget denies.
 BUDGET_INTERVAL_S = 0.1
 # Longest idle time of a connection that is used again.
@@ -122,6 +124,7 @@
     :param check_key: raises RefusalError if the caller's key may have been withdrawn.
     :param request: the caller's request.
     :param route: route of the request.
+    :param customer: customer that sent it, None on a public route.
     :param service: service that gets the request.
     :param relay: sends the answer to the caller.
     :param proof: is told of each call.
@@ -134,6 +137,7 @@
         check_key: Callable[[Route], None],
         request: ForwardRequest,
         route: Route,
+        customer: KeyOwner | None,
         service: str,
         relay: AnswerRelay,
         proof: ExecutionProof,
@@ -143,11 +147,14 @@
         self._check_key = check_key
         self._request = request
         self._route = route
+        self._customer = customer
         self._service = service
         self._relay = relay
         self._proof = proof
         self._state = state
         self._tried: set[str] = set()
+        # Whether all gateways that may serve the request have been tried.
+        self._exhausted = False
         # Whether this gateway has counted the request itself.
         self._counted = False
 
@@ -170,8 +177,9 @@
                 if not self._may_wait_after(refusal):
                     raise
             self._tried.clear()
+            self._exhausted = False
             random_share = 0.5 + self._context.random.random()
-            await self._context.clock.sleep(FULL_PAUSE_S * random_share)
+            await self._context.clock.sleep(PAUSE_S * random_share)
 
     async def _try_peers(self, counted: bool) -> int:
         last: RefusalError | None = None
@@ -191,6 +199,7 @@
                     self._counted = True
                 if not await self._may_try_next(refusal):
                     raise
+        self._exhausted = True
         if last is not None:
             raise last
         raise unreachable_refusal(self._service, self._proof.execution)
@@ -200,11 +209,13 @@
         return self._proof.execution is not Execution.NOT_RUN
 
     def _may_wait_after(self, refusal: RefusalError) -> bool:
-        """Return whether a request waits for a place rather than to end with a failure.
+        """Return whether a request that no gateway has served waits for one.
 
         One that has not run is refused: its caller may come back for certain.
         """
-        if not self._may_have_run or refusal.reason not in FULL_REASONS:
+        if not self._exhausted or not self._may_have_run:
+            return False
+        if refusal.reason not in ELSEWHERE_REASONS:
             return False
         repeatable = self._route.delivery_mode.repeatable
         return repeatable and self._state.retry_denial() is None
@@ -247,15 +258,13 @@
         )
 
     async def _check_answers(self, peer: GatewayEntry) -> None:
-        """Check that a gateway answers before it gets what can't be repeated.
+        """Check that a gateway answers before a new connection carries a request.
 
         A proxy on the way may accept a connection though the gateway is down.
 
         :raises UpstreamError: if it does not; nothing was sent.
         """
         http = self._context.http
-        if self._route.delivery_mode.repeatable:
-            return
         if http.has_idle(peer.address, IDLE_LIMIT_S):
             return
         if not await http.answers(peer.address, FORWARD_PATH, CHECK_TIMEOUT_S):
@@ -278,6 +287,7 @@
             self._request._replace(resume_after=self._relay.resume_after),
             remaining_s,
             table.version if table else 0,
+            admission_checksum(self._route, self._customer),
             forward.attempts,
             counted,
             context.replica_room.tell(self._service) if scarce else [],
