--- a/packages/kernel/src/lentilshore_kernel/json.py
+++ b/packages/kernel/src/lentilshore_kernel/json.py
@@ -19,8 +19,22 @@
 def decode_json(data: bytes | str | msgspec.Raw, json_type: type[T] | Any = Any) -> Any:
     """Return decoded JSON.
 
-    If the text is nested too deeply, the values that are nested deeper than
-    :data:`MAX_NESTING` are read as null, so that one of them does not hide the rest.
+    :param data: the JSON text.
+    :param json_type: type that the value must fit.
+    :raises msgspec.DecodeError: if the text is not JSON, does not fit the type or is
+        nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(data, type=json_type)
+    except RecursionError as error:
+        raise msgspec.DecodeError("JSON is nested too deeply") from error
+
+
+def decode_pruned_json(data: bytes | msgspec.Raw, json_type: type[T] | Any) -> Any:
+    """Return decoded JSON, without what is nested too deeply.
+
+    Values that are nested deeper than :data:`MAX_NESTING` are read as null if the text
+    can't be decoded otherwise, so that one of them does not hide the rest.
 
     :param data: the JSON text.
     :param json_type: type that the value must fit.
@@ -29,7 +43,7 @@
     try:
         return msgspec.json.decode(data, type=json_type)
     except RecursionError:
-        text = data.encode() if isinstance(data, str) else bytes(data)
+        text = bytes(data)
         log_event("json_pruned", size_bytes=len(text), nesting=MAX_NESTING)
         return msgspec.json.decode(_prune(text), type=json_type)
 
--- a/packages/node/src/lentilshore_node/callers/forwarder.py
+++ b/packages/node/src/lentilshore_node/callers/forwarder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from lentilshore_kernel.exceptions import RefusalError
 from lentilshore_kernel.types import RefusalReason
 from lentilshore_routing.routes import KeyOwner, Route
@@ -10,8 +12,10 @@
 from ..clients.forwarding import ForwardRequest
 from ..delivery.delivery import Delivery, ForwardedTerms
 from ..delivery.no_replica import OVERLOAD_RETRY_AFTER_S
+from ..delivery.outcome import Outcome
 from ..delivery.responder import Responder
 from ..state.gateway_context import GatewayContext
+from .edge import Receive, serve_until_disconnect
 
 # Retry delay stated in refusals where this node lacks a configuration or its
 # confirmation; the retry reaches another node, which most often has it.
@@ -165,8 +169,18 @@
             raise self._stale_refusal(RefusalReason.CONFIGURATION_STALE)
         return route, customer
 
-    async def wait_for_stop(self, delivery: Delivery) -> RefusalError:
-        """Return the refusal of a request that is not completed before the node stops.
+    async def serve(self, receive: Receive, delivery: Delivery) -> Outcome | None:
+        """Run a delivery until its caller leaves or this node stops.
+
+        :param receive: the ASGI server's function, after the body was read.
+        :returns: None if the caller has left.
+        :raises RefusalError: if the request is not served.
+        """
+        wait_for_stop = partial(self._wait_for_stop, delivery)
+        return await serve_until_disconnect(receive, delivery.run, wait_for_stop)
+
+    async def _wait_for_stop(self, delivery: Delivery) -> RefusalError:
+        """Return the refusal of a request that is not completed when this node stops.
 
         Waits until then.
         """
--- a/packages/node/src/lentilshore_node/callers/gateway.py
+++ b/packages/node/src/lentilshore_node/callers/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 from lentilshore_kernel import log_event, refusal_counter
@@ -27,7 +26,7 @@
 )
 from ..clients.forwarding import ForwardRequest
 from ..clients.http_connection import HeaderFields
-from ..delivery.delivery import Delivery, ForwardedTerms
+from ..delivery.delivery import ForwardedTerms
 from ..delivery.outcome import Outcome
 from ..delivery.responder import (
     CLOSE_CONNECTION,
@@ -44,7 +43,7 @@
     PEER_PATHS,
     GatewayContext,
 )
-from .edge import Receive, Send, read_body, serve_until_disconnect
+from .edge import Receive, Send, read_body
 from .forwarder import Forwarder
 
 # Statuses that tell the caller that the request did not run and will not run.
@@ -207,7 +206,7 @@
             FieldAddingResponder(responder, answer_field(forwarded.call_id, RELAYED)),
             ForwardedTerms(forwarded.attempts_left, forwarded.counted),
         )
-        outcome = await self._run_delivery(receive, delivery)
+        outcome = await self._forwarder.serve(receive, delivery)
         log_fields = {
             "route": route.name,
             "configuration": table.version if table else 0,
@@ -321,7 +320,7 @@
         delivery = self._forwarder.create_delivery(
             head, route, customer, received_at, responder
         )
-        outcome = await self._run_delivery(receive, delivery)
+        outcome = await self._forwarder.serve(receive, delivery)
         log_fields = {
             "route": route.name,
             "configuration": table.version if table else 0,
@@ -329,13 +328,6 @@
         }
         self._log_outcome(head, log_fields, outcome)
 
-    async def _run_delivery(
-        self, receive: Receive, delivery: Delivery
-    ) -> Outcome | None:
-        """Run a delivery until its caller leaves or this node stops."""
-        wait_for_stop = partial(self._forwarder.wait_for_stop, delivery)
-        return await serve_until_disconnect(receive, delivery.run, wait_for_stop)
-
     def _log_outcome(
         self, head: ForwardRequest, log_fields: dict[str, Any], outcome: Outcome | None
     ) -> None:
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -124,7 +124,7 @@
 
     async def main():
         async with running_fleet(2, slow) as fleet:
-            await cut_off(fleet.gateways[:1])
+            await cut_off(fleet.gateways[:1], served=False)
             reader, writer = await asyncio.open_connection(
                 fleet.gateways[0].host, CALLER_PORT
             )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,11 +1,12 @@
 """Entries of the store that another writer has left, beside sound ones."""
 
 import asyncio
+from typing import Any
 
 import msgspec
 import pytest
 
-from lentilshore_kernel.json import MAX_NESTING, decode_json
+from lentilshore_kernel.json import MAX_NESTING, decode_pruned_json
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.types import Address, StoreRevision
 from lentilshore_node.clients.fleet_source import Changes
@@ -107,7 +108,7 @@
 )
 def test_values_that_are_nested_too_deeply_are_read_as_null(text, value):
     try:
-        found = decode_json(text.encode())
+        found = decode_pruned_json(text.encode(), Any)
     except msgspec.DecodeError:
         # Not JSON even without what is nested too deeply.
         assert value is None
