--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -41,6 +41,7 @@
     "lentilshore_node.state.room_queue",
     "lentilshore_node.state.rollout_controller",
     "lentilshore_node.callers.gateway",
+    "lentilshore_node.callers.peer_edge",
     "lentilshore_node.peers.blame_exchange",
     "lentilshore_node.peers.gateway_directory",
     "lentilshore_node.peers.limit_exchange",
