--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -155,6 +155,8 @@
         self._tried: set[str] = set()
         # Whether all gateways that may serve the request have been tried.
         self._exhausted = False
+        # Whether the current call was sent.
+        self._sent = False
         # Whether this gateway has counted the request itself.
         self._counted = False
 
@@ -224,6 +226,7 @@
         # One attempt is kept for the case that the other gateway breaks off.
         attempts = max(1, self._state.attempts_left - 1)
         forward = _Forward(next(_call_ids), peer, attempts)
+        self._sent = False
         self._context.serving_peers.begin(peer)
         execution = Execution.NOT_RUN
         try:
@@ -244,7 +247,8 @@
             raise
         finally:
             self._context.serving_peers.end(peer)
-            self._state.record_forward(execution, attempts)
+            if self._sent:
+                self._state.record_forward(execution, attempts)
 
     async def _start(self, forward: _Forward, counted: bool) -> Call:
         await self._check_answers(forward.peer)
@@ -300,6 +304,7 @@
         ]
         data = encode_request(b"POST", FORWARD_PATH.encode(), fields, body)
         self._proof.begin()
+        self._sent = True
         self._context.metrics.count("forward.sent")
         return data
 
