--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,8 @@
 # 501 has shown nothing: streams cut midway are resumed.
 # 711, LOST: the retries of a request were spent on rejections by full replicas.
 # 601, BUDGET and DRAIN: Retry-After and Server-Leaving of replicas were not followed.
+# 9202, RECOVER: gateways that were cut off took old connections for proof of the contrary.
+# 9304, LOST: the budget allowed no retry of what gateways that ended had served for others.
 @pytest.mark.parametrize(
     ("seed", "options"),
     [
@@ -37,6 +39,8 @@
         (831, ["--crashing-parts=1", "--crashing-requests=1", "--size=medium"]),
         (501, ["--cuts", "--seconds=6"]),
         (601, ["--hints"]),
+        (9202, ["--gateway-cuts", "--size=medium"]),
+        (9304, ["--brittle", "--size=medium"]),
     ],
     ids=lambda value: str(value) if isinstance(value, int) else "".join(value),
 )
