--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,8 +20,8 @@
 # 501 has shown nothing: streams cut midway are resumed.
 # 711, LOST: the retries of a request were spent on rejections by full replicas.
 # 601, BUDGET and DRAIN: Retry-After and Server-Leaving of replicas were not followed.
-# 9202, RECOVER: gateways that were cut off took old connections for proof of the contrary.
-# 9304, LOST: the budget allowed no retry of what gateways that ended had served for others.
+# 9202, RECOVER: probes of gateways that were cut off went out on old connections.
+# 9304, LOST: what gateways that ended had served for others was not repeated.
 @pytest.mark.parametrize(
     ("seed", "options"),
     [
