--- a/tests/test_blame_exchange.py
+++ b/tests/test_blame_exchange.py
@@ -12,7 +12,7 @@
 from lentilshore_kernel.served_metrics import ServedMetrics
 from lentilshore_kernel.testing import FakeClock, run_with_clock
 from lentilshore_kernel.types import Address
-from lentilshore_node.callers import gateway
+from lentilshore_node.callers import peer_edge
 from lentilshore_node.clients.fleet_source import GatewayEntry
 from lentilshore_node.clients.http_client import HttpAnswer, HttpClient
 from lentilshore_node.clients.http_connection import (
@@ -788,7 +788,7 @@
     ],
 )
 def test_a_bad_body_is_refused_over_a_socket(monkeypatch, capfd, data, status):
-    monkeypatch.setattr(gateway, "PEER_BODY_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(peer_edge, "PEER_BODY_TIMEOUT_S", 0.05)
     gateways = RunningGateways(1)
     received = []
 
