Let blamed requests explain each of their crashes

Cause: a whole request is blamed only if suspects explain four fifths of the crashes in its time, and a suspect counts only with two crashes beside those before it. A request that was blamed already, and ended one more replica in that time, explained nothing.

Change: causes that are blamed by their own crashes explain all of these.

The new test failed before; in the six modules of blame the tests that are listed as red stay red, and nothing else fails.

--- a/packages/routing/src/lentilshore_routing/crash_blame.py
+++ b/packages/routing/src/lentilshore_routing/crash_blame.py
@@ -314,11 +314,14 @@
             record.score = record.count(explained)
             if record.explains_crashes:
                 explained.update(record.crashes)
-        self._check_other_causes()
+        self._check_other_causes(condemned)
         return {record.digest for record in self._records.values() if record.condemned}
 
-    def _check_other_causes(self) -> None:
-        """Mark whole requests between whose crashes others happened as outweighed."""
+    def _check_other_causes(self, condemned: set[str]) -> None:
+        """Mark whole requests between whose crashes others happened as outweighed.
+
+        :param condemned: digests of causes that explain each of their crashes.
+        """
         convincing = [r for r in self._records.values() if r.convincing]
         convincing = [record for record in convincing if record.is_whole_request]
         if not convincing:
@@ -342,10 +345,17 @@
                 for name, at in ended_at.items()
                 if first_at <= at <= last_at and name not in own
             }
-            explained = len(own) + _count_explained(
-                others, [set(r.crashes) for r in suspects if r is not record]
+            unexplained = others.difference(
+                *(
+                    r.crashes
+                    for r in suspects
+                    if r is not record and r.digest in condemned
+                )
+            )
+            unexplained = _without_explained(
+                unexplained, [set(r.crashes) for r in suspects if r is not record]
             )
-            share = explained / (len(own) + len(others))
+            share = 1 - len(unexplained) / (len(own) + len(others))
             record.outweighed = share < MIN_EXPLAINED_SHARE
 
     def _forget(self, now: float) -> None:
@@ -357,11 +367,12 @@
         self._records = {record.digest: record for record in kept}
 
 
-def _count_explained(crashes: set[str], suspects: list[set[str]]) -> int:
-    """Return how many crashes few suspects explain, the one with most of them first.
+def _without_explained(crashes: set[str], suspects: list[set[str]]) -> set[str]:
+    """Return the crashes that few suspects don't explain.
 
-    A suspect explains :data:`SUSPECT_CRASHES` at least beside the others: where
-    replicas crash by themselves, each crash takes some request along.
+    The suspect with most of them comes first. Each explains :data:`SUSPECT_CRASHES` at
+    least beside those before it: where replicas crash by themselves, each crash takes
+    some request along.
 
     :param crashes: names of the replicas that crashed.
     :param suspects: names of the replicas that crashed under each suspected cause.
@@ -372,7 +383,7 @@
         if len(most) < SUSPECT_CRASHES:
             break
         left -= most
-    return len(crashes) - len(left)
+    return left
 
 
 def _suspicion(record: CauseRecord) -> tuple[bool, int, bool]:
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -229,6 +229,22 @@
     assert meet_two_bad_parts(Node()) == ["f1", "f2"]
 
 
+# A request went on to end replicas, since late crashes of requests that were blamed
+# before it counted as crashes for other reasons.
+def test_single_crashes_of_blamed_requests_do_not_protect_another_one():
+    node = Node()
+    causes = [
+        whole_request_cause(b"GET", "", target, "", b"") for target in (b"/a", b"/b")
+    ]
+    late = whole_request_cause(b"GET", "", b"/late", "", b"")
+    for cause in [*causes * 3, late, *causes, late, late]:
+        node.clock.advance(RUNS_S)
+        replica = f"i-{node.clock.monotonic()}"
+        sent_at = node.clock.monotonic() - RUNS_S / 2
+        node.blame.record_crash([cause], replica, sent_at)
+    assert node.blame.blamed == sorted(cause.digest for cause in [*causes, late])
+
+
 @pytest.mark.parametrize(
     ("history", "allowed"),
     [
