Reserve the loopback addresses of each fleet of gateways in the tests

Four tests ended with "Address already in use" when two whole runs of the tests were under way at once (three of test_cut_gateways.py, one of test_peer_answers.py).

Cause: a fleet's addresses came from the process id modulo 200 and a count that starts at one in each process, and so did those of the soak. Change: a fleet binds a port of its own at the first address of its prefix, and takes the next prefix if that is taken.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import itertools
-import os
 import random
 import socket
 from collections import Counter
@@ -34,6 +33,7 @@
     Route,
     RouteTable,
 )
+from tests.loopback_hosts import reserved_prefix
 from tests.soak.wire import encode, encode_chunk, read_message, reset
 from tests.test_gateway import BOUNDS
 
@@ -51,7 +51,6 @@
 # A replica that has rejected too many requests is down for this time.
 FALL_S = 4.0
 SWALLOWING_HOST = "127.255.0.7"
-_fleet_numbers = itertools.count(1)
 
 
 def make_route(name, mode):
@@ -436,19 +435,19 @@
     for replica in replicas:
         await replica.start()
     replica_addresses = {replica.address for replica in replicas}
-    prefix = f"127.{os.getpid() % 200 + 20}.{next(_fleet_numbers) % 250}"
-    gateways = [
-        StandinGateway(
-            f"g-{number}",
-            f"{prefix}.{number + 1}",
-            f"dc-{number % data_centres + 1}",
-            replica_addresses.__contains__,
-        )
-        for number in range(1, gateway_count + 1)
-    ]
-    entries = [gateway.entry for gateway in gateways]
-    store = FleetStore(replicas, entries, timeout_s)
     with ExitStack() as stack:
+        prefix = stack.enter_context(reserved_prefix())
+        gateways = [
+            StandinGateway(
+                f"g-{number}",
+                f"{prefix}.{number + 1}",
+                f"dc-{number % data_centres + 1}",
+                replica_addresses.__contains__,
+            )
+            for number in range(1, gateway_count + 1)
+        ]
+        entries = [gateway.entry for gateway in gateways]
+        store = FleetStore(replicas, entries, timeout_s)
         stack.enter_context(_swallowing_ports(replica_addresses))
         for gateway in gateways:
             gateway.start(store)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import os
 import random
 import shutil
 import sys
@@ -10,6 +9,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from tests.loopback_hosts import reserved_prefix
 from tests.soak import brittle, crashes, cuts, gateway_cuts, hints
 from tests.soak.callers import USUAL_MIX, Callers
 from tests.soak.checks import Checks
@@ -42,8 +42,11 @@
 }
 
 
-async def run_seed(seed, size, options, directory):
-    """Run the soak with a seed; return the problems and the outcomes."""
+async def run_seed(seed, size, options, directory, host):
+    """Run the soak with a seed; return the problems and the outcomes.
+
+    :param host: prefix of the loopback addresses, three numbers with dots.
+    """
     # One source of randomness each, so that the faults of a seed do not depend on how
     # many requests were sent meanwhile.
     (
@@ -73,7 +76,6 @@
     started_at = time.monotonic()
     directory.mkdir(parents=True)
     log = open(directory / "faults.log", "w", buffering=1)  # noqa: SIM115
-    host = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
     fleet = Fleet(directory, host, options.code, fleet_random)
     keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
     mix, prompts, repeats = USUAL_MIX, None, None
@@ -223,7 +225,9 @@
         directory = options.logs / f"{options.size}-{seed}"
         shutil.rmtree(directory, ignore_errors=True)
         size = SIZES[options.size]
-        problems, outcomes = asyncio.run(run_seed(seed, size, options, directory))
+        with reserved_prefix() as host:
+            run = run_seed(seed, size, options, directory, host)
+            problems, outcomes = asyncio.run(run)
         shown = ", ".join(f"{name} {n}" for name, n in sorted(outcomes.items()))
         print(f"seed {seed}: {len(problems)} problems; {shown}", flush=True)
         for problem in problems[:SHOWN_PROBLEMS]:
