--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -318,7 +318,8 @@
         live = [c for a, c in self._live if self._is_replica(a) and not c._closed]
         if manner == "reset":
             for connection in live:
-                connection.close()
+                connection._transport.abort()
+                connection.connection_lost(ConnectionResetError("cut off"))
         if manner == "hang":
             for connection in live:
                 connection._transport.pause_reading()
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -115,6 +115,29 @@
     assert counted == [other]
 
 
+# LOST: replicas that a gateway had lost were taken for crashed under its requests, so
+# that sound ones were suspected and not sent again.
+def test_replicas_that_a_gateway_loses_are_not_taken_for_crashed():
+    slow = replicas(work_s=0.3)
+
+    async def main():
+        async with running_fleet(2, slow) as fleet:
+            cut = fleet.gateways[0]
+            # Earns retries for those that are cut.
+            await asyncio.gather(*(send_one(cut, "safe", f"w{n}") for n in range(20)))
+            sending = [
+                asyncio.create_task(send_one(cut, "safe", f"lost{n}"))
+                for n in range(20)
+            ]
+            while sum(len(replica.runs) for replica in slow) < 40:
+                await asyncio.sleep(0.005)
+            cut.http.cut_off("reset")
+            answers = await asyncio.gather(*sending)
+            return [a.status for a in answers], cut.count("replica_crashes")
+
+    assert asyncio.run(main()) == ([200] * 20, 0)
+
+
 # GONE: the caller of a cut gateway leaves, and the replica has to hear of it.
 @pytest.mark.parametrize("kind", ["safe", "stream"])
 def test_a_caller_that_leaves_ends_the_run_at_the_replica(kind):
