--- a/tests/test_crash_blame_mutants.py
+++ b/tests/test_crash_blame_mutants.py
@@ -16,6 +16,7 @@
     SOUND,
     Node,
     blame_part,
+    blames_a_request_beside_blamed_ones,
     end_blame_by_time,
     meet_two_bad_parts,
     named,
@@ -149,6 +150,11 @@
     return meet_two_bad_parts(Node()) == ["f1", "f2"]
 
 
+def blames_beside_blamed_requests():
+    """Single crashes of blamed requests don't protect another one."""
+    return blames_a_request_beside_blamed_ones(Node())
+
+
 def does_not_retry_a_suspect():
     """A request that has crashed a replica is not sent to another one."""
     node = Node()
@@ -335,7 +341,12 @@
     return SCORE_CAUSES(self, set())
 
 
+def blamed_causes_explain_as_others_do(self, condemned):
+    CHECK_OTHER_CAUSES(self, set())
+
+
 SCORE_CAUSES = CrashBlame._score_causes
+CHECK_OTHER_CAUSES = CrashBlame._check_other_causes
 PREFERENCE = CauseRecord.preference
 PART_CAUSES = part_causes
 DIGESTS = itertools.count()
@@ -430,6 +441,12 @@
         lets_blamed_causes_explain_first,
         patch.object(CrashBlame, "_score_causes", scores_once),
     ),
+    "blamed requests explain no single crash": (
+        blames_beside_blamed_requests,
+        patch.object(
+            CrashBlame, "_check_other_causes", blamed_causes_explain_as_others_do
+        ),
+    ),
     "whole requests need one more crash": (
         blames_a_whole_request,
         constants(BLAME_CRASHES=4),
--- a/tests/test_crash_probes.py
+++ b/tests/test_crash_probes.py
@@ -3,7 +3,9 @@
 import anyio
 import pytest
 
+from lentilshore_kernel.types import Address
 from lentilshore_node.delivery import crash_watch
+from lentilshore_node.state.service_reach import VERDICT_WAIT_S, Reach
 from lentilshore_routing.crash_causes import part_causes
 from lentilshore_routing.routes import DeliveryMode, PromptPart
 from tests.test_gateway import Caller, GatewayHarness, route, signed, stream
@@ -96,3 +98,38 @@
     harness.run(Caller(PARTS), act)
     parts = [PromptPart("a1", 300), PromptPart("b2", 100), PromptPart("c3", 50)]
     assert all(harness.context.blame.knows(cause) for cause in part_causes(parts))
+
+
+# Guards against crashes that are none: a gateway that had lost the network to all
+# replicas took them for crashed.
+@pytest.mark.parametrize(
+    ("verdict", "recorded"),
+    [
+        (Reach.REACHED, True),
+        (Reach.DOWN, True),
+        (Reach.CUT_OFF, False),
+        (None, False),
+    ],
+)
+def test_a_crash_counts_once_the_service_is_not_suspected(verdict, recorded):
+    async def refused(address):
+        return True
+
+    async def act(harness, application, caller):
+        context = harness.context
+        context.http.is_refused = refused
+        context.reach.record_slow_connect(Address(*harness.server.address))
+        assert context.reach.state("pool") is Reach.SUSPECTED
+        with anyio.fail_after(VERDICT_WAIT_S / 2):
+            await caller.send_to(application)
+        assert not context.blame.active
+        if verdict is None:
+            await anyio.sleep(VERDICT_WAIT_S)
+        else:
+            context.reach.conclude("pool", verdict)
+        await anyio.sleep(0.05)
+        assert context.blame.active is recorded
+
+    harness = GatewayHarness([["reset"], signed(b"whole")], LOOKUP)
+    caller = harness.run(Caller(), act)
+    assert (caller.status, caller.body) == (200, b"whole")
