Use a gateway on at which only a replica has failed

Cause: any failure after which the request may have run counted against the gateway that served it, so that a replica that ended under one request made all that followed be refused until the next examination, 0.15 to 0.45 s later; with two replicas of a service, one of them killed, the two gateways left were dropped again and again. The same took dispatchers of brittle replicas for silent.

Change: a gateway is dropped if a call is lost without an answer, or if it says that it can't serve; one that answers that no replica is left is asked last for 50 ms, as one without room.

The test failed before for a request that may run once.

--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -70,8 +70,25 @@
         RefusalReason.UPSTREAM_UNREACHABLE,
     )
 )
-# Refusals for want of room; after the others a gateway is used no longer for a while.
-FULL_REASONS = frozenset((RefusalReason.QUEUE_FULL, RefusalReason.UPSTREAM_BUSY))
+# Refusals after which a gateway is asked last for a moment, since its replicas have no
+# room or there is none.
+FULL_REASONS = frozenset(
+    (
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.UPSTREAM_BUSY,
+    )
+)
+# Refusals after which a gateway is used no longer for a while, since it can't serve.
+UNFIT_REASONS = frozenset(
+    (
+        RefusalReason.CONFIGURATION_MISSING,
+        RefusalReason.CONFIGURATION_STALE,
+        RefusalReason.DRAINING,
+        RefusalReason.KEY_UNPROVED,
+        RefusalReason.UPSTREAM_UNREACHABLE,
+    )
+)
 _call_ids = itertools.count(1)
 
 
@@ -155,8 +172,10 @@
         self._tried: set[str] = set()
         # Whether all gateways that may serve the request have been tried.
         self._exhausted = False
-        # Whether the current call was sent.
+        # Whether the current call was sent, answered, and lost without an answer.
         self._sent = False
+        self._answered = False
+        self._lost = False
         # Whether this gateway has counted the request itself.
         self._counted = False
 
@@ -226,7 +245,7 @@
         # One attempt is kept for the case that the other gateway breaks off.
         attempts = max(1, self._state.attempts_left - 1)
         forward = _Forward(next(_call_ids), peer, attempts)
-        self._sent = False
+        self._sent = self._answered = self._lost = False
         self._context.serving_peers.begin(peer)
         execution = Execution.NOT_RUN
         try:
@@ -241,6 +260,7 @@
             return status
         except UpstreamError as error:
             execution = error.execution
+            self._lost = not self._answered
             raise RefusalError(error.reason, execution, error.detail) from error
         except RefusalError as refusal:
             execution = refusal.execution
@@ -323,6 +343,7 @@
     async def _follow(self, forward: _Forward, call: Call) -> int:
         response = await call.wait_for_head(CHECK_INTERVAL_S)
         kind = answer_kind(response.headers, forward.call_id)
+        self._answered = kind in (REFUSED, RELAYED)
         if kind == REFUSED:
             body = await response.read(PEER_BODY_LIMIT_BYTES)
             raise _read_refusal(body)
@@ -389,11 +410,11 @@
 
     def _report_failure(self, peer: GatewayEntry, refusal: RefusalError) -> None:
         peers = self._context.serving_peers
-        broken = refusal.execution is not Execution.NOT_RUN
-        if refusal.reason in FULL_REASONS:
-            peers.record_full(peer)
-        elif broken or refusal.reason in ELSEWHERE_REASONS:
+        # One that has answered lives, even if a replica has failed there.
+        if self._lost or (self._answered and refusal.reason in UNFIT_REASONS):
             peers.record_unfit(self._service, peer)
+        elif self._answered and refusal.reason in FULL_REASONS:
+            peers.record_full(peer)
         self._context.metrics.count(f"forward.failed.{refusal.reason.value}")
         log_event(
             "forward_failed",
--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -510,3 +510,29 @@
     assert answer.status == status and answer.closes
     assert counted == 1
     assert not any(replica.runs for replica in fleet.replicas)
+
+
+# RECOVER: a gateway was passed over since a replica had failed under a request that it
+# served, so that those that came next were refused though it could serve them.
+@pytest.mark.parametrize("kind", ["once", "tail"])
+def test_a_gateway_at_which_a_replica_failed_serves_the_next_request(kind):
+    slow = replicas(work_s=0.4)
+    for replica in slow:
+        replica.event_pause_s = 0.2
+
+    async def main():
+        async with running_fleet(2, slow) as fleet:
+            cut = fleet.gateways[0]
+            await cut_off([cut])
+            sending = asyncio.create_task(send_one(cut, kind, "failing"))
+            while not runs_of(fleet, "failing-1"):
+                await asyncio.sleep(0.005)
+            if kind == "tail":
+                await asyncio.sleep(0.1)
+            next(r for r in slow if "failing-1" in r.runs).stop()
+            failed = await sending
+            return failed, await send_one(cut, "safe", "next")
+
+    failed, following = asyncio.run(main())
+    assert not failed.served
+    assert following.served, following.status
