Wait for an open crash of a request before its next retry

Cause: while a service is suspected to be out of reach, a crash is recorded only once it has been examined, and a request whose retry does not depend on it goes on meanwhile. Its second crash did not know of the first yet, so that it went on to a third replica.

--- a/packages/node/src/lentilshore_node/delivery/crash_watch.py
+++ b/packages/node/src/lentilshore_node/delivery/crash_watch.py
@@ -176,6 +176,9 @@
         if self._context.replica_room.rejected_lately(replica.name):
             # It may have ended since it had to reject others.
             return
+        if self._confirmation is not None:
+            # Whether this crash denies a retry depends on the one before.
+            await self._confirmation
         if await self._context.http.is_refused(replica.address):
             confirmation = self._record_crash_in_reach(attempt)
             waits = self._reach_state is Reach.SUSPECTED
--- a/tests/test_crash_probes.py
+++ b/tests/test_crash_probes.py
@@ -133,3 +133,23 @@
     harness = GatewayHarness([["reset"], signed(b"whole")], LOOKUP)
     caller = harness.run(Caller(), act)
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+# BUDGET: a request ended a third replica while it was open whether it had ended others.
+def test_a_second_crash_waits_for_what_is_open_of_the_first():
+    async def refused(address):
+        return True
+
+    async def act(harness, application, caller):
+        context = harness.context
+        context.http.is_refused = refused
+        context.reach.record_slow_connect(Address(*harness.server.address))
+        async with anyio.create_task_group() as group:
+            group.start_soon(caller.send_to, application)
+            await anyio.sleep(VERDICT_WAIT_S / 2)
+            assert len(harness.server.requests) == 2
+            context.reach.conclude("pool", Reach.REACHED)
+        assert len(harness.server.requests) == 2
+
+    harness = GatewayHarness([["reset"], ["reset"], signed(b"whole")], LOOKUP)
+    assert harness.run(Caller(), act).status == 502
