--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -182,8 +182,7 @@
 
     :param play: coroutine function that returns a list of breaches.
     """
-    # A SIGTERM ends the processes that the case has started.
-    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+    signal.signal(signal.SIGTERM, _interrupt)
     try:
         breaches = asyncio.run(play())
     except KeyboardInterrupt:
@@ -195,3 +194,8 @@
         print(line)
     print(f"{'broken' if breaches else 'held'}: {len(breaches)}")
     sys.exit(BROKEN if breaches else HELD)
+
+
+def _interrupt(number: int, frame: object) -> None:
+    """Have a SIGTERM end the processes that the case has started."""
+    raise KeyboardInterrupt
