--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -114,7 +114,7 @@
                 self.replicas[name] = Replica(
                     name, service, "zone-a", self.store, self.record, work_s
                 )
-                await self.replicas[name].start(gateway_zones, REPLICA_HOST)
+                await self.replicas[name].start(gateway_zones, str(self._hosts + 200))
         for number, (name, zone) in enumerate(gateway_zones.items(), 1):
             gateway = Gateway(name, str(self._hosts + number), zone, self._directory)
             self.gateways[name] = gateway
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -52,7 +52,8 @@
         self._born = int(time.time() * 1000)
         self._slots = asyncio.Semaphore(SLOTS)
         self._waiting = 0
-        self._servers = []
+        self._servers: dict[str, asyncio.Server] = {}
+        self._host = ""
         # Open connections, by writer: the gateway.
         self._writers = {}
         self._beating = None
@@ -85,18 +86,25 @@
 
     async def start(self, gateways: Iterable[str], host: str) -> None:
         """Listen for each gateway, and register in the store."""
+        self._host = host
         for gateway in gateways:
-            await self._open_path(gateway, host)
+            await self._open_path(gateway)
         await self._store.put("servers", self.name, self.spec)
         self._beating = asyncio.create_task(self._beat())
 
-    async def _open_path(self, gateway: str, host: str):
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    async def _open_path(self, gateway: str) -> None:
+        """Listen for a gateway, at the port of an earlier process if there was one."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await self._serve_connection(gateway, reader, writer)
 
-        server = await asyncio.start_server(serve, host, 0)
-        self._servers.append(server)
-        address = f"{host}:{server.sockets[0].getsockname()[1]}"
+        known = self._store.paths.get((gateway, self.name), ":0")
+        port = int(known.rpartition(":")[2])
+        server = await asyncio.start_server(serve, self._host, port)
+        self._servers[gateway] = server
+        address = f"{self._host}:{server.sockets[0].getsockname()[1]}"
         self._store.paths[gateway, self.name] = address
 
     async def _beat(self):
@@ -123,7 +131,7 @@
         """End as a process does that has completed its requests."""
         self.ended = True
         self._beating.cancel()
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
         for writer in list(self._writers):
             writer.close()
@@ -136,6 +144,8 @@
         self.ended = True
         self._rejected = []
         self._beating.cancel()
+        for server in self._servers.values():
+            server.close()
         for writer in list(self._writers):
             reset(writer)
         asyncio.get_running_loop().call_later(DOWN_S, self._come_back)
@@ -146,10 +156,12 @@
         self._waiting = 0
         self._rejected = []
         self.ended = False
-        self._record.write("back", replica=self.name)
         self._beating = asyncio.create_task(self._register_and_beat())
 
     async def _register_and_beat(self):
+        for gateway in list(self._servers):
+            await self._open_path(gateway)
+        self._record.write("back", replica=self.name)
         await self._store.put("servers", self.name, self.spec)
         await self._beat()
 
