--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -17,6 +17,9 @@
 BRITTLE_QUEUE = 1
 DOWN_S = 4.0
 STREAM_PREFIX = "/stream/"
+# Requests that crash each replica that begins to run them, after this time.
+CRASHING_PREFIX = "/lookup/crashing-"
+CRASH_AFTER_S = 0.05
 EVENTS = 40
 EVENT_S = 0.1
 NOT_RUN = {"X-Not-Executed": "1"}
@@ -136,6 +139,13 @@
         for writer in list(self._writers):
             writer.close()
 
+    async def _crash(self, slots: asyncio.Semaphore, path: str, about: dict) -> None:
+        """Crash under a request unless the process has ended before."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        if slots is self._slots and not self.ended:
+            self._record.write("crash", path=path, **about)
+            self._fall_over()
+
     def _fall_over(self):
         """End as a crash does; it is back after some seconds."""
         gateways = [gateway for _, gateway in self._rejected]
@@ -220,6 +230,9 @@
                 return b""
             self._waiting -= 1
             self._record.write("run", service=self.service, **about)
+            if request.start[1].startswith(CRASHING_PREFIX):
+                await self._crash(slots, request.start[1], about)
+                return b""
             await asyncio.sleep(self._work_s)
         body = f"{attempt} by {self.name}".encode()
         signature = hashlib.sha256(body).hexdigest()
