--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -157,7 +157,8 @@
     work_s: float = WORK_S,
 ) -> AsyncIterator[Fleet]:
     """Run a deployment whose record stands beside the case."""
-    record = Record(Path(case_file).with_name("record.txt"))
+    name = os.environ.get("RECORD", "record.txt")
+    record = Record(Path(case_file).with_name(name))
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), record)
         expiry = asyncio.create_task(fleet.store.expire())
