--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,7 +16,13 @@
 from tests.soak.fleet import AFTERMATH_S, ROOT, Fleet
 from tests.soak.plan import Plan
 from tests.soak.repeats import Repeats
-from tests.soak.silences import LASTING_MIX, FullPlan, SilencePlan
+from tests.soak.silences import (
+    HUSHED_MIX,
+    LASTING_MIX,
+    FullPlan,
+    HushedPlan,
+    SilencePlan,
+)
 
 WARM_UP_S = 3.0
 # Until gateways that have started know one another.
@@ -38,6 +44,7 @@
     "small": Size(3, {"register": 3, "pool": 2}, 24, 0.05),
     "medium": Size(5, {"register": 2, "pool": 5}, 40, 0.1),
     "usual": Size(8, {"register": 4, "pool": 8}, 60, 0.15),
+    "dense": Size(6, {"register": 3, "pool": 9}, 120, 0.05),
     "large": Size(60, {"register": 20, "pool": 70}, 200, 0.8),
 }
 
@@ -80,7 +87,9 @@
     keys = {f"key-{n}": f"customer-{n % 3}" for n in range(6)}
     mix, prompts, repeats = USUAL_MIX, None, None
     crashing = options.crashing_parts, options.crashing_requests
-    if options.silences or options.full:
+    if options.hushed:
+        mix = HUSHED_MIX
+    elif options.silences or options.full:
         mix = LASTING_MIX
     elif any(number is not None for number in crashing):
         fleet.renames_replicas = True
@@ -106,6 +115,8 @@
     faults = (fleet, keys, plan_random, write_log)
     if options.full:
         plan = FullPlan(*faults)
+    elif options.hushed:
+        plan = HushedPlan(*faults, options.upgrade_to)
     elif options.silences:
         plan = SilencePlan(*faults)
     elif options.brittle:
@@ -147,7 +158,7 @@
         await fleet.stop()
         log.close()
     checks = Checks(callers, fleet, plan.withdrawn)
-    return checks.problems(calm_since), checks.outcomes()
+    return checks.problems(calm_since), checks.outcomes(), checks.budget_uses()
 
 
 def main():
@@ -176,6 +187,17 @@
         action="store_true",
         help="sound replicas are silent for a moment, with planned work, no more",
     )
+    parser.add_argument(
+        "--hushed",
+        action="store_true",
+        help="the replicas of a service are silent at once while the configuration "
+        "changes, with planned work",
+    )
+    parser.add_argument(
+        "--upgrade-to",
+        type=Path,
+        help="with --hushed: checkout to which gateways are upgraded in turn",
+    )
     parser.add_argument(
         "--full",
         action="store_true",
@@ -227,9 +249,15 @@
         size = SIZES[options.size]
         with reserved_prefix() as host:
             run = run_seed(seed, size, options, directory, host)
-            problems, outcomes = asyncio.run(run)
+            problems, outcomes, uses = asyncio.run(run)
         shown = ", ".join(f"{name} {n}" for name, n in sorted(outcomes.items()))
         print(f"seed {seed}: {len(problems)} problems; {shown}", flush=True)
+        for service, use in sorted(uses.items()):
+            print(
+                f"  {service}: {use.repeats} repeats of {use.allowed:.0f} allowed, "
+                f"{use.requests} requests",
+                flush=True,
+            )
         for problem in problems[:SHOWN_PROBLEMS]:
             print(f"  {problem}", flush=True)
         if problems:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 
 from tests.soak.brittle import fall_problems
+from tests.soak.budgets import Arrivals, budget_problems, largest_uses
 from tests.soak.callers import KINDS, PROMISE_STATUSES, STREAMS
 from tests.soak.crashes import BLAMED, CrashCheck
 from tests.soak.cuts import cut_problems
@@ -92,9 +93,35 @@
             self._withdrawn,
         )
         found += CrashCheck(self._callers, self._limits, self._is_in_touch).problems()
+        found += budget_problems(self._callers, self._arrivals())
         found += self._check_recovery(calm_since)
         return found + list(self._check_stops())
 
+    def budget_uses(self):
+        """Return by service in which window most of the allowed repeats came."""
+        return largest_uses(self._callers, self._arrivals())
+
+    def _arrivals(self):
+        entries = [entry for entry in self._limits if entry["event"] == "arrival"]
+        return Arrivals(
+            self._runs,
+            entries,
+            self._fleet.retry_budget,
+            self._was_lost,
+            self._is_in_touch,
+        )
+
+    def _was_lost(self, replica, begin, end):
+        """Return whether a replica ended, or was cut off, in a span of time."""
+        if self._fleet.disturbances.touch({replica}, begin, end):
+            return True
+        return any(
+            entry["event"] in ("crash", "fall")
+            and entry["replica"] == replica
+            and begin <= entry["time"] <= end
+            for entry in self._limits
+        )
+
     def _lost_evidence(self):
         replicas = defaultdict(set)
         for replica in self._fleet.replicas.values():
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,6 +19,9 @@
 ROOT = Path(__file__).parents[2]
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
+# A gateway logs this when it begins to serve.
+SERVES_EVENT = b"event=node_started"
+READY_POLL_S = 0.05
 CRASH_DOWN_S = 3.5
 CALL_TIMEOUT_S = 5.0
 # After a fault ends, its traces may last this long.
@@ -39,12 +42,13 @@
 grace_s = {grace_s}
 retry_budget_ratio = {retry_budget[0]}
 budget_extra = {retry_budget[1]}
-budget_window_s = 10
+budget_window_s = {budget_window_s}
 expose_share = 0.15
 [provider]
 address = "{store}"
 value_bytes = 1048576
 """
+BUDGET_WINDOW_S = 10
 DRAIN_MS = 2000
 REVOKE_MS = 5000
 FIRST_VERSION = "v1"
@@ -103,8 +107,11 @@
         self.name = name
         self._command = command
         self._log = log
-        self._environment = environment
+        # Of the next start.
+        self.environment = environment
         self._process = None
+        # Where the log of the last start begins.
+        self._log_start = 0
         self._wanted = True
         self.address = ""
         self.started = asyncio.Event()
@@ -119,6 +126,14 @@
         """Whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
+    def _serves(self):
+        return SERVES_EVENT in self._log.read_bytes()[self._log_start :]
+
+    async def wait_until_ready(self):
+        """Wait until a gateway that was started serves."""
+        while not self.running or not self._serves():
+            await asyncio.sleep(READY_POLL_S)
+
     async def supervise(self):
         """Start the process, and again whenever it has ended."""
         while self._wanted:
@@ -126,13 +141,13 @@
             if not self._wanted:
                 return
             with open(self._log, "ab") as log:
-                log_start = log.tell()
+                self._log_start = log.tell()
                 self._process = await asyncio.create_subprocess_exec(
                     *self._command(),
                     stdout=asyncio.subprocess.PIPE if not self._logs_out else log,
                     stderr=log,
                     cwd=ROOT,
-                    env=self._environment,
+                    env=self.environment,
                 )
             self.stop_asked_at = None
             self.starts.append(time.time())
@@ -142,7 +157,7 @@
                 self.address = line.split()[-1] if line else self.address
             self.started.set()
             status = await self._process.wait()
-            ready = b"event=node_started" in self._log.read_bytes()[log_start:]
+            ready = self._serves()
             self.ends.append(End(status, self.stop_asked_at, time.time(), ready))
             self.started.clear()
             if status == CRASH_STATUS:
@@ -246,6 +261,9 @@
                 await self.add_replica(service)
         for _ in range(gateway_count):
             await self._add_gateway()
+        # Before it listens, its link accepts connections for it.
+        for gateway in self.gateways:
+            await gateway.wait_until_ready()
 
     async def stop(self):
         """Stop the gateways by SIGTERM and end the rest."""
@@ -328,23 +346,26 @@
         await self.control_store(
             {"links": {f"{host}:{METRICS_PORT}": peer_link.address}}
         )
-        settings = self.directory / f"{name}.toml"
         self.write_settings(name, host, store_link.address)
-        paths = sorted((self._code / "packages").glob("*/src"))
-        paths += [
-            self._code / "platform" / "src",
-            Path(__file__).parent / "gateway_site",
-        ]
+        command = [sys.executable, "-m", "lentilshore_platform"]
         environment = os.environ | {
-            "LENTILSHORE_CONFIG": str(settings),
-            "PYTHONPATH": ":".join(map(str, paths)),
+            "LENTILSHORE_CONFIG": str(self.directory / f"{name}.toml"),
+            "PYTHONPATH": _python_path(self._code),
             "SOAK_HOST": host,
         }
-        command = [sys.executable, "-m", "lentilshore_platform"]
         child = self._child(LoggingChild, name, lambda: command, environment)
         child.host, child.store_address = host, store_link.address
         self.gateways.append(child)
 
+    async def upgrade_gateway(self, gateway, code):
+        """Stop a gateway by SIGTERM and start it with the code of another checkout."""
+        path = _python_path(code)
+        gateway.environment = gateway.environment | {"PYTHONPATH": path}
+        starts = len(gateway.starts)
+        gateway.send_signal(SIGTERM)
+        while len(gateway.starts) == starts:
+            await asyncio.sleep(RESTART_DELAY_S)
+
     def write_settings(self, name, host, store, grace_s=GRACE_S):
         """Write the settings file of a gateway."""
         text = SETTINGS.format(
@@ -357,6 +378,7 @@
             drain_ms=DRAIN_MS,
             revoke_ms=REVOKE_MS,
             retry_budget=self.retry_budget,
+            budget_window_s=BUDGET_WINDOW_S,
             grace_s=grace_s,
         )
         (self.directory / f"{name}.toml").write_text(text)
@@ -414,6 +436,13 @@
         return answer
 
 
+def _python_path(code):
+    """Return the path on which a gateway finds the code of a checkout."""
+    paths = sorted((code / "packages").glob("*/src"))
+    paths += [code / "platform" / "src", Path(__file__).parent / "gateway_site"]
+    return ":".join(map(str, paths))
+
+
 def service_of(kind):
     """Return the service to which a kind of request goes."""
     return "pool" if kind in STREAMS else "register"
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,7 +5,7 @@
 import time
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 
-from tests.soak.callers import HOST_HEADER
+from tests.soak.callers import HOST_HEADER, KINDS
 from tests.soak.fleet import REVOKE_MS
 from tests.soak.proxy import LinkFault
 
@@ -21,6 +21,8 @@
 STREAM_TIMEOUT_MS = 5000
 # Longer than the deadlines of these requests.
 LASTING_TIMEOUT_MS = 9000
+# Replicas that a request may run on, by kind of request.
+MAX_ATTEMPTS = {kind: 3 for kind in KINDS} | {"once": 1, "tail": 1}
 LIMIT_S = 8.0
 REPLICA_FAULTS = ("shed", "error", "lose", "hang", "extra", "unnamed")
 UNASKED_ANSWERS = ("extra", "unnamed")
@@ -334,27 +336,33 @@
         plain = _route("register", self._timeout_ms)
         stream = _route("pool", STREAM_TIMEOUT_MS) | {"kind": "streaming"}
         routes = [
-            plain | {"name": "once", "path_prefix": "/once/", "max_attempts": 1},
-            plain | {"name": "safe", "path_prefix": "/safe/", "max_attempts": 3},
-            stream | {"name": "stream", "path_prefix": "/stream/", "max_attempts": 3},
-            stream | {"name": "tail", "path_prefix": "/tail/", "max_attempts": 1},
+            plain | {"name": "once", "kind": "non_idempotent"},
+            plain | {"name": "safe", "kind": "idempotent"},
+            stream | {"name": "stream", "resumable": True, "sizes": list(MODELS)},
+            stream | {"name": "tail"},
+        ]
+        if self._has_lasting_routes:
+            routes += _lasting_routes()
+        return [
+            route
+            | {
+                "path_prefix": f"/{route['name']}/",
+                "max_attempts": MAX_ATTEMPTS[route["name"]],
+            }
+            for route in routes
         ]
-        routes[0]["kind"], routes[1]["kind"] = "non_idempotent", "idempotent"
-        routes[2] |= {"resumable": True, "sizes": list(MODELS)}
-        return routes + _lasting_routes() if self._has_lasting_routes else routes
 
 
 def _lasting_routes():
     plain = _route("register", LASTING_TIMEOUT_MS, 2000)
     stream = _route("pool", LASTING_TIMEOUT_MS, 2000) | {"kind": "streaming"}
-    routes = [
+    return [
         plain | {"name": "slow", "kind": "idempotent"},
         plain | {"name": "slow-once", "kind": "non_idempotent"},
         stream | {"name": "long", "resumable": True},
         stream | {"name": "long-sized", "resumable": True, "sizes": list(MODELS)},
         stream | {"name": "long-tail"},
     ]
-    return [r | {"path_prefix": f"/{r['name']}/", "max_attempts": 3} for r in routes]
 
 
 def _route(service, timeout_ms, target_latency_ms=200):
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -150,7 +150,9 @@
             self._faults, self._state = command["faults"], command["state"]
             writer.write(encode("HTTP/1.1 200 OK", {}, b""))
             return True
-        self._record_limit("arrival", request.fields)
+        given_ms = request.fields.get("x-deadline-ms")
+        given_s = int(given_ms) / 1000 if given_ms else None
+        self._record_limit("arrival", request.fields, deadline_s=given_s)
         echo = {"X-Attempt-Id": request.fields.get("x-attempt-id", "")}
         expected = request.fields.get("x-expect-instance", self._options["id"])
         if expected != self._options["id"]:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.soak.budgets import Arrivals, budget_problems
 from tests.soak.callers import KINDS, Seen, Sent
 from tests.soak.checks import Checks
 from tests.soak.crashes import CrashCheck, Prompt, Prompts
@@ -403,3 +404,113 @@
     callers = records(*tries("g-1", number, served, at), *tries("g-2", 20, 19, at))
     found = list(recover_problems(callers, [CUT], lambda *_: not disturbed, {}))
     assert len(found) == problems
+
+
+class BudgetRecords:
+    """Requests and their arrivals at replicas, with what the budget allows."""
+
+    def __init__(self, retry_budget=(0.0, 0.0), in_touch=True, lost_replicas=()):
+        self.callers = records()
+        self._runs = {}
+        self._entries = []
+        self._retry_budget = retry_budget
+        self._in_touch = in_touch
+        self._lost_replicas = lost_replicas
+
+    def add(self, name, kind, at, arrivals, replicas=()):
+        """Record a request.
+
+        :param arrivals: time of each arrival and the time that it was given, seconds.
+        :param replicas: names of the replicas that ran it.
+        """
+        self.callers.sent[name] = sent_request(name, kind, at)
+        if replicas:
+            self._runs[name] = [{"replica": name, "time": at} for name in replicas]
+        self._entries += [
+            {"id": name, "time": time, "deadline_s": given_s}
+            for time, given_s in arrivals
+        ]
+
+    def problems(self):
+        """Return the first words of what the checks find."""
+        arrivals = Arrivals(
+            self._runs,
+            self._entries,
+            self._retry_budget,
+            lambda replica, begin, end: replica in self._lost_replicas,
+            lambda gateway, at: self._in_touch,
+        )
+        found = budget_problems(self.callers, arrivals)
+        return [problem.split(" by ")[0] for problem in found]
+
+
+@pytest.mark.parametrize(
+    ("requests", "kind", "replicas", "lost_replicas", "found"),
+    [
+        (4, "safe", "abcd", "", True),
+        (3, "safe", "abcd", "", False),
+        (9, "safe", "abcc", "", False),
+        (9, "safe", "abcd", "d", False),
+        (4, "once", "ab", "", True),
+        (9, "long", "abc", "", False),
+    ],
+)
+def test_requests_that_run_on_more_replicas_than_their_attempts(
+    requests, kind, replicas, lost_replicas, found
+):
+    lines = BudgetRecords((9.0, 99.0), lost_replicas=lost_replicas)
+    for number in range(requests):
+        lines.add(f"r{number}", kind, 100.0, [], replicas)
+    assert bool(lines.problems()) is found
+
+
+@pytest.mark.parametrize(
+    ("requests", "late_repeats", "kind", "arrivals", "found"),
+    [
+        (21, 0, "safe", [(100.0, None)], True),
+        (20, 0, "safe", [(100.0, None)], False),
+        (21, 0, "safe", [(100.0, 2.1)], True),
+        (21, 0, "safe", [(100.4, 1.5)], False),
+        (21, 0, "once", [(100.0, 1.5), (100.6, 1.5)], True),
+        (21, 0, "once", [(100.0, 1.5), (100.4, 1.5)], False),
+        (21, 0, "safe", [(100.0, 1.5), (100.9, 1.0)], False),
+        (21, 90, "safe", [(100.0, 1.5), (100.9, 1.5)], False),
+        (21, 0, "stream", [(100.0, None)], False),
+    ],
+)
+def test_requests_that_are_handed_on_with_more_time_than_is_left(
+    requests, late_repeats, kind, arrivals, found
+):
+    for in_touch in (True, False):
+        lines = BudgetRecords((9.0, 999.0), in_touch)
+        for number in range(requests):
+            lines.add(f"r{number}", kind, 100.0, arrivals)
+        for number in range(late_repeats):
+            lines.add(f"l{number}", "safe", 100.0, [(100.0, 1.5), (100.9, 0.6)])
+        assert bool(lines.problems()) is (found and in_touch)
+
+
+# Requests are counted in the window, the one before it or the one half before it.
+@pytest.mark.parametrize(
+    ("requests", "before_s", "repeats", "over_s", "found"),
+    [
+        (10, 0.0, 8, 9.0, True),
+        (10, 0.0, 7, 9.0, False),
+        (10, 0.0, 8, 12.0, False),
+        (10, 4.0, 7, 9.0, False),
+        (10, 9.0, 7, 0.9, False),
+        (10, 19.0, 8, 9.0, True),
+    ],
+)
+def test_more_repeats_in_a_window_than_the_budget_allows(
+    requests, before_s, repeats, over_s, found
+):
+    lines = BudgetRecords((0.5, 2.0))
+    for number in range(requests):
+        lines.add(f"r{number}", "safe", 100.0 - before_s, [(100.0, 1.5)])
+    times = [100.0 + over_s * number / (repeats - 1) for number in range(repeats)]
+    for at in times:
+        lines.add(f"x{at}", "safe", 0.0, [(at, 1.5), (at, 1.5)])
+    assert ["BUDGET register" in problem for problem in lines.problems()] == (
+        [True] * found
+    )
