--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -115,6 +115,9 @@
         self._waiting = 0
         self.event_count = 5
         self.event_pause_s = 0.02
+        # Not set while it stands still: it reads and answers nothing.
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.address = None
         self.runs = {}
         self.left = []
@@ -150,6 +153,7 @@
 
     async def answer(self, request, reader, writer):
         """Answer a request; return whether the connection stays open."""
+        await self.awake.wait()
         if "x-attempt-id" not in request.fields:
             writer.write(encode("HTTP/1.1 400 No", {"X-Not-Executed": "1"}, b""))
             return True
@@ -201,6 +205,7 @@
             if request.start[1].startswith(("/stream", "/tail")):
                 return await self._stream(name, fields, writer, gone)
             await asyncio.wait({gone}, timeout=self.work_s)
+            await self.awake.wait()
             if gone.done():
                 self.left.append((name, loop.time()))
                 return False
@@ -222,6 +227,7 @@
         first = int(fields.get("last-event-id", 0)) + 1
         for number in range(first, self.event_count + 1):
             await asyncio.wait({gone}, timeout=self.event_pause_s)
+            await self.awake.wait()
             if gone.done():
                 self.left.append((name, asyncio.get_running_loop().time()))
                 return False
