Log and count how a request is taken up, how old answers are, and refunded retries

A handover that a replica takes up by its silence could not be told from one that it answers, nor a cut of the gateway from a silence of all replicas. New event attempt_taken_up, new field answer_age_ms of service_cut_off, service_down and service_reached, new counters of taken-up attempts and refunded retries.

--- a/packages/kernel/src/lentilshore_kernel/served_metrics.py
+++ b/packages/kernel/src/lentilshore_kernel/served_metrics.py
@@ -74,6 +74,18 @@
         "cause",
         "Timeouts after which no other attempt took the place of the first, by cause",
     ),
+    MetricFamily(
+        "attempt_taken_up",
+        "lentilshore_taken_up_attempts",
+        "cause",
+        "Attempts that took the place of silent ones, by what showed that they go on",
+    ),
+    MetricFamily(
+        "retry_refunded",
+        "lentilshore_refunded_retries",
+        "cause",
+        "Retries given back to the budget, by cause",
+    ),
     MetricFamily(
         "crash",
         "lentilshore_replica_crashes",
--- a/packages/node/src/lentilshore_node/delivery/attempts.py
+++ b/packages/node/src/lentilshore_node/delivery/attempts.py
@@ -247,6 +247,7 @@
         if self._last_retry_paid:
             self._last_retry_paid = False
             self._context.retries.refund(self._scope.group)
+            self._context.metrics.count("retry_refunded.not_sent")
 
     def record_outcome(self, error: UpstreamError) -> None:
         """Record how the last attempt ended."""
--- a/packages/node/src/lentilshore_node/delivery/handover.py
+++ b/packages/node/src/lentilshore_node/delivery/handover.py
@@ -166,8 +166,9 @@
             with raising_upstream_errors():
                 begun = begun._replace(call=await self._send(begun.plan))
                 self._begun = begun
-                await self._wait_for_rejection(begun)
+                answered = await self._wait_for_rejection(begun)
             taken_up = self._taken_up = True
+            self._report_taken_up(begun.plan.lease.replica.name, answered)
         except UpstreamError as error:
             failure = error
             self._loop.record_outcome(error)
@@ -196,12 +197,27 @@
             begun.call.end()
         self._loop.release(plan.lease, failure)
 
-    async def _wait_for_rejection(self, begun: BegunAttempt) -> None:
+    async def _wait_for_rejection(self, begun: BegunAttempt) -> bool:
+        """Return whether the replica answers within the time, other than to reject."""
         try:
             response = await begun.call.wait_for_head(TAKE_UP_S)
         except CallTimedOutError:
-            return
+            return False
         self._check_head(begun.plan, response, begun.started_at)
+        return True
+
+    def _report_taken_up(self, replica: str, answered: bool) -> None:
+        """Log and count by what a replica has taken the attempt up."""
+        cause = "answer" if answered else "no_rejection"
+        self._context.metrics.count(f"attempt_taken_up.{cause}")
+        answer_age_s = self._context.placement.answer_age_s(replica)
+        log_event(
+            "attempt_taken_up",
+            request=self._request_id,
+            replica=replica,
+            cause=cause,
+            answer_age_ms=f"{answer_age_s * 1000:.0f}",
+        )
 
     def _report_kept(self, cause: str) -> None:
         """Log and count why the current attempt is still followed."""
--- a/packages/node/src/lentilshore_node/state/service_reach.py
+++ b/packages/node/src/lentilshore_node/state/service_reach.py
@@ -169,6 +169,7 @@
         :param peers: gateways that reach the service, if this one does not.
         """
         known = self._known(service)
+        answer_age_s = self._clock.monotonic() - known.proved_at
         changed = known.reach is not reach
         needless = known.reach is Reach.SUSPECTED and reach is Reach.REACHED
         known.reach, known.peers = reach, peers
@@ -188,6 +189,7 @@
                 service=service,
                 replicas=len(self.replicas(service)),
                 peers=len(peers),
+                answer_age_ms=f"{answer_age_s * 1000:.0f}",
             )
         known.verdict.set()
 
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
@@ -64,7 +65,7 @@
         )
         self.consecutive_failures = 0
         self.ejected_until = 0.0
-        self.last_answered_at = 0.0
+        self.last_answered_at = -math.inf
         self.cached_prefixes: OrderedDict[str, None] = OrderedDict()
 
 
@@ -380,10 +381,18 @@
         :param name: name of the replica.
         :param within_s: how recently, seconds.
         """
+        return self.answer_age_s(name) <= within_s
+
+    def answer_age_s(self, name: str) -> float:
+        """Return the time since a replica last answered any request, seconds.
+
+        :param name: name of the replica.
+        :returns: infinite if it never has.
+        """
         state = self._states.get(name)
         if state is None:
-            return False
-        return self._clock.monotonic() - state.last_answered_at <= within_s
+            return math.inf
+        return self._clock.monotonic() - state.last_answered_at
 
     def record_load_report(
         self, name: str, work_tokens: float, report_age_s: float
