Count a forwarded request for the retry budget where it is sent only

A request that was rejected and then forwarded was repeated without a retry of the budget.

Cause: a gateway counted what it was asked to serve before it was known whether it would. Class: one event counted by all that hear of it. The gateway that sends the request counts it, and its refusal tells so (sent, false for an earlier release, which counts as before).

tests/test_retry_budgets.py::test_a_forwarded_request_that_gateways_refuse_earns_no_retries failed before: three counted it.

--- a/packages/kernel/src/lentilshore_kernel/exceptions.py
+++ b/packages/kernel/src/lentilshore_kernel/exceptions.py
@@ -140,7 +140,7 @@
         does not help.
 
     The attribute ``request_id`` holds the identifier of the request, empty until the
-    request has one.
+    request has one, and ``sent`` whether it was sent to an upstream.
     """
 
     def __init__(
@@ -155,6 +155,7 @@
         self.detail = detail or reason.value.replace("_", " ")
         self.retry_after_s = retry_after_s
         self.request_id = ""
+        self.sent = False
         super().__init__(f"{reason.value}: {self.detail}")
 
     @property
--- a/packages/node/src/lentilshore_node/clients/forwarded_requests.py
+++ b/packages/node/src/lentilshore_node/clients/forwarded_requests.py
@@ -61,6 +61,7 @@
     execution: Execution
     detail: str
     retry_after_s: float | None
+    sent: bool = False
 
 
 def admission_checksum(route: Route, customer: KeyOwner | None) -> int:
@@ -95,7 +96,11 @@
     """Return the body of an answer with a refusal."""
     return msgspec.msgpack.encode(
         _Refusal(
-            refusal.reason, refusal.execution, refusal.detail, refusal.retry_after_s
+            refusal.reason,
+            refusal.execution,
+            refusal.detail,
+            refusal.retry_after_s,
+            refusal.sent,
         )
     )
 
@@ -109,7 +114,9 @@
     retry_after_s = told.retry_after_s
     if retry_after_s is not None and not 0.0 <= retry_after_s < math.inf:
         retry_after_s = None
-    return RefusalError(told.reason, told.execution, told.detail, retry_after_s)
+    refusal = RefusalError(told.reason, told.execution, told.detail, retry_after_s)
+    refusal.sent = told.sent
+    return refusal
 
 
 def answer_field(call_id: int, kind: str) -> tuple[str, str]:
--- a/packages/node/src/lentilshore_node/delivery/attempt_sender.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_sender.py
@@ -40,6 +40,7 @@
     :param relay: knows which events the caller has.
     :param proof: is told of each attempt that is sent.
     :param crashes: knows whether the request bears a blamed cause.
+    :param record_send: called right before each attempt is sent.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         relay: AnswerRelay,
         proof: ExecutionProof,
         crashes: CrashWatch,
+        record_send: Callable[[], None],
     ) -> None:
         self._context = context
         self._check_key = check_key
@@ -63,6 +65,7 @@
         self._relay = relay
         self._proof = proof
         self._crashes = crashes
+        self._record_send = record_send
         # Addresses that the request was sent to.
         self._sent_to: set[Address] = set()
 
@@ -136,6 +139,7 @@
             resume_after=self._relay.resume_after,
         )
         data = self._context.translator.encode_attempt(self._request, attempt)
+        self._record_send()
         self._proof.begin()
         self._sent_to.add(plan.lease.replica.address)
         return data
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -131,6 +131,10 @@
             limit_s = min(limit_s, request.deadline_s)
         self._deadline_at = received_at + limit_s
         self._forwarded = forwarded
+        # Whether the request counts for the retry budget of this gateway or another.
+        self._counted = forwarded is not None and forwarded.counted
+        # Whether an attempt was sent to a replica.
+        self._sent = False
         self._max_attempts = route.max_attempts
         if forwarded is not None:
             self._max_attempts = min(route.max_attempts, forwarded.attempts_left)
@@ -174,6 +178,7 @@
             self._relay,
             self._proof,
             self._crashes,
+            self._record_send,
         )
         self._handover = Handover(
             context,
@@ -237,6 +242,7 @@
                 return await self._run()
         except RefusalError as refusal:
             self._proof.apply_to(refusal)
+            refusal.sent = self._sent
             raise
         finally:
             self._measurements.end()
@@ -263,19 +269,33 @@
 
     async def _serve(self) -> int:
         """Send the request to replicas, or through a gateway that may."""
-        counted = self._forwarded is not None and self._forwarded.counted
         if self._forwarded is not None:
             await self._wait_for_place()
         elif self._context.serving_peers.must_serve(self._service):
-            return await self._forward(counted)
-        if not counted:
-            self._context.retries.record_first_attempt(self._service)
+            return await self._forward()
+        else:
+            self._count_request()
         try:
             return await self._serve_directly()
         except (UpstreamError, RefusalError) as error:
             if not await self._may_forward_after(error):
                 raise
-        return await self._forward(counted=True)
+        return await self._forward()
+
+    def _record_send(self) -> None:
+        """Record that the request is sent to a replica.
+
+        A request that this gateway serves for another one counts from then on only,
+        since others may count it if this one refuses it.
+        """
+        self._sent = True
+        self._count_request()
+
+    def _count_request(self) -> None:
+        """Count the request for the retry budget, unless that was done."""
+        if not self._counted:
+            self._counted = True
+            self._context.retries.record_first_attempt(self._service)
 
     async def _serve_directly(self) -> int:
         status = await self._loop.run(self._attempt)
@@ -284,10 +304,10 @@
             status = await self._loop.run(self._attempt)
         return status
 
-    async def _forward(self, counted: bool) -> int:
+    async def _forward(self) -> int:
         """Have another gateway serve the request, or serve it once none is left."""
         try:
-            return await self._forwarding.run(counted)
+            return await self._forwarding.run(self._counted)
         except RefusalError as refusal:
             # This gateway may have become the dispatcher of a replica meanwhile.
             dispatches = self._context.replica_room.is_scarce(
@@ -297,8 +317,7 @@
                 raise
             if self.retry_denial() is not None:
                 raise
-        if not counted:
-            self._context.retries.record_first_attempt(self._service)
+            self._counted = self._counted or self._forwarding.counted
         return await self._serve_directly()
 
     async def _wait_for_place(self) -> None:
@@ -317,7 +336,7 @@
     async def _may_forward_after(self, error: UpstreamError | RefusalError) -> bool:
         """Return whether another gateway may serve a request that failed here.
 
-        A request that may have run has taken its retry before its replica was chosen.
+        A request for which no replica could be chosen has taken its retry before.
         """
         if self._forwarded is not None or self.retry_denial() is not None:
             return False
@@ -326,7 +345,11 @@
         ):
             return False
         await self._context.reach.wait_for_verdict(self._service)
-        return self._forwarding.available
+        if not self._forwarding.available:
+            return False
+        if not self._sent or isinstance(error, RefusalError):
+            return True
+        return self.take_retry(error.execution) is None
 
     @property
     def execution(self) -> Execution:
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -176,14 +176,21 @@
         self._sent = False
         self._answered = False
         self._lost = False
-        # Whether this gateway has counted the request itself.
+        # Whether this gateway or another one has counted the request meanwhile.
         self._counted = False
+        # Whether another gateway has sent it to a replica and refused it.
+        self._sent_elsewhere = False
 
     @property
     def available(self) -> bool:
         """Whether another gateway is known that serves what this one can't."""
         return self._context.serving_peers.has_any(self._service)
 
+    @property
+    def counted(self) -> bool:
+        """Whether the request was counted for the retry budget meanwhile."""
+        return self._counted
+
     async def run(self, counted: bool) -> int:
         """Return the status of the answer, which has been relayed.
 
@@ -214,6 +221,8 @@
             except RefusalError as refusal:
                 last = refusal
                 self._report_failure(peer, refusal)
+                self._sent_elsewhere = self._sent_elsewhere or refusal.sent
+                self._counted = self._counted or refusal.sent
                 if not (counted or self._counted) and self._may_have_run:
                     # The gateway that has counted it may have ended.
                     self._context.retries.record_first_attempt(self._service)
@@ -381,7 +390,9 @@
         if self._state.retry_denial() is not None:
             return False
         if not self._may_have_run:
-            return refusal.reason in ELSEWHERE_REASONS
+            if refusal.reason not in ELSEWHERE_REASONS:
+                return False
+            return not self._sent_elsewhere or await self._take_retry(Execution.NOT_RUN)
         if not self._route.delivery_mode.repeatable:
             return False
         if refusal.execution is Execution.NOT_RUN:
