Divide the extra retries among all gateways, from one window after a start on

Seen as repeats beyond the budget (BUDGET, window) of services with few requests: each gateway made up to four extra retries, 316 of 79 gateways where 198 are allowed, and a gateway that started again made them once more in the same window: 144 of 9 gateways that were restarted three times, where 58 are allowed.

Cause: the share of a bound was fixed for 12 gateways and held for one process. Class: a bound of the fleet that each process keeps by itself, without knowing the fleet or its own past. The extra retries are divided among the gateways that are known, twelve at least, and made only once the process has run for a window, so that those of the process before have left it.

The tests' gateways that are not about a start are older than a window.

--- a/packages/node/src/lentilshore_node/state/serving_peers.py
+++ b/packages/node/src/lentilshore_node/state/serving_peers.py
@@ -56,6 +56,11 @@
         now = self._clock.monotonic()
         return [name for name, until in self._unfit_until.items() if until > now]
 
+    @property
+    def gateway_count(self) -> int:
+        """Number of known gateways, this one included."""
+        return len(self._entries) + 1
+
     def set_gateways(self, entries: Iterable[GatewayEntry]) -> None:
         """Replace the list of the other gateways."""
         self._entries = {entry.name: entry for entry in entries}
--- a/packages/routing/src/lentilshore_routing/retries.py
+++ b/packages/routing/src/lentilshore_routing/retries.py
@@ -51,7 +51,7 @@
     :param ratio: retries allowed per first attempt.
     :param max_ratio: retries allowed per first attempt, those included that are kept
         for requests that were not rejected.
-    :param reserve: additional retries allowed in each window.
+    :param reserve: returns the additional retries allowed in each window.
     :param window_s: length of the window, seconds.
     :param clock: provides the time.
     """
@@ -60,7 +60,7 @@
         self,
         ratio: float,
         max_ratio: float,
-        reserve: float,
+        reserve: Callable[[], float],
         window_s: float,
         clock: Clock,
     ) -> None:
@@ -81,7 +81,7 @@
         """Return whether a retry is allowed now, see :class:`RetryBudget`."""
         self._drop_expired(self._first_attempts)
         self._drop_expired(self._retries)
-        allowed = self._reserve + self._ratio * len(self._first_attempts)
+        allowed = self._reserve() + self._ratio * len(self._first_attempts)
         if not after_rejection:
             beyond_ratio = self._max_ratio - self._ratio
             allowed += min(KEPT_RETRIES, beyond_ratio * len(self._first_attempts))
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -394,6 +394,7 @@
             ServedMetrics(),
             self.http,
             HeaderTranslator(),
+            started_at=SystemClock().monotonic() - BOUNDS.retry_window_s,
         )
         self.task = None
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -171,6 +171,7 @@
             ServedMetrics(),
             http,
             HeaderTranslator(),
+            started_at=clock.monotonic() - BOUNDS.retry_window_s,
         )
         view = self.context.view
         view.replace_replicas([self._record("i-1"), self._record("i-2")])
