Take a silence that all replicas share for no cut of the gateway

A stream that has begun and finds no gateway left is cut (LOST); what is given up and sent again costs attempts and retries (BUDGET).

Cause: a gateway said that it reaches a service for 1 s after an answer, also where that answer was older than the asker's silence. Class: a comparison with evidence from before the event. The question tells how old the asker's last answer is (a new field, which earlier releases ignore); an answer proves a cut only if it came 0.3 s later than that, else the gateway asked probes.

--- a/packages/node/src/lentilshore_node/peers/reach_monitor.py
+++ b/packages/node/src/lentilshore_node/peers/reach_monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
@@ -15,7 +16,7 @@
 from ..clients.fleet_source import GatewayEntry
 from ..clients.http_connection import CallBrokenError, CallNotSentError
 from ..state.gateway_context import PEER_BODY_LIMIT_BYTES, PEER_PATHS, GatewayContext
-from ..state.service_reach import Reach
+from ..state.service_reach import EVIDENCE_S, Reach
 from .gateway_directory import GatewayDirectory
 
 T = TypeVar("T")
@@ -27,6 +28,8 @@
 # Replicas probed at once. All of them must fail before a service counts as cut off.
 PROBED_REPLICAS = 4
 CALL_TIMEOUT_S = 0.3
+# Answers of the last replicas before a silence of all come at most this far apart.
+SAME_SILENCE_S = 0.3
 # Pause between two examinations of a service that is out of reach, before jitter. It
 # doubles, up to the limit, while no other gateway is known to reach it either.
 EXAMINATION_INTERVAL_S = 0.3
@@ -45,9 +48,15 @@
 
 
 class ReachQuestion(msgspec.Struct):
-    """Asks whether a gateway reaches a service."""
+    """Asks whether a gateway reaches a service.
+
+    :param service: name of the service.
+    :param answer_age_s: time since a replica last answered the sender, seconds; None if
+        none has, or if the sender does not tell.
+    """
 
     service: str
+    answer_age_s: float | None = None
 
 
 class ReachAnswer(msgspec.Struct):
@@ -95,19 +104,20 @@
         :raises UnreadableReachError: if the question can't be read.
         """
         question = _decode(body, ReachQuestion)
-        reached = await self._reaches(question.service)
+        reached = await self._reaches(question)
         peers = [peer.name for peer in self._reach.peers(question.service)]
         stopping = self._context.draining
         return msgspec.msgpack.encode(
             ReachAnswer(reached, peers[:TOLD_PEERS], stopping)
         )
 
-    async def _reaches(self, service: str) -> bool:
+    async def _reaches(self, question: ReachQuestion) -> bool:
+        service = question.service
         if not self._context.accepts_requests or not self._context.view.complete:
             return False
         if self._reach.state(service) is not Reach.REACHED:
             return False
-        if self._reach.is_proved(service):
+        if self._reach.is_proved(service, _proof_age_s(question.answer_age_s)):
             return True
         return bool(await self._probe_some(service))
 
@@ -205,7 +215,9 @@
 
     async def _ask(self, service: str, peer: GatewayEntry) -> bool:
         context = self._context
-        body = msgspec.msgpack.encode(ReachQuestion(service))
+        age_s = self._reach.answer_age_s(service)
+        question = ReachQuestion(service, age_s if age_s < math.inf else None)
+        body = msgspec.msgpack.encode(question)
         try:
             reply = await context.http.request(
                 "POST",
@@ -236,6 +248,16 @@
         return answer.reached
 
 
+def _proof_age_s(answer_age_s: float | None) -> float:
+    """Return up to which age an answer here proves that only the asker is cut off.
+
+    Replicas that have fallen silent for all answered both until the same moment.
+    """
+    if answer_age_s is None or math.isnan(answer_age_s):
+        return EVIDENCE_S
+    return min(EVIDENCE_S, answer_age_s - SAME_SILENCE_S)
+
+
 async def _select(items: list[T], accepts: Callable[[T], Awaitable[bool]]) -> list[T]:
     """Return the items that are accepted, all being asked at the same time."""
     accepted: set[int] = set()
--- a/packages/node/src/lentilshore_node/state/service_reach.py
+++ b/packages/node/src/lentilshore_node/state/service_reach.py
@@ -117,12 +117,24 @@
         """Record that a replica has not answered a request in time."""
         self._record_failure(service, replica, silent=True)
 
-    def is_proved(self, service: str) -> bool:
-        """Return whether a replica has answered lately."""
-        known = self._services.get(service)
-        if known is None or known.reach is not Reach.REACHED:
+    def is_proved(self, service: str, within_s: float = EVIDENCE_S) -> bool:
+        """Return whether a service is in reach and a replica has answered lately.
+
+        :param within_s: how lately, seconds.
+        """
+        if self.state(service) is not Reach.REACHED:
             return False
-        return self._clock.monotonic() - known.proved_at <= EVIDENCE_S
+        return self.answer_age_s(service) <= within_s
+
+    def answer_age_s(self, service: str) -> float:
+        """Return the time since a replica last answered, seconds.
+
+        :returns: infinite if none has.
+        """
+        known = self._services.get(service)
+        if known is None:
+            return math.inf
+        return self._clock.monotonic() - known.proved_at
 
     def peers(self, service: str) -> Sequence[GatewayEntry]:
         """Return the gateways that serve a service which this node can't reach."""
@@ -169,7 +181,7 @@
         :param peers: gateways that reach the service, if this one does not.
         """
         known = self._known(service)
-        answer_age_s = self._clock.monotonic() - known.proved_at
+        answer_age_s = self.answer_age_s(service)
         changed = known.reach is not reach
         needless = known.reach is Reach.SUSPECTED and reach is Reach.REACHED
         known.reach, known.peers = reach, peers
--- a/tests/test_service_reach.py
+++ b/tests/test_service_reach.py
@@ -1,6 +1,9 @@
 """When a service is suspected to be out of reach, and when not."""
 
+import math
+
 import anyio
+import msgspec
 import pytest
 
 from lentilshore_kernel.served_metrics import ServedMetrics
@@ -136,3 +139,49 @@
             RoomExchange(harness.context, None).answer(body)
 
     anyio.run(main)
+
+
+# An answer from before the asker's silence proves nothing. Senders of earlier releases
+# tell no age, and are answered as before.
+@pytest.mark.parametrize(
+    ("own_age_s", "told_age_s", "probed"),
+    [
+        (0.0, 1.0, False),
+        (0.5, 1.0, False),
+        (0.8, 1.0, True),
+        (0.0, 0.2, True),
+        (0.9, 9.0, False),
+        (1.1, 9.0, True),
+        (0.9, None, False),
+        (0.9, math.nan, False),
+    ],
+)
+def test_which_answers_prove_that_only_the_asker_is_cut_off(
+    own_age_s, told_age_s, probed
+):
+    clock = FakeClock()
+    harness = GatewayHarness([], ONCE_ROUTE)
+    harness.assemble(clock, None)
+    monitor = ReachMonitor(harness.context, None)
+    probes = []
+
+    async def probe(service):
+        probes.append(service)
+        return []
+
+    monitor._probe_some = probe
+    harness.context.reach.record_answer("pool", fresh_connection=True)
+    clock.advance(own_age_s)
+    question = {"service": "pool", "answer_age_s": told_age_s}
+    answer = anyio.run(monitor.answer, msgspec.msgpack.encode(question))
+    assert msgspec.msgpack.decode(answer)["reached"] is not probed
+    assert bool(probes) is probed
+
+
+def test_a_question_of_an_earlier_release_is_read():
+    harness = GatewayHarness([], ONCE_ROUTE)
+    harness.assemble(FakeClock(), None)
+    harness.context.reach.record_answer("pool", fresh_connection=True)
+    monitor = ReachMonitor(harness.context, None)
+    answer = anyio.run(monitor.answer, msgspec.msgpack.encode({"service": "pool"}))
+    assert msgspec.msgpack.decode(answer)["reached"]
--- a/tests/test_shared_silences.py
+++ b/tests/test_shared_silences.py
@@ -39,14 +39,15 @@
 # LOST and BUDGET: gateways said that they reach the service by answers from before the
 # silence, so that each other one took the silence for a cut of its own, gave attempts
 # up, and had its requests sent to the same replicas by others.
-def test_a_silence_of_all_replicas_is_not_taken_for_a_cut():
+@pytest.mark.parametrize("answering", [0, 1])
+def test_a_silence_of_many_replicas_is_not_taken_for_a_cut(answering):
     async def main():
-        async with running_fleet(4, replicas()) as fleet:
+        async with running_fleet(4, replicas(9)) as fleet:
             callers = Callers()
-            load = asyncio.create_task(callers.run(fleet.gateways * 4, 2.5, KINDS))
+            load = asyncio.create_task(callers.run(fleet.gateways * 6, 2.5, KINDS))
             await asyncio.sleep(0.5)
             states, _ = await asyncio.gather(
-                states_of(fleet.gateways, 2.0), silence(fleet.replicas)
+                states_of(fleet.gateways, 2.0), silence(fleet.replicas[answering:])
             )
             await load
             return states, callers.statuses_of_all()
