Hand a request over to no replica that is as silent as its own

Seen by replicas as repeats while nothing is broken (BUDGET): in a silence of all replicas of a service, each stalled request was sent to a second and a third one that stood still too.

Cause: silence was read as consent. Class: the absence of a message is taken for a statement. A replica that answers takes it over as before.

--- a/packages/node/src/lentilshore_node/delivery/attempt_planner.py
+++ b/packages/node/src/lentilshore_node/delivery/attempt_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 from lentilshore_routing.placement import ReplicaLease
@@ -18,6 +19,8 @@
 # Work that every request counts for when loads are compared; a call of a plain service
 # counts for no more than this.
 BASE_WORK_TOKENS = 16.0
+# Replicas that fall silent together have sent their last data at different times.
+SHARED_SILENCE_SHARE = 0.5
 # An engine reads about this many prompt tokens in the time of generating one token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 16.0
 
@@ -52,13 +55,21 @@
         self._proof = proof
         self._crashes = crashes
 
-    def plan(self, model: str, tried: Sequence[str], excluded: str = "") -> AttemptPlan:
+    def plan(
+        self,
+        model: str,
+        tried: Sequence[str],
+        excluded: str = "",
+        silent_s: float = math.inf,
+    ) -> AttemptPlan:
         """Choose a version and a replica for an attempt.
 
         :param model: model of the attempt, empty where the route names none.
         :param tried: names of replicas at which attempts have failed.
         :param excluded: name of a replica that must not be chosen, and besides which
             an ejected one is not chosen either; empty for none.
+        :param silent_s: time for which that replica has been silent, seconds. One that
+            has been silent for :data:`SHARED_SILENCE_SHARE` of it is not chosen either.
         :raises RefusalError: ``no_upstream`` if no replica is available,
             ``upstream_unreachable`` if only other gateways reach the service,
             ``key_unproved`` if the caller's key may have been withdrawn, or
@@ -82,7 +93,7 @@
         group = f"{self._service}@{version or ''}"
         lease = None
         if version is not None:
-            lease = self._choose_replica(group, model, tried, excluded)
+            lease = self._choose_replica(group, model, tried, excluded, silent_s)
         if lease is None:
             raise no_replica_refusal(
                 self._context.placement, group, self._proof.execution
@@ -90,7 +101,12 @@
         return AttemptPlan(rollout, version, model, lease)
 
     def _choose_replica(
-        self, group: str, model: str, tried: Sequence[str], excluded: str
+        self,
+        group: str,
+        model: str,
+        tried: Sequence[str],
+        excluded: str,
+        silent_s: float,
     ) -> ReplicaLease | None:
         request, placement = self._request, self._context.placement
         prefix, _ = shared_prefix(request.parts, model)
@@ -100,7 +116,9 @@
             work += request.output_tokens
         if not excluded:
             return placement.choose_untried_first(group, work, prefix, tried=tried)
-        for names in ([*tried, excluded], [excluded]):
+        shared_s = silent_s * SHARED_SILENCE_SHARE
+        unfit = [excluded, *placement.silent_replicas(group, shared_s)]
+        for names in ([*tried, *unfit], unfit):
             if placement.has_usable(group, names):
                 return placement.choose(group, work, prefix, excluded=names)
         return None
--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -586,8 +586,9 @@
             or not self._crashes.may_retry
         ):
             return False
+        silent_s = self._context.clock.monotonic() - self._waiting_since
         return await self._handover.begin(
-            partial(self._planner.plan, model, self._loop.tried, excluded)
+            partial(self._planner.plan, model, self._loop.tried, excluded, silent_s)
         )
 
     async def _relay_buffered(
--- a/packages/routing/src/lentilshore_routing/placement.py
+++ b/packages/routing/src/lentilshore_routing/placement.py
@@ -66,8 +66,15 @@
         self.consecutive_failures = 0
         self.ejected_until = 0.0
         self.last_answered_at = -math.inf
+        # When the first of the requests in flight was sent to it.
+        self.busy_since = -math.inf
         self.cached_prefixes: OrderedDict[str, None] = OrderedDict()
 
+    def waits_since(self, time: float) -> bool:
+        """Return whether requests have waited since a time without any answer."""
+        last_active_at = max(self.last_answered_at, self.busy_since)
+        return self.in_flight > 0 and last_active_at <= time
+
 
 class ReplicaLease(NamedTuple):
     """Capacity of a replica taken for one attempt, until :meth:`Placement.release`.
@@ -203,6 +210,8 @@
         )
         cached = bool(prefix) and prefix in state.cached_prefixes
         self._limits.take(replica.name)
+        if not state.in_flight:
+            state.busy_since = now
         state.in_flight += 1
         state.batch_in_flight += batch
         state.local_work_tokens += work_tokens
@@ -394,6 +403,17 @@
             return math.inf
         return self._clock.monotonic() - state.last_answered_at
 
+    def silent_replicas(self, group: str, silent_s: float) -> list[str]:
+        """Return the replicas that have answered nothing though requests wait there.
+
+        :param group: version or service.
+        :param silent_s: for at least how long, seconds.
+        """
+        replica_group = self._groups.get(group)
+        replicas = replica_group.replicas if replica_group else ()
+        since = self._clock.monotonic() - silent_s
+        return [r.name for r in replicas if self._states[r.name].waits_since(since)]
+
     def record_load_report(
         self, name: str, work_tokens: float, report_age_s: float
     ) -> None:
--- a/tests/test_shared_silences.py
+++ b/tests/test_shared_silences.py
@@ -4,11 +4,16 @@
 
 import pytest
 
+from lentilshore_node.delivery.handover import TAKE_UP_S
 from lentilshore_node.state.service_reach import Reach
+from lentilshore_routing.timeouts import WHOLE_ANSWER_OBJECTIVE_FACTOR
 from tests.gateway_fleet import SERVICE, Callers, StandinReplica, running_fleet
 
 KINDS = ("once", "safe", "stream", "tail")
 SILENCE_S = 1.0
+# A request for which an answer is awaited goes to another replica within this time.
+LONGEST_S = 0.4 * WHOLE_ANSWER_OBJECTIVE_FACTOR + TAKE_UP_S
+LONG_SILENCE_S = 1.25
 
 pytestmark = pytest.mark.usefixtures("early_gateway_lists")
 
@@ -55,3 +60,52 @@
     states, statuses = asyncio.run(main())
     assert Reach.CUT_OFF not in states
     assert set(statuses) == {200}
+
+
+# BUDGET: in a silence of all replicas, each request was sent again to one that was as
+# silent, which took it up by not rejecting it.
+@pytest.mark.parametrize("kind", ["safe", "stream"])
+def test_a_silence_of_all_replicas_repeats_no_request(kind):
+    async def main():
+        sound = replicas(3)
+        for replica in sound:
+            replica.work_s = 0.1
+        async with running_fleet(2, sound) as fleet:
+            callers = Callers()
+            many = fleet.gateways * 10
+            load = asyncio.create_task(callers.run(many, 2.6, [kind], pause_s=0.02))
+            await asyncio.sleep(0.6)
+            before = taken_up(fleet)
+            for replica in sound:
+                replica.awake.clear()
+            await asyncio.sleep(LONG_SILENCE_S)
+            repeats = taken_up(fleet) - before
+            for replica in sound:
+                replica.awake.set()
+            await load
+            return repeats, callers.statuses_of_all()
+
+    repeats, statuses = asyncio.run(main())
+    assert repeats == 0
+    assert set(statuses) == {200}
+
+
+def taken_up(fleet):
+    return sum(gateway.count("taken_up_attempts") for gateway in fleet.gateways)
+
+
+# A replica that answers others while one is silent takes its requests over.
+def test_requests_of_a_silent_replica_go_to_those_that_answer():
+    async def main():
+        async with running_fleet(2, replicas(3)) as fleet:
+            callers = Callers()
+            load = asyncio.create_task(callers.run(fleet.gateways * 6, 2.6, ["safe"]))
+            await asyncio.sleep(0.6)
+            await silence(fleet.replicas[:1], LONG_SILENCE_S)
+            await load
+            return fleet, callers
+
+    fleet, callers = asyncio.run(main())
+    assert set(callers.statuses_of_all()) == {200}
+    assert max(answer.took_s for answer in callers.answers) < LONGEST_S
+    assert taken_up(fleet) > 0
