Keep a silent attempt while no gateway would serve it, and go on here after a cut

Seen by callers as a stream that breaks off, 502 or 504 though the replicas are sound (LOST): a gateway that takes itself for cut off gave up attempts at silent replicas for other gateways. Where none was known, or all refused, the request ended at once, or waited for others to the end of its time though its own gateway reached the replicas again.

Cause: an attempt was let go before it was known who would take it; the wait for gateways never looked at the way of its own. An attempt is left for other gateways only while one is known; a request that may have run waits for one, or for its own gateway.

--- a/packages/node/src/lentilshore_node/delivery/delivery.py
+++ b/packages/node/src/lentilshore_node/delivery/delivery.py
@@ -275,6 +275,10 @@
             return await self._forward()
         else:
             self._count_request()
+        return await self._serve_here_or_forward()
+
+    async def _serve_here_or_forward(self) -> int:
+        """Send the request to replicas, or have another gateway do so if that fails."""
         try:
             return await self._serve_directly()
         except (UpstreamError, RefusalError) as error:
@@ -309,16 +313,25 @@
         try:
             return await self._forwarding.run(self._counted)
         except RefusalError as refusal:
-            # This gateway may have become the dispatcher of a replica meanwhile.
-            dispatches = self._context.replica_room.is_scarce(
-                self._service
-            ) and self._context.placement.has_place(self._service)
-            if not dispatches or refusal.reason not in ELSEWHERE_REASONS:
-                raise
-            if self.retry_denial() is not None:
+            if refusal.reason not in ELSEWHERE_REASONS or not self._may_serve_here:
                 raise
-            self._counted = self._counted or self._forwarding.counted
-        return await self._serve_directly()
+        self._counted = self._counted or self._forwarding.counted
+        if not self.may_have_run:
+            return await self._serve_directly()
+        return await self._serve_here_or_forward()
+
+    @property
+    def _may_serve_here(self) -> bool:
+        """Whether this gateway may serve a request that no other one has served.
+
+        It may have become the dispatcher of a replica, or be back from a cut.
+        """
+        context, service = self._context, self._service
+        if self.retry_denial() is not None:
+            return False
+        if context.replica_room.is_scarce(service):
+            return context.placement.has_place(service)
+        return self.may_have_run and not context.serving_peers.must_serve(service)
 
     async def _wait_for_place(self) -> None:
         """Wait for a moment if all places that this gateway may use are taken."""
@@ -345,7 +358,8 @@
         ):
             return False
         await self._context.reach.wait_for_verdict(self._service)
-        if not self._forwarding.available:
+        unreachable = error.reason is RefusalReason.UPSTREAM_UNREACHABLE
+        if not self._forwarding.available and not (unreachable and self.may_have_run):
             return False
         if not self._sent or isinstance(error, RefusalError):
             return True
@@ -560,6 +574,8 @@
         """Whether the attempt is cut off, and another gateway may repeat it."""
         if self._forwarded is not None or self.retry_denial() is not None:
             return False
+        if not self._forwarding.available:
+            return False
         cut_off = self._context.reach.state(self._service) is Reach.CUT_OFF
         return cut_off and not self._is_last_attempt
 
--- a/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
+++ b/packages/node/src/lentilshore_node/delivery/peer_forwarding.py
@@ -195,19 +195,21 @@
         """Return the status of the answer, which has been relayed.
 
         :param counted: whether the request counts already for the retry budget.
-        :raises RefusalError: if no gateway serves it.
+        :raises RefusalError: if no gateway serves it, or if this one may do so again.
         """
         while True:
+            self._tried.clear()
+            self._exhausted = False
             try:
                 return await self._try_peers(counted)
             except RefusalError as refusal:
                 counted = counted or self._counted
                 if not self._may_wait_after(refusal):
                     raise
-            self._tried.clear()
-            self._exhausted = False
-            random_share = 0.5 + self._context.random.random()
-            await self._context.clock.sleep(PAUSE_S * random_share)
+                random_share = 0.5 + self._context.random.random()
+                await self._context.clock.sleep(PAUSE_S * random_share)
+                if not self._context.serving_peers.must_serve(self._service):
+                    raise
 
     async def _try_peers(self, counted: bool) -> int:
         last: RefusalError | None = None
--- a/tests/test_shared_silences.py
+++ b/tests/test_shared_silences.py
@@ -7,7 +7,13 @@
 from lentilshore_node.delivery.handover import TAKE_UP_S
 from lentilshore_node.state.service_reach import Reach
 from lentilshore_routing.timeouts import WHOLE_ANSWER_OBJECTIVE_FACTOR
-from tests.gateway_fleet import SERVICE, Callers, StandinReplica, running_fleet
+from tests.gateway_fleet import (
+    SERVICE,
+    Callers,
+    StandinReplica,
+    running_fleet,
+    send_one,
+)
 
 KINDS = ("once", "safe", "stream", "tail")
 SILENCE_S = 1.0
@@ -109,3 +115,40 @@
     assert set(callers.statuses_of_all()) == {200}
     assert max(answer.took_s for answer in callers.answers) < LONGEST_S
     assert taken_up(fleet) > 0
+
+
+async def lose_peers(gateway, other):
+    """Cut a gateway off, by what it knows, with nobody left that serves for it."""
+    gateway.context.reach.conclude(SERVICE, Reach.CUT_OFF, [])
+
+
+async def have_peers_refuse(gateway, other):
+    """Cut two gateways off, by what they know, that each ask the other."""
+    for one, peer in ((gateway, other), (other, gateway)):
+        one.context.reach.conclude(SERVICE, Reach.CUT_OFF, [peer.entry])
+
+
+# LOST: a stream whose replica was silent was given up for another gateway, and ended
+# where none would serve it, though this one reached the replicas again.
+@pytest.mark.parametrize("circumstance", [lose_peers, have_peers_refuse])
+@pytest.mark.parametrize("kind", ["safe", "stream"])
+def test_a_silent_request_that_no_gateway_serves_goes_on_here(kind, circumstance):
+    async def main():
+        async with running_fleet(2, replicas(2)) as fleet:
+            for replica in fleet.replicas:
+                replica.work_s = replica.event_pause_s = 0.05
+            gateway, other = fleet.gateways
+            sending = asyncio.create_task(send_one(gateway, kind, deadline_s=3.0))
+            await asyncio.sleep(0.1 if kind == "stream" else 0.02)
+            for replica in fleet.replicas:
+                replica.awake.clear()
+            await circumstance(gateway, other)
+            await asyncio.sleep(LONG_SILENCE_S)
+            for one in fleet.gateways:
+                one.context.reach.conclude(SERVICE, Reach.REACHED)
+            for replica in fleet.replicas:
+                replica.awake.set()
+            return await sending
+
+    answer = asyncio.run(main())
+    assert (answer.status, answer.complete) == (200, True)
