Prove the reach of a service by answers of the last quarter of a second only

An older answer proves nothing now; the gateway that is asked probes.

tests/test_service_reach.py: the cases of an answer 0.3 s ago failed before.

--- a/packages/node/src/lentilshore_node/state/service_reach.py
+++ b/packages/node/src/lentilshore_node/state/service_reach.py
@@ -19,8 +19,9 @@
 # Failures within this time, at different replicas, make a service suspected.
 FAILURE_WINDOW_S = 1.5
 SUSPICIOUS_REPLICAS = 2
-# An answer or a connection proves for this time that a service is in reach.
-EVIDENCE_S = 1.0
+# An answer proves for this time that a service is in reach, which is no longer than the
+# shortest timeout after which another gateway suspects it.
+EVIDENCE_S = 0.25
 # A service that was found in reach is not examined again for this time, which doubles
 # with each needless examination.
 EXAMINATION_PAUSE_S = 1.0
--- a/tests/test_service_reach.py
+++ b/tests/test_service_reach.py
@@ -147,13 +147,14 @@
     ("own_age_s", "told_age_s", "probed"),
     [
         (0.0, 1.0, False),
-        (0.5, 1.0, False),
-        (0.8, 1.0, True),
+        (0.2, 0.4, True),
+        (0.2, 0.6, False),
         (0.0, 0.2, True),
-        (0.9, 9.0, False),
-        (1.1, 9.0, True),
-        (0.9, None, False),
-        (0.9, math.nan, False),
+        (0.2, 9.0, False),
+        (0.3, 9.0, True),
+        (0.2, None, False),
+        (0.3, None, True),
+        (0.2, math.nan, False),
     ],
 )
 def test_which_answers_prove_that_only_the_asker_is_cut_off(
