--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -486,6 +486,17 @@
         decode_forwarded(body)
 
 
+def test_a_refusal_of_an_earlier_release_tells_of_nothing_sent():
+    told = {
+        "reason": "no_upstream",
+        "execution": "not_run",
+        "detail": "none",
+        "retry_after_s": None,
+    }
+    refusal = decode_forwarded_refusal(msgspec.msgpack.encode(told))
+    assert (refusal.reason, refusal.sent) == (RefusalReason.NO_UPSTREAM, False)
+
+
 def test_a_refusal_keeps_what_it_proves():
     refusal = RefusalError(RefusalReason.UPSTREAM_FULL, Execution.UNKNOWN, "full", 0.3)
     told = decode_forwarded_refusal(encode_forwarded_refusal(refusal))
