--- a/tests/soak/budgets.py
+++ b/tests/soak/budgets.py
@@ -7,7 +7,6 @@
 
 from tests.soak.callers import KINDS, STREAMS
 from tests.soak.fleet import BUDGET_WINDOW_S, service_of
-from tests.soak.plan import MAX_ATTEMPTS
 
 # Requests that may run on more replicas than their route allows.
 REQUESTS_OVER_ATTEMPTS = 3
@@ -24,6 +23,7 @@
     :param runs: runs by request.
     :param entries: lines of the replicas about arrivals, in the order in which they
         were read.
+    :param max_attempts: replicas that a request may run on, by kind of request.
     :param retry_budget: allowed share of the requests, and number of repeats beside it.
     :param was_lost: whether a replica ended or was cut off in a span of time.
     :param in_touch: whether a gateway was in touch at a time.
@@ -31,6 +31,7 @@
 
     runs: dict
     entries: list
+    max_attempts: dict
     retry_budget: tuple[float, float]
     was_lost: Callable
     in_touch: Callable
@@ -81,7 +82,7 @@
             for replica in (run["replica"] for run in runs)
             if not arrivals.was_lost(replica, sent.at, until)
         }
-        if len(replicas) > MAX_ATTEMPTS[sent.kind]:
+        if len(replicas) > arrivals.max_attempts[sent.kind]:
             over.append(f"{name} ({sent.kind}) by {sent.gateway} on {len(replicas)}")
     if len(over) > REQUESTS_OVER_ATTEMPTS:
         yield (
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -106,6 +106,7 @@
         return Arrivals(
             self._runs,
             entries,
+            self._fleet.max_attempts,
             self._fleet.retry_budget,
             self._was_lost,
             self._is_in_touch,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,7 +10,7 @@
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from typing import NamedTuple
 
-from tests.soak.callers import STREAMS
+from tests.soak.callers import KINDS, STREAMS
 from tests.soak.proxy import Link
 from tests.soak.replica import CRASH_STATUS, FAULT_PATH
 from tests.soak.store import CONTROL_PATH
@@ -226,6 +226,8 @@
         self.brittle_times = []
         # Share of the requests, and a number of repeats beside it.
         self.retry_budget = (0.9, 52)
+        # Replicas that a request may run on, by kind of request.
+        self.max_attempts = dict.fromkeys(KINDS, 3) | {"once": 1, "tail": 1}
         # Times at which replicas send answers that nobody asked for.
         self.broken = Disturbances()
         # Whether replicas come back under another identity at an address that refuses
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,7 +5,7 @@
 import time
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 
-from tests.soak.callers import HOST_HEADER, KINDS
+from tests.soak.callers import HOST_HEADER
 from tests.soak.fleet import REVOKE_MS
 from tests.soak.proxy import LinkFault
 
@@ -21,8 +21,6 @@
 STREAM_TIMEOUT_MS = 5000
 # Longer than the deadlines of these requests.
 LASTING_TIMEOUT_MS = 9000
-# Replicas that a request may run on, by kind of request.
-MAX_ATTEMPTS = {kind: 3 for kind in KINDS} | {"once": 1, "tail": 1}
 LIMIT_S = 8.0
 REPLICA_FAULTS = ("shed", "error", "lose", "hang", "extra", "unnamed")
 UNASKED_ANSWERS = ("extra", "unnamed")
@@ -347,7 +345,7 @@
             route
             | {
                 "path_prefix": f"/{route['name']}/",
-                "max_attempts": MAX_ATTEMPTS[route["name"]],
+                "max_attempts": self._fleet.max_attempts[route["name"]],
             }
             for route in routes
         ]
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -18,6 +18,8 @@
     "long-sized": 2,
     "long-tail": 1,
 }
+# Fewer than the replicas of any service, so that too many can be seen.
+HUSHED_ATTEMPTS = {"safe": 2, "stream": 2, "long": 2}
 SILENCE_S = 1.2
 # Time between the beginnings of two silences of one service's replicas.
 HUSH_GAP_S = 6.0
@@ -101,6 +103,7 @@
     def __init__(self, fleet, keys, random, log, upgrade_to=None):
         super().__init__(fleet, keys, random, log)
         fleet.retry_budget = RETRY_BUDGETS[0]
+        fleet.max_attempts |= HUSHED_ATTEMPTS
         self._upgrade_to = upgrade_to
         self._gap_s = FULL_GAP_S
         self._more_routes = False
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -436,6 +436,7 @@
         arrivals = Arrivals(
             self._runs,
             self._entries,
+            dict.fromkeys(KINDS, 3) | {"once": 1},
             self._retry_budget,
             lambda replica, begin, end: replica in self._lost_replicas,
             lambda gateway, at: self._in_touch,
