--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -45,6 +45,7 @@
     "medium": Size(5, {"register": 2, "pool": 5}, 40, 0.1),
     "usual": Size(8, {"register": 4, "pool": 8}, 60, 0.15),
     "dense": Size(6, {"register": 3, "pool": 9}, 120, 0.05),
+    "many": Size(24, {"register": 3, "pool": 9}, 120, 0.05),
     "large": Size(60, {"register": 20, "pool": 70}, 200, 0.8),
 }
 
