Soak: count no request on a connection that the gateway has refused

On the users' platform the gateway's host refuses such a connection. The link tells of connections that its target has refused; nothing was sent there. The bound on requests that cross a close is as it was.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -102,7 +102,8 @@
     async def _run_caller(self, pause_s):
         while not self.stopping:
             gateway = self._random.choice(self._fleet.gateways)
-            host, port = self._fleet.links[gateway.name].address.split(":")
+            link = self._fleet.links[gateway.name]
+            host, port = link.address.split(":")
             try:
                 reader, writer = await asyncio.open_connection(host, int(port))
             except OSError:
@@ -111,15 +112,18 @@
             try:
                 # Uses the connection until the gateway ends it.
                 while not self.stopping and await self._exchange(
-                    gateway.name, reader, writer
+                    gateway.name, link, reader, writer
                 ):
                     await asyncio.sleep(self._random.expovariate(1 / pause_s))
             finally:
                 reset(writer)
             await asyncio.sleep(RECONNECT_DELAY_S)
 
-    async def _exchange(self, gateway, reader, writer):
-        """Send a request and record its end; return whether to go on."""
+    async def _exchange(self, gateway, link, reader, writer):
+        """Send a request and record its end; return whether to go on.
+
+        A link accepts connections that its gateway refuses. No request was made then.
+        """
         request, data, deadline_s = self._new_request(gateway)
         self.sent[request.name] = request
         gives_up_s = None
@@ -133,6 +137,9 @@
             self.seen[request.name] = Seen(time.time(), left=True)
             return False
         except (EOFError, OSError):
+            if writer.get_extra_info("sockname") in link.refused:
+                del self.sent[request.name]
+                return False
             self.seen[request.name] = Seen(time.time())
             return False
         self.seen[request.name] = Seen(
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -35,6 +35,8 @@
         # Hosts that called, by writer.
         self._writers = {}
         self.address = ""
+        # Addresses of callers whose connections the target has refused.
+        self.refused = set()
         # Address to which connections are forwarded; None refuses them.
         self.target = None
         self.fault = LinkFault()
@@ -61,7 +63,10 @@
         return self.source_faults.get(source, self.fault)
 
     async def _serve(self, reader, writer):
-        source = writer.get_extra_info("peername")[0]
+        caller = writer.get_extra_info("peername")
+        source = caller[0]
+        # Its port may have been another connection's.
+        self.refused.discard(caller)
         if self._fault_of(source).refuses or self.target is None:
             reset(writer)
             return
@@ -69,6 +74,7 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
         except OSError:
+            self.refused.add(caller)
             reset(writer)
             return
         ends = {writer, far_writer}
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,11 +8,12 @@
 import pytest
 
 from tests.soak.budgets import Arrivals, budget_problems
-from tests.soak.callers import KINDS, Seen, Sent
+from tests.soak.callers import KINDS, Callers, Seen, Sent
 from tests.soak.checks import Checks
 from tests.soak.crashes import CrashCheck, Prompt, Prompts
 from tests.soak.gateway_cuts import Cut, recover_problems
 from tests.soak.losses import Evidence, lost_problems
+from tests.soak.proxy import Link
 from tests.soak.repeats import Repeats
 from tests.soak.wire import encode_in_chunks, read_message
 
@@ -515,3 +516,24 @@
     assert ["BUDGET register" in problem for problem in lines.problems()] == (
         [True] * found
     )
+
+
+def test_a_connection_that_a_gateway_refuses_carries_no_request():
+    async def main():
+        link = Link("127.0.0.1")
+        await link.open()
+        # Nobody listens there.
+        link.target = "127.0.0.1:1"
+        gateway = SimpleNamespace(name="g-1")
+        fleet = SimpleNamespace(gateways=[gateway], links={"g-1": link})
+        callers = Callers(fleet, {"key": "customer"}, Random(1), "r", {"safe": 1})
+        load = asyncio.create_task(callers.run(2, 0.01))
+        await asyncio.sleep(0.3)
+        callers.stopping = True
+        await load
+        await link.close()
+        return callers, len(link.refused)
+
+    callers, refused = asyncio.run(main())
+    assert (callers.sent, callers.seen) == ({}, {})
+    assert refused > 2
