--- a/review/standins2/client.py
+++ b/review/standins2/client.py
@@ -81,19 +81,21 @@
     async def send(self, data: bytes) -> Answer:
         """Send a request and read the answer to its end or that of the connection."""
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(self._socket, ("127.0.0.1", self._port))
-        await loop.sock_sendall(self._socket, data)
         received, ended = bytearray(), ""
         piece = self._bytes_per_s // READS_PER_S
         try:
-            while not _is_complete(received):
+            await loop.sock_connect(self._socket, ("127.0.0.1", self._port))
+            await loop.sock_sendall(self._socket, data)
+            wanted = 0
+            while not wanted or len(received) < wanted:
                 data = await loop.sock_recv(self._socket, piece)
                 if not data:
                     ended = "closed"
                     break
                 received += data
+                wanted = wanted or _whole_length(received)
                 await asyncio.sleep(len(data) / self._bytes_per_s)
-        except ConnectionError as error:
+        except OSError as error:
             ended = type(error).__name__
         finally:
             self._socket.close()
@@ -110,6 +112,7 @@
     return 0
 
 
-def _is_complete(received: bytearray) -> bool:
-    head, separator, body = bytes(received).partition(b"\r\n\r\n")
-    return bool(separator) and len(body) >= _length(head)
+def _whole_length(received: bytearray) -> int:
+    """Return the bytes of the whole answer, 0 while its head is not whole."""
+    head, separator, _ = bytes(received).partition(b"\r\n\r\n")
+    return len(head) + len(separator) + _length(head) if separator else 0
--- a/review/standins2/gateway.py
+++ b/review/standins2/gateway.py
@@ -160,6 +160,14 @@
         """Whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    def memory_mb(self) -> float:
+        """Return the memory that the process has resident, 0 if it has ended."""
+        if not self.runs:
+            return 0.0
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        lines = (line.split() for line in status.splitlines())
+        return next((int(w[1]) / 1024 for w in lines if w[0] == "VmRSS:"), 0.0)
+
     def end(self) -> None:
         """End the process at once."""
         if self._process is not None:
