--- a/review/standins2/client.py
+++ b/review/standins2/client.py
@@ -81,27 +81,33 @@
     async def send(self, data: bytes) -> Answer:
         """Send a request and read the answer to its end or that of the connection."""
         loop = asyncio.get_running_loop()
-        received, ended = bytearray(), ""
+        # The head and what has come with it; of the rest only the size is kept.
+        begun, size, ended = bytearray(), 0, ""
         piece = self._bytes_per_s // READS_PER_S
         try:
             await loop.sock_connect(self._socket, ("127.0.0.1", self._port))
             await loop.sock_sendall(self._socket, data)
             wanted = 0
-            while not wanted or len(received) < wanted:
+            while not wanted or size < wanted:
                 data = await loop.sock_recv(self._socket, piece)
                 if not data:
                     ended = "closed"
                     break
-                received += data
-                wanted = wanted or _whole_length(received)
+                size += len(data)
+                if not wanted:
+                    begun += data
+                    wanted = _whole_length(begun)
                 await asyncio.sleep(len(data) / self._bytes_per_s)
         except OSError as error:
             ended = type(error).__name__
         finally:
             self._socket.close()
-        head, _, body = bytes(received).partition(b"\r\n\r\n")
-        status = int(head.split(b" ", 2)[1]) if head else 0
-        return Answer(status, len(body), _length(head), ended)
+        head, separator, _ = bytes(begun).partition(b"\r\n\r\n")
+        if not separator:
+            return Answer(0, ended=ended)
+        status = int(head.split(b" ", 2)[1])
+        body_bytes = size - len(head) - len(separator)
+        return Answer(status, body_bytes, _length(head), ended)
 
 
 def _length(head: bytes) -> int:
--- a/review/standins2/gateway.py
+++ b/review/standins2/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -70,16 +71,21 @@
 value_bytes = 1048576
 ttl_min_ms = 1000
 """
-_reserved: list[socket.socket] = []
+# Below the ports that the system gives to outgoing connections, so that none of these
+# takes the port of a gateway while it starts again.
+PORTS = range(21_000, 32_000)
 
 
 def _free_port() -> int:
-    """Return a port that is free, and keep others from being given the same one."""
-    probe = socket.socket()
-    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    probe.bind(("127.0.0.1", 0))
-    _reserved.append(probe)
-    return probe.getsockname()[1]
+    """Return a port that nothing listens at."""
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Gateway:
@@ -93,9 +99,6 @@
     def __init__(self, name: str, store: str, folder: Path) -> None:
         self.name = name
         self.front, self.ready, metrics = (_free_port() for _ in range(3))
-        for probe in _reserved:
-            probe.close()
-        _reserved.clear()
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(
             SETTINGS.format(
